--- /dev/null
+++ b/commands/agent.go
@@ -0,0 +1,30 @@
+package commands
+
+import (
+	"context"
+	"net"
+
+	"github.com/pkg/errors"
+
+	"github.com/corianderhook/corianderhook/process/agent"
+	"github.com/corianderhook/corianderhook/version/config"
+)
+
+// AgentCommand runs an agent.
+type AgentCommand struct {
+	Config string `required:"" placeholder:"DIR" help:"Settings folder; its files *.ini are merged in the order of their names."`
+}
+
+// Run runs the agent until a signal ends it.
+func (c *AgentCommand) Run() error {
+	settings, err := readSettings(c.Config, config.RoleAgent)
+	if err != nil {
+		return err
+	}
+	admin, err := net.Listen("tcp", settings.Agent().Admin)
+	if err != nil {
+		return usageError{errors.Wrap(err, "setting [agent] admin")}
+	}
+	a := agent.New(agent.Dependencies{Config: settings, Clock: realClock(), System: newSystem()})
+	return runUntilSignal(settings.DrainTime(), func(ctx context.Context) error { return a.Run(ctx, admin) }, a.Drain)
+}
--- /dev/null
+++ b/commands/commands.go
@@ -0,0 +1,141 @@
+// Package commands holds the command line: one file per command, and App, which
+// runs them.
+package commands
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+)
+
+// Exit codes.
+const (
+	exitOK = 0
+	// exitFailed: the command ran and did not succeed.
+	exitFailed = 1
+	// exitUsage: flags, addresses or settings are wrong; nothing was started.
+	exitUsage = 2
+)
+
+// App is the command line.
+type App struct {
+	Verbose int `short:"v" help:"Log detail: 0 for events, 1 for connections too." default:"0"`
+
+	Entry   EntryCommand   `cmd:"" help:"Run an entry process: takes callers' jobs and owns their keys."`
+	Agent   AgentCommand   `cmd:"" help:"Run the agent process beside an endpoint."`
+	Log     LogCommand     `cmd:"" help:"Run the stand-in for the platform's log, for tests and local use."`
+	Sample  SampleCommand  `cmd:"" help:"Run a sample endpoint, for tests and local use."`
+	Demo    DemoCommand    `cmd:"" help:"Run a whole system on loopback and send it jobs."`
+	Submit  SubmitCommand  `cmd:"" help:"Submit a job and wait for its answer."`
+	Job     JobCommand     `cmd:"" help:"Show or cancel a job."`
+	Config  ConfigCommand  `cmd:"" help:"Check and show a settings folder."`
+	Status  StatusCommand  `cmd:"" help:"Show what processes say of themselves."`
+	Drain   DrainCommand   `cmd:"" help:"Stop a process as planned: no new work, nothing cut."`
+	Bench   BenchCommand   `cmd:"" help:"Run an experiment on loopback."`
+	Version VersionCommand `cmd:"" help:"Show the version."`
+}
+
+// Streams are where a command writes.
+type Streams struct {
+	Out io.Writer
+	Err io.Writer
+}
+
+// usageError marks an error of flags or settings.
+type usageError struct{ error }
+
+// Main runs the command line and returns the exit code: 0 for success, 1 where
+// the command failed, 2 for wrong flags or settings.
+func Main(args []string, out, errOut io.Writer) int {
+	var app App
+	code := -1
+	parser, err := kong.New(&app,
+		kong.Name("corianderhook"),
+		kong.Description("A dispatcher for jobs of sub-second tasks.\n\nExit codes: 0 success, 1 the command failed, 2 wrong flags or settings."),
+		kong.Writers(out, errOut),
+		kong.Exit(func(c int) { code = c }),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
+	)
+	if err != nil {
+		fmt.Fprintln(errOut, "corianderhook:", err)
+		return exitUsage
+	}
+	command, err := parser.Parse(args)
+	if code >= 0 {
+		return code
+	}
+	if err != nil {
+		fmt.Fprintln(errOut, "corianderhook:", err)
+		return exitUsage
+	}
+	setUpLogs(app.Verbose)
+	defer klog.Flush()
+	if err := command.Run(&Streams{Out: out, Err: errOut}); err != nil {
+		fmt.Fprintln(errOut, "corianderhook:", err)
+		var usage usageError
+		if errors.As(err, &usage) {
+			return exitUsage
+		}
+		return exitFailed
+	}
+	return exitOK
+}
+
+// setUpLogs sends klog to standard error.
+func setUpLogs(verbose int) {
+	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(flags)
+	// The flags exist, so that setting them cannot fail.
+	_ = flags.Set("logtostderr", "true")
+	_ = flags.Set("v", fmt.Sprint(verbose))
+}
+
+// quietLogs shows only errors, for commands that print a report.
+func quietLogs() {
+	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(flags)
+	// The flags exist, so that setting them cannot fail.
+	_ = flags.Set("logtostderr", "false")
+	_ = flags.Set("stderrthreshold", "ERROR")
+	klog.SetOutput(io.Discard)
+}
+
+// newSystem returns an actor system that logs warnings only.
+func newSystem() *actor.ActorSystem {
+	return actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
+		return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelWarn}))
+	}))
+}
+
+// signals returns a context that ends with the first SIGTERM or SIGINT, and one
+// that ends with the second.
+func signals() (first, second context.Context, stop func()) {
+	first, cancelFirst := context.WithCancel(context.Background())
+	second, cancelSecond := context.WithCancel(context.Background())
+	caught := make(chan os.Signal, 2)
+	signal.Notify(caught, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-caught
+		cancelFirst()
+		<-caught
+		cancelSecond()
+	}()
+	return first, second, func() {
+		signal.Stop(caught)
+		cancelFirst()
+		cancelSecond()
+	}
+}
+
+func realClock() clockwork.Clock { return clockwork.NewRealClock() }
--- /dev/null
+++ b/commands/entry.go
@@ -0,0 +1,81 @@
+package commands
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/corianderhook/corianderhook/connection/logclient"
+	"github.com/corianderhook/corianderhook/process/entry"
+	"github.com/corianderhook/corianderhook/version/config"
+)
+
+// EntryCommand runs an entry.
+type EntryCommand struct {
+	Config string `required:"" placeholder:"DIR" help:"Settings folder; its files *.ini are merged in the order of their names."`
+	Seed   uint64 `default:"0" help:"Seed for ties and for the spread of Retry-After; 0 takes the time."`
+}
+
+// Run runs the entry until a signal ends it.
+func (c *EntryCommand) Run() error {
+	settings, err := readSettings(c.Config, config.RoleEntry)
+	if err != nil {
+		return err
+	}
+	listeners, err := entry.Listen(settings)
+	if err != nil {
+		return usageError{err}
+	}
+	e := entry.New(entry.Dependencies{
+		Config: settings,
+		Log:    logclient.New(settings.Process().Log),
+		Clock:  realClock(),
+		System: newSystem(),
+		Seed:   seedOrTime(c.Seed),
+	})
+	return runUntilSignal(settings.DrainTime(), func(ctx context.Context) error { return e.Run(ctx, listeners) }, e.Drain)
+}
+
+func seedOrTime(seed uint64) uint64 {
+	if seed != 0 {
+		return seed
+	}
+	return uint64(time.Now().UnixNano())
+}
+
+func readSettings(folder string, role config.Role) (*config.Config, error) {
+	files, err := config.ReadFolder(folder)
+	if err != nil {
+		return nil, usageError{err}
+	}
+	settings, err := config.Merge(files)
+	if err != nil {
+		return nil, usageError{err}
+	}
+	if err := settings.Require(role); err != nil {
+		return nil, usageError{err}
+	}
+	return settings, nil
+}
+
+// runUntilSignal runs a process. The first signal drains it; the second, or the
+// end of the drain time, stops it at once.
+func runUntilSignal(drainTime time.Duration, run func(context.Context) error, drain func(context.Context) error) error {
+	first, second, stop := signals()
+	defer stop()
+	ended := make(chan error, 1)
+	go func() { ended <- run(second) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-first.Done():
+	}
+	klog.InfoS("CH0004 signal caught, stopping as planned", "bound", drainTime)
+	ctx, cancel := context.WithTimeout(second, drainTime)
+	defer cancel()
+	if err := drain(ctx); err != nil {
+		return err
+	}
+	return <-ended
+}
--- /dev/null
+++ b/commands/version.go
@@ -0,0 +1,25 @@
+package commands
+
+import (
+	"fmt"
+	"runtime"
+	"runtime/debug"
+)
+
+// VersionCommand shows the version.
+type VersionCommand struct{}
+
+// Run prints the module version, the Go version and, where known, the commit.
+func (c *VersionCommand) Run(s *Streams) error {
+	version, commit := "unknown", "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		version = info.Main.Version
+		for _, setting := range info.Settings {
+			if setting.Key == "vcs.revision" {
+				commit = setting.Value
+			}
+		}
+	}
+	fmt.Fprintf(s.Out, "corianderhook %s commit=%s %s\n", version, commit, runtime.Version())
+	return nil
+}
--- /dev/null
+++ b/connection/peer/peer.go
@@ -0,0 +1,250 @@
+// Package peer keeps one connection to every other entry: heartbeats that carry
+// the owner's clock, and the forwarding of submissions. A connection that is
+// silent for longer than its bound is replaced.
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"k8s.io/klog/v2"
+
+	"github.com/corianderhook/corianderhook/process/membership"
+	"github.com/corianderhook/corianderhook/version/ownership"
+	"github.com/corianderhook/corianderhook/wire"
+)
+
+const (
+	// heartbeat is the time between two heartbeats to a peer.
+	heartbeat = 200 * time.Millisecond
+	// redial is the pause before a new connection to a peer that failed.
+	redial = 100 * time.Millisecond
+	// MaxMessageBytes is the largest message between processes.
+	MaxMessageBytes = 64 << 20
+)
+
+// Settings are what Peers is made of.
+type Settings struct {
+	Self    string
+	Clock   clockwork.Clock
+	Started time.Time
+	// Silence is after how long a silent connection is replaced.
+	Silence time.Duration
+}
+
+// Peers are the connections of one entry to all others. They are safe for
+// concurrent use.
+type Peers struct {
+	settings Settings
+	mu       sync.Mutex
+	links    map[string]*link
+	draining bool
+}
+
+type link struct {
+	address string
+	cancel  context.CancelFunc
+	conn    *grpc.ClientConn
+	peer    membership.Peer
+	clock   uint64
+}
+
+// New returns connections to nobody yet.
+func New(settings Settings) *Peers {
+	return &Peers{settings: settings, links: map[string]*link{}}
+}
+
+// Follow opens connections to new entries and closes those to entries that left.
+func (p *Peers) Follow(ctx context.Context, entries map[string]ownership.Entry) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, l := range p.links {
+		if _, listed := entries[name]; !listed {
+			l.cancel()
+			delete(p.links, name)
+		}
+	}
+	for name, e := range entries {
+		if _, open := p.links[name]; open || name == p.settings.Self {
+			continue
+		}
+		ctx, cancel := context.WithCancel(ctx)
+		l := &link{address: e.Address, cancel: cancel}
+		p.links[name] = l
+		go p.keep(ctx, name, l)
+	}
+}
+
+// keep holds a connection open until the context ends.
+func (p *Peers) keep(ctx context.Context, name string, l *link) {
+	for ctx.Err() == nil {
+		err := p.connect(ctx, name, l)
+		if ctx.Err() != nil {
+			return
+		}
+		klog.V(1).InfoS("CH0201 peer connection lost", "peer", name, "error", err)
+		select {
+		case <-ctx.Done():
+		case <-p.settings.Clock.After(redial):
+		}
+	}
+}
+
+func (p *Peers) connect(ctx context.Context, name string, l *link) error {
+	conn, err := Dial(l.address)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := wire.NewEntryClient(conn).Peer(ctx)
+	if err != nil {
+		return errors.Wrap(err, "open peer stream")
+	}
+	p.setConn(l, conn)
+	defer p.setConn(l, nil)
+	heard := make(chan *wire.PeerHeartbeat, 1)
+	failed := make(chan error, 1)
+	go receive(ctx, stream, heard, failed)
+	return p.exchange(ctx, l, stream, heard, failed)
+}
+
+// Dial opens a connection to another process of the system.
+func Dial(address string) (*grpc.ClientConn, error) {
+	conn, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes), grpc.MaxCallSendMsgSize(MaxMessageBytes)),
+	)
+	return conn, errors.Wrapf(err, "connect to %s", address)
+}
+
+func receive(ctx context.Context, stream wire.Entry_PeerClient, heard chan<- *wire.PeerHeartbeat, failed chan<- error) {
+	for {
+		beat, err := stream.Recv()
+		if err != nil {
+			failed <- err
+			return
+		}
+		select {
+		case heard <- beat:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (p *Peers) exchange(ctx context.Context, l *link, stream wire.Entry_PeerClient, heard <-chan *wire.PeerHeartbeat, failed <-chan error) error {
+	ticker := p.settings.Clock.NewTicker(heartbeat)
+	defer ticker.Stop()
+	for {
+		if err := stream.Send(p.Heartbeat()); err != nil {
+			return errors.Wrap(err, "send heartbeat")
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case err := <-failed:
+			return errors.Wrap(err, "receive heartbeat")
+		case <-p.settings.Clock.After(p.settings.Silence):
+			return errors.New("the connection was silent for too long")
+		case beat := <-heard:
+			p.hear(l, beat, p.settings.Clock.Now())
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.Chan():
+		}
+	}
+}
+
+func (p *Peers) setConn(l *link, conn *grpc.ClientConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l.conn = conn
+}
+
+func (p *Peers) hear(l *link, beat *wire.PeerHeartbeat, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l.peer.FirstHeard.IsZero() {
+		l.peer.FirstHeard = now
+	}
+	l.peer.LastHeard = now
+	l.peer.Hears = beat.GetHears()
+	l.peer.Draining = beat.GetDraining()
+	l.clock = max(l.clock, beat.GetClock())
+}
+
+// Heartbeat returns what this entry says of itself.
+func (p *Peers) Heartbeat() *wire.PeerHeartbeat {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	beat := &wire.PeerHeartbeat{
+		Entry:    p.settings.Self,
+		Clock:    p.Now(),
+		Draining: p.draining,
+	}
+	for name, l := range p.links {
+		if p.settings.Clock.Since(l.peer.LastHeard) <= membership.Suspicion {
+			beat.Hears = append(beat.Hears, name)
+		}
+	}
+	return beat
+}
+
+// Now returns this entry's clock: monotonic nanoseconds since its start.
+func (p *Peers) Now() uint64 {
+	return uint64(p.settings.Clock.Since(p.settings.Started).Nanoseconds())
+}
+
+// SetDraining tells the peers that this entry is about to stop.
+func (p *Peers) SetDraining() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.draining = true
+}
+
+// Known returns what is known of each peer.
+func (p *Peers) Known() map[string]membership.Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := make(map[string]membership.Peer, len(p.links))
+	for name, l := range p.links {
+		if !l.peer.LastHeard.IsZero() {
+			known[name] = l.peer
+		}
+	}
+	return known
+}
+
+// Reading returns the clock of an entry as it was last heard. It is never ahead
+// of that entry's clock.
+func (p *Peers) Reading(name string) uint64 {
+	if name == p.settings.Self {
+		return p.Now()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l, known := p.links[name]; known {
+		return l.clock
+	}
+	return 0
+}
+
+// Client returns the connection to an entry, if there is one.
+func (p *Peers) Client(name string) (wire.EntryClient, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l, known := p.links[name]
+	if !known || l.conn == nil {
+		return nil, false
+	}
+	return wire.NewEntryClient(l.conn), true
+}
--- /dev/null
+++ b/process/agent/agent.go
@@ -0,0 +1,248 @@
+// Package agent is the process beside an endpoint: it announces the endpoint to
+// the entries, pulls tasks and runs them. This package wires; the decisions are
+// in process/executor and process/queue.
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/corianderhook/corianderhook/common/instance"
+	"github.com/corianderhook/corianderhook/connection/endpoint"
+	"github.com/corianderhook/corianderhook/process/executor"
+	"github.com/corianderhook/corianderhook/process/metrics"
+	"github.com/corianderhook/corianderhook/request/submission"
+	"github.com/corianderhook/corianderhook/version/config"
+	"github.com/corianderhook/corianderhook/wire"
+)
+
+const (
+	tickEvery   = 50 * time.Millisecond
+	expireEvery = time.Second
+	adminTime   = 5 * time.Second
+	// restAfterRefusal is how long an agent waits with further pulls when its
+	// endpoint does not start tasks, so that it does not attract them by speed.
+	restAfterRefusal = 250 * time.Millisecond
+	// lastWord is how long a stopping agent stays for its last frames to go out.
+	lastWord = 200 * time.Millisecond
+)
+
+// Dependencies are what an agent works with.
+type Dependencies struct {
+	Config *config.Config
+	Clock  clockwork.Clock
+	System *actor.ActorSystem
+	// Gate, where set, may hold messages back.
+	Gate Gate
+}
+
+// Gate lets the experiment tool hold this agent's messages in and out.
+type Gate interface {
+	// Pass returns at once, or when the gate opens.
+	Pass()
+}
+
+// Agent is one agent process.
+type Agent struct {
+	deps     Dependencies
+	id       string
+	endpoint *endpoint.Client
+	metrics  *metrics.Metrics
+	executor *actor.PID
+	links    *links
+	load     atomic.Pointer[wire.Load]
+	quit     chan struct{}
+	quitOnce sync.Once
+	done     chan struct{}
+}
+
+// New returns an agent that has not started.
+func New(deps Dependencies) *Agent {
+	c := deps.Config
+	a := &Agent{
+		deps:     deps,
+		id:       instance.New(c.Process().Name).String(),
+		endpoint: endpoint.New(c.Agent().Endpoint, c.Agent().Connections, deps.Clock),
+		metrics:  metrics.New(),
+		quit:     make(chan struct{}),
+		done:     make(chan struct{}),
+	}
+	a.links = newLinks(a)
+	return a
+}
+
+// Instance returns name#incarnation of this run.
+func (a *Agent) Instance() string { return a.id }
+
+// Run serves until the context ends or Drain has finished.
+func (a *Agent) Run(ctx context.Context, admin net.Listener) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer close(a.done)
+	defer cancel()
+	go func() {
+		select {
+		case <-a.quit:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	a.executor = a.deps.System.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return newExecutorActor(ctx, a) }))
+	defer a.deps.System.Root.Stop(a.executor)
+	server := &http.Server{Handler: a.adminHandler(), ReadHeaderTimeout: adminTime}
+	defer server.Close()
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(admin) }()
+	go a.tick(ctx)
+	a.links.seed(ctx, a.deps.Config.Agent().Entries)
+	klog.InfoS("CH0011 agent started", "agent", a.id, "endpoint", a.deps.Config.Agent().Endpoint, "admin", admin.Addr())
+	select {
+	case <-ctx.Done():
+		a.links.wait()
+		return nil
+	case err := <-failed:
+		return errors.Wrap(err, "agent")
+	}
+}
+
+// Kill ends the agent at once, as a failure of its VM would.
+func (a *Agent) Kill() {
+	a.quitOnce.Do(func() { close(a.quit) })
+	<-a.done
+}
+
+// Drain takes no new work, lets the tasks that run end, and stops. It gives up
+// at the end of the context.
+func (a *Agent) Drain(ctx context.Context) error {
+	klog.InfoS("CH0012 agent drains", "agent", a.id)
+	a.deps.System.Root.Send(a.executor, drain{})
+	for {
+		left, err := a.running(ctx)
+		if err != nil {
+			a.Kill()
+			return errors.Wrap(err, "the planned stop was cut short")
+		}
+		if left == 0 {
+			break
+		}
+		a.pause(ctx, tickEvery)
+	}
+	a.pause(ctx, lastWord)
+	a.Kill()
+	klog.InfoS("CH0013 agent stopped", "agent", a.id)
+	return nil
+}
+
+func (a *Agent) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-a.deps.Clock.After(d):
+	}
+}
+
+func (a *Agent) running(ctx context.Context) (int, error) {
+	s, err := a.Status(ctx)
+	return s.Running, err
+}
+
+// Status is what an agent shows of itself.
+type Status struct {
+	Agent    string   `json:"agent"`
+	Zone     string   `json:"zone"`
+	Endpoint string   `json:"endpoint"`
+	Slots    int      `json:"slots"`
+	Running  int      `json:"running"`
+	Waiting  int      `json:"waiting"`
+	Keys     int      `json:"keys"`
+	Jobs     int      `json:"jobs"`
+	Draining bool     `json:"draining"`
+	Entries  []string `json:"entries"`
+}
+
+// Status returns what the agent shows of itself.
+func (a *Agent) Status(ctx context.Context) (Status, error) {
+	s := Status{
+		Agent:    a.id,
+		Zone:     a.deps.Config.Process().Zone,
+		Endpoint: a.deps.Config.Agent().Endpoint,
+		Slots:    a.deps.Config.Agent().Slots,
+		Entries:  a.links.connected(),
+	}
+	done := make(chan struct{})
+	a.deps.System.Root.Send(a.executor, inspect{done: done, run: func(e *executor.Executor) {
+		s.Running = e.Running()
+		s.Waiting = int(e.Load().GetWaiting())
+		s.Draining = e.Draining()
+		s.Keys, s.Jobs = e.Keys()
+	}})
+	select {
+	case <-done:
+		return s, nil
+	case <-ctx.Done():
+		return Status{}, ctx.Err()
+	}
+}
+
+func (a *Agent) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", a.metrics.Handler())
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if len(a.links.connected()) == 0 {
+			http.Error(w, "no entry is connected", http.StatusServiceUnavailable)
+		}
+	})
+	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, r *http.Request) {
+		s, err := a.Status(r.Context())
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		// A failed write means that the reader is gone.
+		_ = json.NewEncoder(w).Encode(s)
+	})
+	return mux
+}
+
+func (a *Agent) tick(ctx context.Context) {
+	ticker := a.deps.Clock.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			a.deps.System.Root.Send(a.executor, tick{})
+		}
+	}
+}
+
+// run posts a task and brings its end back to the actor.
+func (a *Agent) run(ctx context.Context, t *wire.TaskStart) {
+	name := t.GetJob() + "/" + strconv.FormatUint(uint64(t.GetIndex()), 10)
+	record := a.endpoint.Do(ctx, name, t)
+	if ctx.Err() != nil {
+		return
+	}
+	if record.GetState() == wire.TaskState_TASK_STATE_NOT_STARTED {
+		a.pause(ctx, restAfterRefusal)
+	}
+	a.deps.System.Root.Send(a.executor, finished{task: t, record: record})
+}
+
+// recordTime is how long an agent keeps records that no owner forgets: longer
+// than any job can run and its answer is kept.
+func recordTime(c *config.Config) time.Duration {
+	return c.Retention() + submission.MaxDeadline
+}
--- /dev/null
+++ b/process/dispatch/dispatch.go
@@ -0,0 +1,454 @@
+// Package dispatch decides at an entry which agents hear of waiting tasks and
+// which tasks a pull gets. Agents choose between the flows of all entries; an
+// entry serves the jobs of one flow in the order of their arrival. It does no I/O.
+package dispatch
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/corianderhook/corianderhook/request/job"
+	"github.com/corianderhook/corianderhook/wire"
+)
+
+const (
+	// patience is how long a promise to one agent keeps tasks from the others.
+	patience = 5 * time.Millisecond
+	// parkTime is how long a pull waits for tasks that the witnesses do not know yet.
+	parkTime = 50 * time.Millisecond
+	// scanJobs bounds how many jobs of a flow a pull looks at.
+	scanJobs = 16
+	// maxCandidates is how many agents a job is registered with at first.
+	maxCandidates = 16
+)
+
+// Flow is the unit of fairness: the tasks of one kind and one team.
+type Flow struct {
+	Kind string
+	Team string
+}
+
+// Host is what the dispatcher needs of the process around it.
+type Host interface {
+	Now() time.Time
+	Send(agent string, f *wire.EntryFrame) bool
+	// Extend asks the job's slot to let the agent start tasks of it.
+	Extend(slot uint32, j *job.Job, agent string)
+	// Epoch returns the epoch at which the slot is owned.
+	Epoch(slot uint32) uint64
+	// TaskTimeout returns how long a task of the kind may run.
+	TaskTimeout(kind string) time.Duration
+	// Started hears how many tasks of a job were handed out after which wait.
+	Started(j *job.Job, count int)
+}
+
+type item struct {
+	slot    uint32
+	job     *job.Job
+	counted int
+	offered time.Time
+}
+
+type parked struct {
+	agent string
+	pull  *wire.Pull
+	until time.Time
+}
+
+type flow struct {
+	name     Flow
+	items    []*item
+	byJob    map[*job.Job]*item
+	count    int
+	promised int
+	since    time.Time
+	parked   []parked
+}
+
+type agent struct {
+	name     string
+	zone     string
+	slots    int
+	free     int
+	waiting  int
+	promised map[Flow]int
+	believed map[Flow]int
+	total    int
+	draining bool
+	ejected  bool
+}
+
+// Dispatch is the dispatcher of one entry. It is not safe for concurrent use.
+type Dispatch struct {
+	host   Host
+	random *rand.Rand
+	flows  map[Flow]*flow
+	agents map[string]*agent
+	list   []*agent
+	wasted uint64
+}
+
+// New returns a dispatcher without agents. The seed breaks ties between agents
+// of the same load.
+func New(host Host, seed uint64) *Dispatch {
+	return &Dispatch{
+		host:   host,
+		random: rand.New(rand.NewPCG(seed, 0)),
+		flows:  map[Flow]*flow{},
+		agents: map[string]*agent{},
+	}
+}
+
+// Attach adds an agent that has opened a session, or opens its session anew.
+func (d *Dispatch) Attach(name, zone string, slots int) {
+	d.Detach(name)
+	a := &agent{
+		name:     name,
+		zone:     zone,
+		slots:    slots,
+		free:     slots,
+		promised: map[Flow]int{},
+		believed: map[Flow]int{},
+	}
+	d.agents[name] = a
+	d.list = append(d.list, a)
+	for _, f := range d.flows {
+		d.spread(f)
+	}
+}
+
+// Detach removes an agent whose session has ended.
+func (d *Dispatch) Detach(name string) {
+	a, known := d.agents[name]
+	if !known {
+		return
+	}
+	delete(d.agents, name)
+	d.list = slices.DeleteFunc(d.list, func(b *agent) bool { return a == b })
+	for flowName, n := range a.promised {
+		if f := d.flows[flowName]; f != nil {
+			f.promised -= n
+		}
+	}
+	for _, f := range d.flows {
+		f.parked = slices.DeleteFunc(f.parked, func(p parked) bool { return p.agent == name })
+		d.spread(f)
+	}
+}
+
+// Load takes what an agent says of itself.
+func (d *Dispatch) Load(name string, l *wire.Load) {
+	a, known := d.agents[name]
+	if !known || l == nil {
+		return
+	}
+	a.free = int(l.GetFree())
+	a.waiting = int(l.GetWaiting())
+	a.draining = l.GetDraining()
+}
+
+// Eject keeps an agent from getting tasks, or lets it back.
+func (d *Dispatch) Eject(name string, ejected bool) {
+	if a, known := d.agents[name]; known {
+		a.ejected = ejected
+	}
+}
+
+// Agents returns the names of the attached agents.
+func (d *Dispatch) Agents() []string {
+	names := make([]string, 0, len(d.list))
+	for _, a := range d.list {
+		names = append(names, a.name)
+	}
+	return names
+}
+
+// Slots returns the number of slots at the agents that take tasks.
+func (d *Dispatch) Slots() int {
+	total := 0
+	for _, a := range d.list {
+		if a.usable() {
+			total += a.slots
+		}
+	}
+	return total
+}
+
+func (a *agent) usable() bool { return !a.draining && !a.ejected }
+
+// room is how many tasks the agent can start at once as far as is known here.
+func (a *agent) room() int { return a.free - a.total }
+
+// Candidates returns the agents that a new job is registered with: the ones
+// with the most room first, the others in an order that differs per job.
+func (d *Dispatch) Candidates() []string {
+	usable := d.byRoom()
+	names := make([]string, 0, min(len(usable), maxCandidates))
+	for _, a := range usable[:min(len(usable), maxCandidates)] {
+		names = append(names, a.name)
+	}
+	return names
+}
+
+func (d *Dispatch) byRoom() []*agent {
+	usable := make([]*agent, 0, len(d.list))
+	for _, a := range d.list {
+		if a.usable() {
+			usable = append(usable, a)
+		}
+	}
+	d.random.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
+	slices.SortStableFunc(usable, func(a, b *agent) int { return cmp.Compare(b.room(), a.room()) })
+	return usable
+}
+
+// Waiting returns the number of tasks of a kind that wait here.
+func (d *Dispatch) Waiting(kind string) int {
+	total := 0
+	for name, f := range d.flows {
+		if name.Kind == kind {
+			total += f.count
+		}
+	}
+	return total
+}
+
+// Offer takes a job with waiting tasks, or takes note that their number changed.
+func (d *Dispatch) Offer(slot uint32, j *job.Job) {
+	name := Flow{Kind: j.Kind(), Team: j.Team()}
+	f, known := d.flows[name]
+	if !known {
+		f = &flow{name: name, byJob: map[*job.Job]*item{}}
+		d.flows[name] = f
+	}
+	it, held := f.byJob[j]
+	if !held {
+		it = &item{slot: slot, job: j, offered: d.host.Now()}
+		f.byJob[j] = it
+		f.items = append(f.items, it)
+		j.SetInDispatch(true)
+	}
+	if f.count == 0 {
+		f.since = d.host.Now()
+	}
+	d.recount(f, it)
+	d.servePark(f)
+	d.promise(f)
+}
+
+func (d *Dispatch) recount(f *flow, it *item) {
+	waiting := it.job.Waiting()
+	f.count += waiting - it.counted
+	it.counted = waiting
+	if waiting > 0 {
+		return
+	}
+	delete(f.byJob, it.job)
+	f.items = slices.DeleteFunc(f.items, func(x *item) bool { return x == it })
+	it.job.SetInDispatch(false)
+}
+
+// Withdraw drops a job that has ended.
+func (d *Dispatch) Withdraw(j *job.Job) {
+	f := d.flows[Flow{Kind: j.Kind(), Team: j.Team()}]
+	if f == nil {
+		return
+	}
+	it, held := f.byJob[j]
+	if !held {
+		return
+	}
+	f.count -= it.counted
+	delete(f.byJob, j)
+	f.items = slices.DeleteFunc(f.items, func(x *item) bool { return x == it })
+	j.SetInDispatch(false)
+}
+
+// promise tells agents with room about tasks that nobody was told of yet. What
+// finds no room is made known to all, so that the next free slot pulls it.
+func (d *Dispatch) promise(f *flow) {
+	need := f.count - f.promised
+	if need <= 0 {
+		return
+	}
+	for _, a := range d.byRoom() {
+		room := a.room()
+		if need <= 0 || room <= 0 {
+			break
+		}
+		n := min(room, need)
+		a.promised[f.name] += n
+		a.total += n
+		f.promised += n
+		need -= n
+		d.tell(a, f, a.believed[f.name]+n)
+	}
+	if need > 0 {
+		d.tellAll(f, need)
+	}
+}
+
+func (d *Dispatch) tellAll(f *flow, count int) {
+	for _, a := range d.list {
+		if a.usable() && a.believed[f.name] == 0 {
+			d.tell(a, f, count)
+		}
+	}
+}
+
+func (d *Dispatch) tell(a *agent, f *flow, count int) {
+	a.believed[f.name] = count
+	d.host.Send(a.name, &wire.EntryFrame{Body: &wire.EntryFrame_Reserve{Reserve: &wire.Reserve{
+		Kind:  f.name.Kind,
+		Team:  f.name.Team,
+		Count: uint32(count),
+	}}})
+}
+
+// spread makes waiting tasks known to agents that have not heard of them.
+func (d *Dispatch) spread(f *flow) {
+	if f.count > 0 {
+		d.promise(f)
+	}
+}
+
+// Pull answers an agent that has slots for a flow.
+func (d *Dispatch) Pull(name string, p *wire.Pull) {
+	a, known := d.agents[name]
+	if !known {
+		return
+	}
+	f := d.flows[Flow{Kind: p.GetKind(), Team: p.GetTeam()}]
+	if f == nil {
+		d.answer(a, nil, p, nil)
+		return
+	}
+	d.keep(a, f, int(p.GetCount()))
+	if !a.usable() {
+		d.answer(a, f, p, nil)
+		return
+	}
+	tasks := d.take(a, f, p)
+	if len(tasks) == 0 && f.count > 0 {
+		f.parked = append(f.parked, parked{agent: name, pull: p, until: d.host.Now().Add(parkTime)})
+		return
+	}
+	d.answer(a, f, p, tasks)
+}
+
+// keep counts a promise as kept by the pull.
+func (d *Dispatch) keep(a *agent, f *flow, count int) {
+	n := min(a.promised[f.name], count)
+	a.promised[f.name] -= n
+	a.total -= n
+	f.promised -= n
+}
+
+// take hands out tasks of the flow for a pull, first come first served.
+func (d *Dispatch) take(a *agent, f *flow, p *wire.Pull) []*wire.TaskStart {
+	count := int(p.GetCount())
+	var tasks []*wire.TaskStart
+	looked := 0
+	for i := 0; i < len(f.items) && len(tasks) < count && looked < scanJobs; looked++ {
+		it := f.items[i]
+		if it.job.IsReady() && !it.job.Knows(a.name) {
+			d.host.Extend(it.slot, it.job, a.name)
+		}
+		indexes := it.job.Take(a.name, p.GetId(), count-len(tasks))
+		for _, index := range indexes {
+			tasks = append(tasks, d.start(it, index))
+		}
+		if len(indexes) > 0 {
+			d.host.Started(it.job, len(indexes))
+		}
+		d.recount(f, it)
+		if i < len(f.items) && f.items[i] == it {
+			i++
+		}
+	}
+	return tasks
+}
+
+func (d *Dispatch) start(it *item, index uint32) *wire.TaskStart {
+	return &wire.TaskStart{
+		Slot:      it.slot,
+		Epoch:     d.host.Epoch(it.slot),
+		Job:       it.job.Name(),
+		Index:     index,
+		Payload:   it.job.Payload(index),
+		Kind:      it.job.Kind(),
+		TimeoutMs: d.host.TaskTimeout(it.job.Kind()).Milliseconds(),
+	}
+}
+
+func (d *Dispatch) answer(a *agent, f *flow, p *wire.Pull, tasks []*wire.TaskStart) {
+	remaining := 0
+	if f != nil && a.usable() {
+		remaining = max(0, f.count-f.promised+a.promised[f.name])
+		a.believed[f.name] = remaining
+	}
+	if len(tasks) == 0 {
+		d.wasted += 2
+	}
+	a.free = max(0, a.free-len(tasks))
+	d.host.Send(a.name, &wire.EntryFrame{Body: &wire.EntryFrame_Start{Start: &wire.Start{
+		Pull:      p.GetId(),
+		Remaining: uint32(remaining),
+		Tasks:     tasks,
+	}}})
+}
+
+// servePark answers pulls that waited for the witnesses.
+func (d *Dispatch) servePark(f *flow) {
+	waiting := f.parked
+	f.parked = nil
+	for i, p := range waiting {
+		a, known := d.agents[p.agent]
+		if !known {
+			continue
+		}
+		tasks := d.take(a, f, p.pull)
+		if len(tasks) == 0 && f.count > 0 {
+			f.parked = append(f.parked, waiting[i:]...)
+			return
+		}
+		d.answer(a, f, p.pull, tasks)
+	}
+}
+
+// Tick lets go of promises and parked pulls that have waited for too long.
+func (d *Dispatch) Tick(now time.Time) {
+	for name, f := range d.flows {
+		d.expirePark(f, now)
+		if f.count == 0 {
+			if len(f.parked) == 0 && len(f.items) == 0 && f.promised == 0 {
+				delete(d.flows, name)
+			}
+			continue
+		}
+		if now.Sub(f.since) > patience {
+			f.since = now
+			d.tellAll(f, f.count)
+		}
+	}
+}
+
+func (d *Dispatch) expirePark(f *flow, now time.Time) {
+	kept := f.parked[:0]
+	for _, p := range f.parked {
+		if now.Before(p.until) {
+			kept = append(kept, p)
+			continue
+		}
+		if a, known := d.agents[p.agent]; known {
+			d.answer(a, f, p.pull, nil)
+			a.believed[f.name] = 0
+		}
+	}
+	f.parked = kept
+}
+
+// Wasted returns the number of messages that brought no task.
+func (d *Dispatch) Wasted() uint64 { return d.wasted }
--- /dev/null
+++ b/process/entry/admin.go
@@ -0,0 +1,105 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sort"
+	"time"
+
+	"github.com/corianderhook/corianderhook/process/owner"
+	"github.com/corianderhook/corianderhook/version/slot"
+)
+
+const (
+	adminHeaderTime = 5 * time.Second
+	// inspectTime bounds how long a status request waits for the owner actor.
+	inspectTime = 2 * time.Second
+)
+
+// Status is what an entry shows of itself.
+type Status struct {
+	Entry    string         `json:"entry"`
+	Zone     string         `json:"zone"`
+	Cell     string         `json:"cell"`
+	Draining bool           `json:"draining"`
+	Ready    bool           `json:"ready"`
+	Entries  []string       `json:"entries"`
+	Agents   []string       `json:"agents"`
+	Slots    map[string]int `json:"slots"`
+	Jobs     int            `json:"jobs"`
+	Keys     int            `json:"keys"`
+	Waiting  map[string]int `json:"waiting"`
+	LogNext  uint64         `json:"log_next"`
+}
+
+func (e *Entry) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", e.metrics.Handler())
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", e.readyz)
+	mux.HandleFunc("GET /v1/status", e.status)
+	return mux
+}
+
+func (e *Entry) readyz(w http.ResponseWriter, r *http.Request) {
+	s, err := e.Status(r.Context())
+	if err != nil || !s.Ready {
+		http.Error(w, "not ready: no slot has an owner, no agent is attached, or the entry is draining", http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (e *Entry) status(w http.ResponseWriter, r *http.Request) {
+	s, err := e.Status(r.Context())
+	if err != nil {
+		http.Error(w, "the owner did not answer: "+err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// A failed write means that the reader is gone.
+	_ = json.NewEncoder(w).Encode(s)
+}
+
+// Status returns what the entry shows of itself.
+func (e *Entry) Status(ctx context.Context) (Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, inspectTime)
+	defer cancel()
+	s := Status{
+		Entry:    e.self.Instance,
+		Zone:     e.self.Zone,
+		Cell:     e.self.Cell,
+		Draining: e.draining.Load(),
+		Slots:    map[string]int{},
+		Waiting:  map[string]int{},
+	}
+	err := e.onOwner(ctx, func(o *owner.Owner) { e.describe(o, &s) })
+	table := e.table.Load()
+	s.LogNext = table.Next
+	owned := 0
+	for _, one := range table.Slots {
+		if one.Epoch > 0 {
+			owned++
+		}
+	}
+	for name := range table.Entries {
+		s.Entries = append(s.Entries, name)
+	}
+	sort.Strings(s.Entries)
+	s.Ready = !s.Draining && owned == len(table.Slots) && len(s.Agents) > 0 && s.Slots[slot.Recovering.String()] == 0
+	return s, err
+}
+
+func (e *Entry) describe(o *owner.Owner, s *Status) {
+	s.Agents = o.Dispatch().Agents()
+	sort.Strings(s.Agents)
+	for _, one := range o.Slots() {
+		s.Slots[one.Phase().String()]++
+		s.Jobs += one.Running()
+		s.Keys += one.Keys()
+	}
+	for _, kind := range e.config.Load().KindNames() {
+		s.Waiting[kind] = o.Dispatch().Waiting(kind)
+	}
+}
--- /dev/null
+++ b/process/entry/steer.go
@@ -0,0 +1,259 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/corianderhook/corianderhook/process/membership"
+	"github.com/corianderhook/corianderhook/process/owner"
+	"github.com/corianderhook/corianderhook/version/ownership"
+	"github.com/corianderhook/corianderhook/version/slot"
+	"github.com/corianderhook/corianderhook/wire"
+)
+
+const (
+	// steerEvery is the time between two looks at membership and ownership.
+	steerEvery = 50 * time.Millisecond
+	// readWait is how long a read waits for records.
+	readWait = time.Second
+	// retryRead is the pause after a failed read.
+	retryRead = 200 * time.Millisecond
+	// appendTime bounds an append and the reading back of it.
+	appendTime = 5 * time.Second
+	// handOverTime bounds the talk with the next owner of slots.
+	handOverTime = 2 * time.Second
+)
+
+// follow folds the ownership stream into the table.
+func (e *Entry) follow(ctx context.Context) {
+	table := ownership.New()
+	for ctx.Err() == nil {
+		batch, err := e.deps.Log.Read(ctx, ownership.Stream, table.Next(), readWait)
+		if err != nil {
+			klog.V(1).InfoS("CH0301 log read failed", "entry", e.self.Instance, "error", err)
+			e.pause(ctx, retryRead)
+			continue
+		}
+		e.fold(ctx, table, batch.First, batch.From, batch.Records)
+	}
+}
+
+func (e *Entry) fold(ctx context.Context, table *ownership.Table, first, from uint64, records [][]byte) {
+	table.Skip(first)
+	for i, raw := range records {
+		if err := table.Apply(from+uint64(i), raw); err != nil {
+			klog.ErrorS(err, "CH0302 ownership record is void", "entry", e.self.Instance)
+		}
+	}
+	if len(records) == 0 || !table.Whole() {
+		return
+	}
+	state := table.Snapshot()
+	e.table.Store(&state)
+	e.peers.Follow(ctx, state.Entries)
+	e.deps.System.Root.Send(e.owner, follow{table: &state})
+}
+
+func (e *Entry) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-e.deps.Clock.After(d):
+	}
+}
+
+// steer appends what membership asks for.
+func (e *Entry) steer(ctx context.Context) {
+	m := membership.New(e.deps.Clock.Now())
+	for ctx.Err() == nil {
+		e.pause(ctx, steerEvery)
+		var list []membership.Agent
+		if e.onOwner(ctx, func(o *owner.Owner) { list = agents(o) }) != nil {
+			return
+		}
+		plan := m.Decide(membership.View{
+			Now:      e.deps.Clock.Now(),
+			Self:     e.self,
+			Draining: e.draining.Load(),
+			Table:    *e.table.Load(),
+			Peers:    e.peers.Known(),
+			Agents:   list,
+		})
+		if err := e.carryOut(ctx, m, plan); err != nil && ctx.Err() == nil {
+			klog.V(1).InfoS("CH0303 log append failed", "entry", e.self.Instance, "error", err)
+			e.pause(ctx, retryRead)
+		}
+	}
+}
+
+func (e *Entry) carryOut(ctx context.Context, m *membership.Membership, p membership.Plan) error {
+	if p.Join {
+		return e.appendRecord(ctx, ownership.Record{Join: &e.self})
+	}
+	if len(p.Claim) > 0 {
+		klog.InfoS("CH0304 claims slots", "entry", e.self.Instance, "slots", len(p.Claim))
+		claim := &ownership.Claim{Author: e.self.Instance, Owner: e.self.Instance, Slots: p.Claim, Witnesses: p.Witnesses}
+		if err := e.appendRecord(ctx, ownership.Record{Claim: claim}); err != nil {
+			return err
+		}
+	}
+	for target, claims := range p.HandOver {
+		if err := e.handOver(ctx, target, claims); err != nil {
+			return err
+		}
+	}
+	if err := e.rewitness(ctx, p.Rewitness); err != nil {
+		return err
+	}
+	for _, gone := range p.Leave {
+		if err := e.appendRecord(ctx, ownership.Record{Leave: gone}); err != nil {
+			return err
+		}
+	}
+	if p.Snapshot {
+		return e.snapshot(ctx, m)
+	}
+	return nil
+}
+
+func (e *Entry) snapshot(ctx context.Context, m *membership.Membership) error {
+	state := *e.table.Load()
+	if err := e.appendRecord(ctx, ownership.Record{Snapshot: &state}); err != nil {
+		return err
+	}
+	m.Snapshotted(state.Next)
+	return nil
+}
+
+// appendRecord appends a record under one id until an append is answered, so
+// that a lost answer cannot make it count twice, and waits for the table to
+// have read it back.
+func (e *Entry) appendRecord(ctx context.Context, r ownership.Record) error {
+	r.ID = uuid.NewString()
+	raw, err := json.Marshal(r)
+	if err != nil {
+		return errors.Wrap(err, "ownership record")
+	}
+	ctx, cancel := context.WithTimeout(ctx, appendTime)
+	defer cancel()
+	offset, err := e.deps.Log.Append(ctx, ownership.Stream, raw)
+	if err != nil {
+		e.pause(ctx, retryRead)
+		if offset, err = e.deps.Log.Append(ctx, ownership.Stream, raw); err != nil {
+			return err
+		}
+	}
+	for e.table.Load().Next <= offset {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		e.pause(ctx, time.Millisecond)
+	}
+	return nil
+}
+
+// handOver passes slots directly: this entry stops deciding, tells the next
+// owner what it refused, and the log records the change.
+func (e *Entry) handOver(ctx context.Context, target string, claims []ownership.SlotClaim) error {
+	client, connected := e.peers.Client(target)
+	if !connected {
+		return nil
+	}
+	reply := make(chan []*wire.HandOverRequest, 1)
+	e.deps.System.Root.Send(e.owner, leave{claims: claims, reply: reply})
+	var requests []*wire.HandOverRequest
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case requests = <-reply:
+	}
+	if len(requests) == 0 {
+		return nil
+	}
+	klog.InfoS("CH0305 hands slots over", "entry", e.self.Instance, "to", target, "slots", len(requests))
+	ready := e.passOn(ctx, client, requests)
+	owner := target
+	if len(ready) < len(requests) {
+		// The next owner cannot be told, so the slots stay; a claim of our own
+		// makes sure that no earlier hand-over takes effect later.
+		owner = e.self.Instance
+		ready = claimsOf(requests)
+	}
+	claim := &ownership.Claim{Author: e.self.Instance, Owner: owner, Slots: ready}
+	return e.appendRecord(ctx, ownership.Record{Claim: claim})
+}
+
+func (e *Entry) passOn(ctx context.Context, client wire.EntryClient, requests []*wire.HandOverRequest) []ownership.SlotClaim {
+	ctx, cancel := context.WithTimeout(ctx, handOverTime)
+	defer cancel()
+	var ready []ownership.SlotClaim
+	for _, r := range requests {
+		if _, err := client.HandOver(ctx, r); err != nil {
+			klog.InfoS("CH0306 next owner did not answer", "entry", e.self.Instance, "slot", r.GetSlot(), "error", err)
+			return ready
+		}
+		ready = append(ready, ownership.SlotClaim{Slot: r.GetSlot(), Expected: r.GetEpoch()})
+	}
+	return ready
+}
+
+func claimsOf(requests []*wire.HandOverRequest) []ownership.SlotClaim {
+	claims := make([]ownership.SlotClaim, 0, len(requests))
+	for _, r := range requests {
+		claims = append(claims, ownership.SlotClaim{Slot: r.GetSlot(), Expected: r.GetEpoch()})
+	}
+	return claims
+}
+
+// rewitness copies keys to new witnesses and records those that have them.
+func (e *Entry) rewitness(ctx context.Context, wanted map[uint32][]string) error {
+	if len(wanted) == 0 {
+		return nil
+	}
+	var records []ownership.Record
+	err := e.onOwner(ctx, func(o *owner.Owner) { records = replaced(o, e.self.Instance, wanted) })
+	if err != nil {
+		return err
+	}
+	for _, r := range records {
+		if err := e.appendRecord(ctx, r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// replaced starts the copies that are wanted and returns a record for each set
+// of witnesses whose copies are whole.
+func replaced(o *owner.Owner, self string, wanted map[uint32][]string) []ownership.Record {
+	bySet := map[string]*ownership.Claim{}
+	var order []string
+	for number, members := range wanted {
+		s, owned := o.Slots()[number]
+		if !owned || s.Phase() != slot.Active {
+			continue
+		}
+		s.Propose(members)
+		chosen, ready := s.Proposed()
+		if !ready {
+			continue
+		}
+		key, _ := json.Marshal([]any{chosen, s.DoubtUntil().UnixMilli()})
+		claim, begun := bySet[string(key)]
+		if !begun {
+			claim = &ownership.Claim{Author: self, Owner: self, Witnesses: chosen, DoubtUntil: s.DoubtUntil().UnixMilli()}
+			bySet[string(key)] = claim
+			order = append(order, string(key))
+		}
+		claim.Slots = append(claim.Slots, ownership.SlotClaim{Slot: number, Expected: s.Epoch()})
+	}
+	records := make([]ownership.Record, 0, len(order))
+	for _, key := range order {
+		records = append(records, ownership.Record{Claim: bySet[key]})
+	}
+	return records
+}
--- /dev/null
+++ b/process/logstore/handler.go
@@ -0,0 +1,99 @@
+package logstore
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// maxWait is the longest time that a read waits for records.
+const maxWait = 30 * time.Second
+
+// Appended is the answer to an append.
+type Appended struct {
+	Offset uint64 `json:"offset"`
+}
+
+// Handler serves the store over HTTP:
+//
+//	POST /v1/streams/{name}                       appends the body
+//	GET  /v1/streams/{name}?from=N&wait_ms=N      reads a batch
+//	GET  /v1/faults, PUT /v1/faults               shows and sets the faults
+func (s *Store) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/streams/{name}", s.serveAppend)
+	mux.HandleFunc("GET /v1/streams/{name}", s.serveRead)
+	mux.HandleFunc("GET /v1/faults", s.serveFaults)
+	mux.HandleFunc("PUT /v1/faults", s.serveSetFaults)
+	return mux
+}
+
+func (s *Store) serveAppend(w http.ResponseWriter, r *http.Request) {
+	record, err := io.ReadAll(io.LimitReader(r.Body, MaxRecordBytes+1))
+	if err != nil {
+		http.Error(w, "the body was cut off", http.StatusBadRequest)
+		return
+	}
+	offset, err := s.Append(r.Context(), r.PathValue("name"), record)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	reply(w, Appended{Offset: offset})
+}
+
+func (s *Store) serveRead(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseUint(r.FormValue("from"), 10, 64)
+	if err != nil {
+		http.Error(w, `parameter "from" is not an offset`, http.StatusBadRequest)
+		return
+	}
+	ms, err := strconv.ParseInt(r.FormValue("wait_ms"), 10, 64)
+	if err != nil || ms < 0 {
+		http.Error(w, `parameter "wait_ms" is not a time in milliseconds`, http.StatusBadRequest)
+		return
+	}
+	wait := min(time.Duration(ms)*time.Millisecond, maxWait)
+	batch, err := s.Read(r.Context(), r.PathValue("name"), from, wait)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	reply(w, batch)
+}
+
+func (s *Store) serveFaults(w http.ResponseWriter, _ *http.Request) { reply(w, s.Faults()) }
+
+func (s *Store) serveSetFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	decoder := json.NewDecoder(r.Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&f); err != nil {
+		http.Error(w, "the body is not a set of faults: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	if f.DelayMS < 0 || f.LoseAnswers < 0 || f.LoseAnswers > 1 {
+		http.Error(w, "delay_ms must not be negative and lose_answers must be 0 to 1", http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+	reply(w, f)
+}
+
+func refuse(w http.ResponseWriter, err error) {
+	status := http.StatusServiceUnavailable
+	if errors.Is(err, ErrTooLarge) {
+		status = http.StatusRequestEntityTooLarge
+	}
+	http.Error(w, err.Error(), status)
+}
+
+func reply(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	// A failed write means that the reader is gone; it will ask again.
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/process/metrics/metrics.go
@@ -0,0 +1,102 @@
+// Package metrics holds the Prometheus metrics of a process.
+package metrics
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// Metrics are the metrics of one process.
+type Metrics struct {
+	registry  *prometheus.Registry
+	jobs      *prometheus.CounterVec
+	refusals  *prometheus.CounterVec
+	started   *prometheus.CounterVec
+	jobTime   *prometheus.HistogramVec
+	startWait *prometheus.HistogramVec
+	waiting   *prometheus.GaugeVec
+	slots     *prometheus.GaugeVec
+	wasted    prometheus.Counter
+	config    prometheus.Gauge
+	lastWaste uint64
+}
+
+// buckets are response times in seconds.
+func buckets() []float64 { return prometheus.ExponentialBuckets(0.001, 2, 16) }
+
+// New returns metrics in a registry of their own.
+func New() *Metrics {
+	m := &Metrics{
+		registry: prometheus.NewRegistry(),
+		jobs: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "corianderhook_jobs_total", Help: "Final answers by kind and outcome.",
+		}, []string{"kind", "outcome"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "corianderhook_refusals_total", Help: "Refused submissions by kind and reason.",
+		}, []string{"kind", "reason"}),
+		started: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "corianderhook_tasks_started_total", Help: "Tasks handed to agents by kind.",
+		}, []string{"kind"}),
+		jobTime: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "corianderhook_job_seconds", Help: "Time from acceptance to the final answer.", Buckets: buckets(),
+		}, []string{"kind"}),
+		startWait: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "corianderhook_start_wait_seconds", Help: "Time from acceptance to the hand-out of tasks.", Buckets: buckets(),
+		}, []string{"kind"}),
+		waiting: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "corianderhook_tasks_waiting", Help: "Tasks that wait at this process by kind.",
+		}, []string{"kind"}),
+		slots: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "corianderhook_ownership_slots", Help: "Ownership slots held by phase.",
+		}, []string{"phase"}),
+		wasted: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "corianderhook_wasted_messages_total", Help: "Messages that brought no task.",
+		}),
+		config: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "corianderhook_config_version", Help: "Configuration version in force.",
+		}),
+	}
+	m.registry.MustRegister(m.jobs, m.refusals, m.started, m.jobTime, m.startWait, m.waiting, m.slots, m.wasted, m.config)
+	return m
+}
+
+// Handler serves the metrics.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Answered counts a final answer.
+func (m *Metrics) Answered(kind, outcome string, took time.Duration) {
+	m.jobs.WithLabelValues(kind, outcome).Inc()
+	m.jobTime.WithLabelValues(kind).Observe(took.Seconds())
+}
+
+// Refused counts a refusal.
+func (m *Metrics) Refused(kind, reason string) { m.refusals.WithLabelValues(kind, reason).Inc() }
+
+// Started counts tasks that were handed out.
+func (m *Metrics) Started(kind string, count int, waited time.Duration) {
+	m.started.WithLabelValues(kind).Add(float64(count))
+	m.startWait.WithLabelValues(kind).Observe(waited.Seconds())
+}
+
+// Waiting sets the number of tasks of a kind that wait.
+func (m *Metrics) Waiting(kind string, count int) {
+	m.waiting.WithLabelValues(kind).Set(float64(count))
+}
+
+// Slots sets the number of ownership slots in a phase.
+func (m *Metrics) Slots(phase string, count int) { m.slots.WithLabelValues(phase).Set(float64(count)) }
+
+// Wasted takes the total of messages that brought no task. It is called by one
+// goroutine.
+func (m *Metrics) Wasted(total uint64) {
+	m.wasted.Add(float64(total - m.lastWaste))
+	m.lastWaste = total
+}
+
+// Config sets the configuration version in force.
+func (m *Metrics) Config(version uint64) { m.config.Set(float64(version)) }
--- /dev/null
+++ b/process/owner/owner.go
@@ -0,0 +1,383 @@
+// Package owner is the entry's part as the owner of slots: it brings slots,
+// dispatcher and admission together for one actor. It does no I/O.
+package owner
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/corianderhook/corianderhook/common/instance"
+	"github.com/corianderhook/corianderhook/process/admission"
+	"github.com/corianderhook/corianderhook/process/dispatch"
+	"github.com/corianderhook/corianderhook/request/answer"
+	"github.com/corianderhook/corianderhook/request/job"
+	"github.com/corianderhook/corianderhook/request/outcome"
+	"github.com/corianderhook/corianderhook/request/submission"
+	"github.com/corianderhook/corianderhook/version/ownership"
+	"github.com/corianderhook/corianderhook/version/slot"
+	"github.com/corianderhook/corianderhook/wire"
+)
+
+const (
+	// agentGrace is how long an agent may be out of reach before those who wait
+	// for its tasks are told that the outcome is unknown.
+	agentGrace = 3 * time.Second
+	// goneMemory is how long an agent that is out of reach is kept in mind.
+	goneMemory = 15 * time.Minute
+)
+
+// Environment is what the owner needs of the process around it.
+type Environment interface {
+	Self() string
+	Now() time.Time
+	// Clock returns monotonic nanoseconds since the process started.
+	Clock() uint64
+	// Send sends a frame to an agent and reports whether it is attached.
+	Send(agent string, f *wire.EntryFrame) bool
+	// Finished, Refused and Started report to the metrics.
+	Finished(j *job.Job, a answer.Answer)
+	Refused(kind string, a answer.Answer)
+	Started(j *job.Job, count int)
+	// Policy returns the rules of the configuration in force.
+	Policy() Policy
+}
+
+// Policy is what the configuration says.
+type Policy interface {
+	Kind(name string) (admission.Kind, bool)
+	Team(name string) (admission.Team, bool)
+	JobDeadline(kind string) time.Duration
+	TaskTimeout(kind string) time.Duration
+	Retention() time.Duration
+	MaxKeys() int
+}
+
+// Owner is all that one entry owns. It is not safe for concurrent use.
+type Owner struct {
+	env       Environment
+	dispatch  *dispatch.Dispatch
+	admission *admission.Admission
+	slots     map[uint32]*slot.Slot
+	latest    map[string]string
+	zones     map[string]string
+	gone      map[string]time.Time
+	dead      map[string]bool
+	promised  map[handOver]inheritance
+}
+
+type handOver struct {
+	slot  uint32
+	epoch uint64
+}
+
+type inheritance struct {
+	owner   string
+	refused map[string]uint64
+	floor   uint64
+}
+
+// New returns an owner of nothing.
+func New(env Environment, seed uint64) *Owner {
+	o := &Owner{
+		env:       env,
+		admission: admission.New(seed),
+		slots:     map[uint32]*slot.Slot{},
+		latest:    map[string]string{},
+		zones:     map[string]string{},
+		gone:      map[string]time.Time{},
+		dead:      map[string]bool{},
+		promised:  map[handOver]inheritance{},
+	}
+	o.dispatch = dispatch.New(dispatchHost{o}, seed)
+	return o
+}
+
+// Slots returns the slots that this entry owns by number.
+func (o *Owner) Slots() map[uint32]*slot.Slot { return o.slots }
+
+// Dispatch returns the dispatcher.
+func (o *Owner) Dispatch() *dispatch.Dispatch { return o.dispatch }
+
+// Follow brings the slots in line with a snapshot of the table.
+func (o *Owner) Follow(t ownership.State) {
+	o.admission.SetEntries(len(t.Entries))
+	for number := range uint32(ownership.Slots) {
+		o.followSlot(number, t.Slots[number])
+	}
+}
+
+func (o *Owner) followSlot(number uint32, state ownership.SlotState) {
+	held, owned := o.slots[number]
+	mine := state.Owner == o.env.Self()
+	switch {
+	case owned && held.Epoch() == state.Epoch && mine:
+	case owned && mine && state.Epoch == held.Epoch()+1 && held.Phase() == slot.Active:
+		held.Replace(state.Epoch, state.Witnesses)
+	case owned && mine && state.Epoch == held.Epoch()+1 && held.Phase() == slot.Leaving:
+		held.Stay(state.Epoch)
+	case owned:
+		held.Depose()
+		delete(o.slots, number)
+		if mine {
+			o.claim(number, state)
+		}
+	case mine:
+		o.claim(number, state)
+	}
+}
+
+func (o *Owner) claim(number uint32, state ownership.SlotState) {
+	s := slot.New(slotHost{o}, number, state.Epoch, state.Witnesses, time.UnixMilli(state.DoubtUntil))
+	o.slots[number] = s
+	key := handOver{slot: number, epoch: state.Epoch - 1}
+	if in, ok := o.promised[key]; ok {
+		s.Inherit(in.owner, in.refused, in.floor)
+		delete(o.promised, key)
+	}
+	s.Review()
+}
+
+// Inherit keeps what an owner passes on before it hands a slot over.
+func (o *Owner) Inherit(r *wire.HandOverRequest) {
+	o.promised[handOver{slot: r.GetSlot(), epoch: r.GetEpoch()}] = inheritance{
+		owner:   r.GetOwner(),
+		refused: r.GetRefused(),
+		floor:   r.GetFloor(),
+	}
+}
+
+// Submit decides an attempt of a slot that this entry owns.
+func (o *Owner) Submit(a slot.Attempt) {
+	s, owned := o.slots[ownership.Slot(a.Body.Job())]
+	if !owned {
+		a.Waiter.NotOwner()
+		return
+	}
+	s.Submit(a)
+}
+
+// Find returns a job of a slot that this entry owns. Owned is false where the
+// slot is another entry's or not yet recovered.
+func (o *Owner) Find(name string) (j *job.Job, known, owned bool) {
+	s, held := o.slots[ownership.Slot(name)]
+	if !held || s.Phase() == slot.Recovering || s.Phase() == slot.Deposed {
+		return nil, false, false
+	}
+	j, known = s.Job(name)
+	return j, known, true
+}
+
+// Cancel gives a job up for its caller.
+func (o *Owner) Cancel(name string) {
+	if s, owned := o.slots[ownership.Slot(name)]; owned {
+		s.Cancel(name)
+	}
+}
+
+// Attached takes note of a session with an agent. An earlier run of the same
+// agent has ended.
+func (o *Owner) Attached(agent, zone string, slots int) {
+	name := instance.Name(agent)
+	if former := o.latest[name]; former != "" && former != agent {
+		o.bury(former)
+	}
+	o.latest[name] = agent
+	o.zones[agent] = zone
+	delete(o.gone, agent)
+	for _, s := range o.each() {
+		s.Attached(agent)
+	}
+	o.dispatch.Attach(agent, zone, slots)
+}
+
+// Zone returns the availability zone of an agent that was attached.
+func (o *Owner) Zone(agent string) string { return o.zones[agent] }
+
+// Detached takes note that the session with an agent has ended.
+func (o *Owner) Detached(agent string) {
+	o.dispatch.Detach(agent)
+	o.gone[agent] = o.env.Now()
+}
+
+// Gone returns the agents that are out of reach and since when.
+func (o *Owner) Gone() map[string]time.Time { return o.gone }
+
+func (o *Owner) bury(agent string) {
+	if o.dead[agent] {
+		return
+	}
+	o.dead[agent] = true
+	delete(o.gone, agent)
+	delete(o.zones, agent)
+	o.dispatch.Detach(agent)
+	for _, s := range o.each() {
+		s.Bury(agent)
+	}
+}
+
+// each lists the slots in order, so that equal histories give equal messages.
+func (o *Owner) each() []*slot.Slot {
+	numbers := make([]uint32, 0, len(o.slots))
+	for n := range o.slots {
+		numbers = append(numbers, n)
+	}
+	slices.Sort(numbers)
+	list := make([]*slot.Slot, 0, len(numbers))
+	for _, n := range numbers {
+		list = append(list, o.slots[n])
+	}
+	return list
+}
+
+// Frame takes a frame of an attached agent.
+func (o *Owner) Frame(agent string, f *wire.AgentFrame) {
+	o.dispatch.Load(agent, f.GetLoad())
+	switch body := f.GetBody().(type) {
+	case *wire.AgentFrame_Pull:
+		o.dispatch.Pull(agent, body.Pull)
+	case *wire.AgentFrame_Rejected:
+		o.rejected(agent, body.Rejected)
+	default:
+		o.slotFrame(agent, f)
+	}
+}
+
+func (o *Owner) slotFrame(agent string, f *wire.AgentFrame) {
+	s, owned := o.slots[f.GetSlot()]
+	if !owned {
+		return
+	}
+	switch body := f.GetBody().(type) {
+	case *wire.AgentFrame_Done:
+		s.Done(agent, body.Done)
+	case *wire.AgentFrame_Remembered:
+		if f.GetEpoch() > s.Epoch() {
+			s.Depose()
+			return
+		}
+		s.Remembered(agent, body.Remembered)
+	case *wire.AgentFrame_Fenced:
+		s.Fenced(agent, body.Fenced)
+	}
+}
+
+func (o *Owner) rejected(agent string, r *wire.Rejected) {
+	for _, t := range r.GetTasks() {
+		s, owned := o.slots[t.GetSlot()]
+		if !owned {
+			continue
+		}
+		if r.GetDeposed() {
+			s.Depose()
+			continue
+		}
+		s.Returned(agent, t.GetJob(), r.GetPull(), t.GetIndex())
+	}
+}
+
+// Tick does what is due. It is called every few milliseconds.
+func (o *Owner) Tick(now time.Time) { o.dispatch.Tick(now) }
+
+// TickSlots does what is due once in some tens of milliseconds.
+func (o *Owner) TickSlots(now time.Time) {
+	for agent, since := range o.gone {
+		if now.Sub(since) > goneMemory {
+			delete(o.gone, agent)
+			continue
+		}
+		if now.Sub(since) > agentGrace {
+			o.forsake(agent)
+		}
+	}
+	for _, s := range o.each() {
+		s.Tick(now)
+	}
+}
+
+func (o *Owner) forsake(agent string) {
+	for _, s := range o.slots {
+		s.Forsake(agent)
+	}
+}
+
+// slotHost gives slots what they need.
+type slotHost struct{ *Owner }
+
+func (h slotHost) Self() string   { return h.env.Self() }
+func (h slotHost) Now() time.Time { return h.env.Now() }
+func (h slotHost) Clock() uint64  { return h.env.Clock() }
+
+func (h slotHost) Send(agent string, f *wire.EntryFrame) bool { return h.env.Send(agent, f) }
+
+func (h slotHost) Buried(agent string) bool {
+	if h.dead[agent] {
+		return true
+	}
+	latest := h.latest[instance.Name(agent)]
+	return latest != "" && latest != agent
+}
+
+func (h slotHost) Candidates(string) []string { return h.dispatch.Candidates() }
+
+func (h slotHost) Admit(s *submission.Submission) (answer.Answer, bool) {
+	policy := h.env.Policy()
+	team, known := policy.Team(s.Team())
+	if !known {
+		return answer.New(outcome.NotRun, "unknown-team", fmt.Sprintf("team %q does not exist in the configuration", s.Team())), false
+	}
+	kind, known := policy.Kind(s.Kind())
+	if !known {
+		return answer.New(outcome.NotRun, "unknown-kind", fmt.Sprintf("kind %q does not exist in the configuration", s.Kind())), false
+	}
+	return h.admission.Admit(admission.Request{
+		Team:      s.Team(),
+		TeamQuota: team,
+		Kind:      s.Kind(),
+		KindRule:  kind,
+		Tasks:     s.Tasks(),
+		Waiting:   h.dispatch.Waiting(s.Kind()),
+	}, h.env.Now())
+}
+
+func (h slotHost) Offer(number uint32, j *job.Job) { h.dispatch.Offer(number, j) }
+
+func (h slotHost) Withdraw(j *job.Job) { h.dispatch.Withdraw(j) }
+
+func (h slotHost) Finished(j *job.Job, a answer.Answer) {
+	h.admission.Release(j.Team(), j.Tasks())
+	h.env.Finished(j, a)
+}
+
+func (h slotHost) Refused(s *submission.Submission, a answer.Answer) { h.env.Refused(s.Kind(), a) }
+
+func (h slotHost) JobDeadline(kind string) time.Duration { return h.env.Policy().JobDeadline(kind) }
+func (h slotHost) Retention() time.Duration              { return h.env.Policy().Retention() }
+func (h slotHost) MaxKeys() int                          { return h.env.Policy().MaxKeys() }
+
+// dispatchHost gives the dispatcher what it needs.
+type dispatchHost struct{ *Owner }
+
+func (h dispatchHost) Now() time.Time { return h.env.Now() }
+
+func (h dispatchHost) Send(agent string, f *wire.EntryFrame) bool { return h.env.Send(agent, f) }
+
+func (h dispatchHost) Extend(number uint32, j *job.Job, agent string) {
+	if s, owned := h.slots[number]; owned {
+		s.Extend(j, agent)
+	}
+}
+
+func (h dispatchHost) Epoch(number uint32) uint64 {
+	if s, owned := h.slots[number]; owned {
+		return s.Epoch()
+	}
+	return 0
+}
+
+func (h dispatchHost) TaskTimeout(kind string) time.Duration { return h.env.Policy().TaskTimeout(kind) }
+
+func (h dispatchHost) Started(j *job.Job, count int) {
+	h.admission.Started(j.Kind(), count, h.env.Now())
+	h.env.Started(j, count)
+}
--- /dev/null
+++ b/process/queue/queue.go
@@ -0,0 +1,202 @@
+// Package queue decides at an agent whose waiting task gets the next free slot:
+// weighted fair between kinds of work, and within a kind between teams. It is
+// work-conserving: a share that nobody uses goes to the others.
+package queue
+
+import "container/heap"
+
+// Choice is what the next free slot should go to.
+type Choice struct {
+	Source string
+	Kind   string
+	Team   string
+}
+
+// Weights gives the weights of kinds and teams; a weight is above zero.
+type Weights interface {
+	KindWeight(kind string) float64
+	TeamWeight(team string) float64
+}
+
+// node is a kind, or a team within a kind. Its tag is the virtual time at which
+// it has had its fair share so far.
+type node struct {
+	name     string
+	tag      float64
+	index    int
+	count    int
+	children map[string]*node
+	active   ring
+	now      float64
+	sources  []source
+}
+
+type source struct {
+	name  string
+	count int
+}
+
+// ring is a heap of the nodes that have tasks waiting, lowest tag first.
+type ring []*node
+
+func (r ring) Len() int { return len(r) }
+func (r ring) Less(i, j int) bool {
+	return r[i].tag < r[j].tag || r[i].tag == r[j].tag && r[i].name < r[j].name
+}
+
+func (r ring) Swap(i, j int) {
+	r[i], r[j] = r[j], r[i]
+	r[i].index = i
+	r[j].index = j
+}
+
+// Push is for container/heap.
+func (r *ring) Push(x any) {
+	n := x.(*node)
+	n.index = len(*r)
+	*r = append(*r, n)
+}
+
+// Pop is for container/heap.
+func (r *ring) Pop() any {
+	last := len(*r) - 1
+	n := (*r)[last]
+	(*r)[last] = nil
+	*r = (*r)[:last]
+	n.index = -1
+	return n
+}
+
+// Queue holds how many tasks wait at which entry. It is not safe for concurrent use.
+type Queue struct {
+	weights Weights
+	root    node
+	cost    map[string]float64
+}
+
+const (
+	// costShare is the weight of a new measurement in the mean service time.
+	costShare = 0.1
+	// firstCost is the service time in seconds of a kind that was never measured.
+	firstCost = 0.1
+)
+
+// New returns an empty queue.
+func New(weights Weights) *Queue {
+	return &Queue{weights: weights, root: node{children: map[string]*node{}}, cost: map[string]float64{}}
+}
+
+// Waiting returns the number of tasks that wait for this agent among others.
+func (q *Queue) Waiting() int { return q.root.count }
+
+// Measured takes the service time of a task in seconds. Declared run times are
+// not used.
+func (q *Queue) Measured(kind string, seconds float64) {
+	old, known := q.cost[kind]
+	if !known {
+		old = seconds
+	}
+	q.cost[kind] = old + costShare*(seconds-old)
+}
+
+// Set replaces the number of tasks that wait at a source for a kind and team.
+func (q *Queue) Set(from, kind, team string, count int) {
+	k := q.root.child(kind)
+	t := k.child(team)
+	old := t.setSource(from, count)
+	q.change(k, t, count-old)
+}
+
+// Drop forgets all that waits at a source.
+func (q *Queue) Drop(from string) {
+	for _, k := range q.root.children {
+		for _, t := range k.children {
+			q.change(k, t, -t.setSource(from, 0))
+		}
+	}
+}
+
+func (q *Queue) change(k, t *node, difference int) {
+	t.count += difference
+	k.count += difference
+	q.root.count += difference
+	k.place(t)
+	q.root.place(k)
+}
+
+func (n *node) child(name string) *node {
+	c, known := n.children[name]
+	if !known {
+		c = &node{name: name, index: -1, children: map[string]*node{}}
+		n.children[name] = c
+	}
+	return c
+}
+
+// place puts a child into the heap when tasks come to wait for it, and takes it
+// out when none are left. One that was away does not save up its share.
+func (n *node) place(c *node) {
+	switch {
+	case c.count > 0 && c.index < 0:
+		c.tag = max(c.tag, n.now)
+		heap.Push(&n.active, c)
+	case c.count == 0 && c.index >= 0:
+		heap.Remove(&n.active, c.index)
+	}
+}
+
+func (n *node) setSource(name string, count int) int {
+	for i := range n.sources {
+		if n.sources[i].name != name {
+			continue
+		}
+		old := n.sources[i].count
+		n.sources[i].count = count
+		if count == 0 {
+			n.sources = append(n.sources[:i], n.sources[i+1:]...)
+		}
+		return old
+	}
+	if count > 0 {
+		n.sources = append(n.sources, source{name: name, count: count})
+	}
+	return 0
+}
+
+// Next chooses what the next free slot goes to, counts the task as gone and
+// charges its share.
+func (q *Queue) Next() (Choice, bool) {
+	if q.root.count == 0 {
+		return Choice{}, false
+	}
+	k := q.root.active[0]
+	t := k.active[0]
+	choice := Choice{Source: t.turn(), Kind: k.name, Team: t.name}
+	cost, measured := q.cost[k.name]
+	if !measured {
+		cost = firstCost
+	}
+	q.root.charge(k, cost/q.weights.KindWeight(k.name))
+	k.charge(t, cost/q.weights.TeamWeight(t.name))
+	q.change(k, t, -1)
+	return choice, true
+}
+
+func (n *node) charge(c *node, amount float64) {
+	n.now = max(n.now, c.tag)
+	c.tag += amount
+	heap.Fix(&n.active, c.index)
+}
+
+// turn takes one task from the sources in turn.
+func (n *node) turn() string {
+	s := n.sources[0]
+	copy(n.sources, n.sources[1:])
+	s.count--
+	if s.count == 0 {
+		n.sources = n.sources[:len(n.sources)-1]
+		return s.name
+	}
+	n.sources[len(n.sources)-1] = s
+	return s.name
+}
--- /dev/null
+++ b/process/router/router.go
@@ -0,0 +1,169 @@
+// Package router brings a submission to the entry that owns its slot, wherever
+// the balancer has put it, and keeps at it when the owner changes. Sending again
+// is safe: the owner joins attempts of one key.
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/corianderhook/corianderhook/request/answer"
+	"github.com/corianderhook/corianderhook/request/outcome"
+	"github.com/corianderhook/corianderhook/request/submission"
+	"github.com/corianderhook/corianderhook/version/ownership"
+	"github.com/corianderhook/corianderhook/wire"
+)
+
+const (
+	// pause is the time before an owner is looked up again.
+	pause = 20 * time.Millisecond
+	// outOfReach is the Retry-After where the owner of a key cannot be reached.
+	outOfReach = 2 * time.Second
+)
+
+// Receipt is what the receiving entry knew when a request came in.
+type Receipt struct {
+	Owner   string
+	Reading uint64
+}
+
+// Table says who owns a slot.
+type Table interface {
+	Owner(slot uint32) (instance string, epoch uint64)
+}
+
+// Peers are the connections to the other entries.
+type Peers interface {
+	Reading(instance string) uint64
+	Client(instance string) (wire.EntryClient, bool)
+}
+
+// Local is the owner part of this entry. Its calls report false where this
+// entry does not own the slot.
+type Local interface {
+	Submit(ctx context.Context, s *submission.Submission, r Receipt, until time.Time) (answer.Answer, bool)
+	Find(ctx context.Context, job string, cancel bool, until time.Time) (answer.Answer, bool)
+}
+
+// Dependencies are what a router works with.
+type Dependencies struct {
+	Self  string
+	Table Table
+	Peers Peers
+	Local Local
+	Clock clockwork.Clock
+}
+
+// Router routes submissions and questions. It is safe for concurrent use.
+type Router struct {
+	deps Dependencies
+}
+
+// New returns a router.
+func New(deps Dependencies) *Router { return &Router{deps: deps} }
+
+// Receipt notes what is known as a request for a job comes in.
+func (r *Router) Receipt(job string) Receipt {
+	owner, _ := r.deps.Table.Owner(ownership.Slot(job))
+	return Receipt{Owner: owner, Reading: r.deps.Peers.Reading(owner)}
+}
+
+// Submit returns the answer to a submission, or Pending where the job is still
+// under way at the given time. The context bounds the search for the owner.
+func (r *Router) Submit(ctx context.Context, s *submission.Submission, at Receipt, until time.Time) answer.Answer {
+	slot := ownership.Slot(s.Job())
+	for {
+		owner, epoch := r.deps.Table.Owner(slot)
+		if a, ok := r.try(ctx, s, at, owner, epoch, until); ok {
+			return a
+		}
+		if !r.rest(ctx) {
+			return unreached()
+		}
+	}
+}
+
+func (r *Router) try(ctx context.Context, s *submission.Submission, at Receipt, owner string, epoch uint64, until time.Time) (answer.Answer, bool) {
+	if owner == r.deps.Self {
+		return r.deps.Local.Submit(ctx, s, at, until)
+	}
+	client, connected := r.deps.Peers.Client(owner)
+	if !connected {
+		return answer.Answer{}, false
+	}
+	request := &wire.SubmitRequest{
+		Job:        s.Key(),
+		Team:       s.Team(),
+		Kind:       s.Kind(),
+		Payloads:   s.Payloads(),
+		WaitMs:     r.remaining(until).Milliseconds(),
+		DeadlineMs: s.Deadline().Milliseconds(),
+		Owner:      at.Owner,
+		OwnerClock: at.Reading,
+		Epoch:      epoch,
+	}
+	reply, err := client.Submit(ctx, request)
+	if err != nil {
+		return answer.Answer{}, false
+	}
+	return read(reply)
+}
+
+func read(reply *wire.SubmitReply) (answer.Answer, bool) {
+	if reply.GetNotOwner() {
+		return answer.Answer{}, false
+	}
+	a, err := answer.FromWire(reply.GetAnswer())
+	return a, err == nil
+}
+
+func (r *Router) remaining(until time.Time) time.Duration {
+	return max(0, until.Sub(r.deps.Clock.Now()))
+}
+
+func (r *Router) rest(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-r.deps.Clock.After(pause):
+		return true
+	}
+}
+
+// unreached is the truth where no owner has answered: earlier attempts of the
+// key may have run, so not_run must not be said.
+func unreached() answer.Answer {
+	return answer.New(outcome.Unknown, "owner-unreachable",
+		"the owner of the key cannot be reached; whether the job ran is not known").WithRetryAfter(outOfReach)
+}
+
+// Find returns the state of a job, and cancels it where asked to.
+func (r *Router) Find(ctx context.Context, job string, cancel bool, until time.Time) answer.Answer {
+	slot := ownership.Slot(job)
+	for {
+		owner, _ := r.deps.Table.Owner(slot)
+		if a, ok := r.tryFind(ctx, job, cancel, owner, until); ok {
+			return a
+		}
+		if !r.rest(ctx) {
+			return unreached()
+		}
+	}
+}
+
+func (r *Router) tryFind(ctx context.Context, job string, cancel bool, owner string, until time.Time) (answer.Answer, bool) {
+	if owner == r.deps.Self {
+		return r.deps.Local.Find(ctx, job, cancel, until)
+	}
+	client, connected := r.deps.Peers.Client(owner)
+	if !connected {
+		return answer.Answer{}, false
+	}
+	reply, err := client.Find(ctx, &wire.FindRequest{Job: job, Cancel: cancel, WaitMs: r.remaining(until).Milliseconds()})
+	if err != nil {
+		return answer.Answer{}, false
+	}
+	return read(reply)
+}
--- /dev/null
+++ b/version/config/config.go
@@ -0,0 +1,161 @@
+// Package config reads a folder of INI files, merged in the order of their
+// names, into typed settings that are checked whole and then read-only.
+package config
+
+import (
+	"time"
+
+	"github.com/corianderhook/corianderhook/process/admission"
+)
+
+// Kind is a kind of work.
+type Kind struct {
+	// Weight is the kind's share where kinds compete.
+	Weight float64
+	// Deadline is how long a job may take from its acceptance to its last start.
+	Deadline time.Duration
+	// TaskTimeout is how long one task may run at the endpoint.
+	TaskTimeout time.Duration
+	// MaxDelay is the longest expected wait at which new jobs are still taken.
+	MaxDelay time.Duration
+}
+
+// Team is a team with its quota.
+type Team struct {
+	// Weight is the team's share within a kind.
+	Weight float64
+	// Rate is in tasks a second, Concurrent in tasks; zero means no limit.
+	Rate       float64
+	Concurrent int
+}
+
+// Process is what a process is told about itself.
+type Process struct {
+	Name string
+	Zone string
+	Cell string
+	// Log is ip:port of the platform's log.
+	Log string
+}
+
+// Entry is what an entry is told. Addresses are ip:port.
+type Entry struct {
+	Listen    string
+	Advertise string
+	Callers   string
+	Admin     string
+}
+
+// Agent is what an agent is told.
+type Agent struct {
+	Endpoint    string
+	Slots       int
+	Connections int
+	Entries     []string
+	Admin       string
+}
+
+// Config is a merged, checked set of settings. It is read-only.
+type Config struct {
+	process   Process
+	entry     Entry
+	agent     Agent
+	retention time.Duration
+	maxKeys   int
+	silence   time.Duration
+	drainTime time.Duration
+	kinds     map[string]Kind
+	teams     map[string]Team
+	values    []Value
+}
+
+// Value is one merged value with the file that it came from; the file is empty
+// for a default.
+type Value struct {
+	Section string
+	Key     string
+	Value   string
+	File    string
+}
+
+// Process returns what the process is told about itself.
+func (c *Config) Process() Process { return c.process }
+
+// Entry returns the settings of an entry.
+func (c *Config) Entry() Entry { return c.entry }
+
+// Agent returns the settings of an agent.
+func (c *Config) Agent() Agent { return c.agent }
+
+// Values returns every value in force, in the order of section and key.
+func (c *Config) Values() []Value { return c.values }
+
+// Silence returns after how long a silent connection is replaced.
+func (c *Config) Silence() time.Duration { return c.silence }
+
+// DrainTime returns the longest time that a planned stop may take.
+func (c *Config) DrainTime() time.Duration { return c.drainTime }
+
+// KindNames and TeamNames return the numbers of kinds and teams by name.
+func (c *Config) KindNames() []string { return sortedKeys(c.kinds) }
+
+// TeamNames returns the names of the teams in order.
+func (c *Config) TeamNames() []string { return sortedKeys(c.teams) }
+
+// Kind returns the admission rule of a kind.
+func (c *Config) Kind(name string) (admission.Kind, bool) {
+	k, known := c.kinds[name]
+	return admission.Kind{MaxDelay: k.MaxDelay}, known
+}
+
+// Team returns the quota of a team.
+func (c *Config) Team(name string) (admission.Team, bool) {
+	t, known := c.teams[name]
+	return admission.Team{Rate: t.Rate, Concurrent: t.Concurrent}, known
+}
+
+// KindWeight returns the weight of a kind; 1 for one that is not configured,
+// such as a kind that was removed while tasks of it wait.
+func (c *Config) KindWeight(name string) float64 {
+	if k, known := c.kinds[name]; known {
+		return k.Weight
+	}
+	return 1
+}
+
+// TeamWeight returns the weight of a team; 1 for one that is not configured.
+func (c *Config) TeamWeight(name string) float64 {
+	if t, known := c.teams[name]; known {
+		return t.Weight
+	}
+	return 1
+}
+
+const (
+	// fallbackDeadline and fallbackTimeout hold for recovered jobs of a kind that
+	// the configuration no longer has.
+	fallbackDeadline = time.Minute
+	fallbackTimeout  = 10 * time.Second
+)
+
+// JobDeadline returns how long a job of the kind may take to its last start.
+func (c *Config) JobDeadline(kind string) time.Duration {
+	if k, known := c.kinds[kind]; known {
+		return k.Deadline
+	}
+	return fallbackDeadline
+}
+
+// TaskTimeout returns how long a task of the kind may run.
+func (c *Config) TaskTimeout(kind string) time.Duration {
+	if k, known := c.kinds[kind]; known {
+		return k.TaskTimeout
+	}
+	return fallbackTimeout
+}
+
+// Retention returns how long job keys and answers are kept.
+func (c *Config) Retention() time.Duration { return c.retention }
+
+// MaxKeys returns how many job keys one slot keeps.
+func (c *Config) MaxKeys() int { return c.maxKeys }
--- /dev/null
+++ b/version/config/fields.go
@@ -0,0 +1,223 @@
+package config
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Field describes one key of a section.
+type Field struct {
+	Key     string
+	Default string
+	Unit    string
+	Doc     string
+	set     func(b *builder, name, value string) error
+}
+
+// Section describes one section; a named section is written [section name].
+type Section struct {
+	Name   string
+	Named  bool
+	Fields []Field
+}
+
+const (
+	maxSlots       = 4096
+	maxConnections = 65536
+	maxKeysLimit   = 10_000_000
+)
+
+// Sections returns every section and key that exists, with its default.
+func Sections() []Section {
+	return []Section{
+		{Name: "process", Fields: []Field{
+			{Key: "name", Unit: "name", Doc: "Name of the process, the same after a restart.", set: setName(func(b *builder) *string { return &b.c.process.Name })},
+			{Key: "zone", Unit: "name", Doc: "Availability zone.", set: setName(func(b *builder) *string { return &b.c.process.Zone })},
+			{Key: "cell", Default: "main", Unit: "name", Doc: "Cell: the entries and agents that work together.", set: setName(func(b *builder) *string { return &b.c.process.Cell })},
+		}},
+		{Name: "log", Fields: []Field{
+			{Key: "address", Unit: "ip:port", Doc: "The platform's log.", set: setAddress(func(b *builder) *string { return &b.c.process.Log })},
+		}},
+		{Name: "entry", Fields: []Field{
+			{Key: "listen", Unit: "ip:port", Doc: "Address for entries and agents.", set: setAddress(func(b *builder) *string { return &b.c.entry.Listen })},
+			{Key: "advertise", Unit: "ip:port", Doc: "Address that the others use; the listen address where it is empty.", set: setAddress(func(b *builder) *string { return &b.c.entry.Advertise })},
+			{Key: "callers", Unit: "ip:port", Doc: "Address for callers.", set: setAddress(func(b *builder) *string { return &b.c.entry.Callers })},
+			{Key: "admin", Unit: "ip:port", Doc: "Address for metrics, health and operators.", set: setAddress(func(b *builder) *string { return &b.c.entry.Admin })},
+		}},
+		{Name: "agent", Fields: []Field{
+			{Key: "endpoint", Unit: "URL", Doc: "Where tasks are posted to.", set: setEndpoint},
+			{Key: "slots", Default: "8", Unit: "tasks", Doc: "Tasks that run at the endpoint at once.", set: setInt(1, maxSlots, func(b *builder) *int { return &b.c.agent.Slots })},
+			{Key: "connections", Default: "60", Unit: "connections", Doc: "Open connections to the endpoint.", set: setInt(1, maxConnections, func(b *builder) *int { return &b.c.agent.Connections })},
+			{Key: "entries", Unit: "ip:port, ...", Doc: "Some entries to find the others by.", set: setEntries},
+			{Key: "admin", Unit: "ip:port", Doc: "Address for metrics and health.", set: setAddress(func(b *builder) *string { return &b.c.agent.Admin })},
+		}},
+		{Name: "limits", Fields: []Field{
+			{Key: "retention", Default: "2m", Unit: "time", Doc: "How long job keys and answers are kept.", set: setTime(time.Second, 24*time.Hour, func(b *builder) *time.Duration { return &b.c.retention })},
+			{Key: "keys_per_slot", Default: "20000", Unit: "keys", Doc: "Job keys that one of the 256 slots keeps.", set: setInt(1, maxKeysLimit, func(b *builder) *int { return &b.c.maxKeys })},
+			{Key: "silence", Default: "2s", Unit: "time", Doc: "A connection that is silent for longer is replaced.", set: setTime(200*time.Millisecond, time.Minute, func(b *builder) *time.Duration { return &b.c.silence })},
+			{Key: "drain_time", Default: "30s", Unit: "time", Doc: "The longest time that a planned stop takes.", set: setTime(time.Second, time.Hour, func(b *builder) *time.Duration { return &b.c.drainTime })},
+		}},
+		{Name: "kind", Named: true, Fields: []Field{
+			{Key: "weight", Default: "1", Unit: "share", Doc: "Share of the slots where kinds compete.", set: setKind(parseWeight(func(k *Kind) *float64 { return &k.Weight }))},
+			{Key: "deadline", Default: "30s", Unit: "time", Doc: "Time for a job to its last start.", set: setKind(parseKindTime(func(k *Kind) *time.Duration { return &k.Deadline }))},
+			{Key: "task_timeout", Default: "10s", Unit: "time", Doc: "Time for one task at the endpoint.", set: setKind(parseKindTime(func(k *Kind) *time.Duration { return &k.TaskTimeout }))},
+			{Key: "max_delay", Default: "10s", Unit: "time", Doc: "Expected wait above which jobs are refused.", set: setKind(parseKindTime(func(k *Kind) *time.Duration { return &k.MaxDelay }))},
+		}},
+		{Name: "team", Named: true, Fields: []Field{
+			{Key: "weight", Default: "1", Unit: "share", Doc: "Share of a kind's slots where teams compete.", set: setTeam(parseWeight(func(t *Team) *float64 { return &t.Weight }))},
+			{Key: "rate", Default: "0", Unit: "tasks/s", Doc: "Tasks a second over all entries; 0 is no limit.", set: setTeam(parseRate)},
+			{Key: "concurrent", Default: "0", Unit: "tasks", Doc: "Tasks that wait or run over all entries; 0 is no limit.", set: setTeam(parseConcurrent)},
+		}},
+	}
+}
+
+type setter = func(b *builder, name, value string) error
+
+func setName(at func(*builder) *string) setter {
+	return func(b *builder, _, value string) error {
+		if strings.ContainsAny(value, "#/ \t") {
+			return fmt.Errorf("must not contain #, / or blanks")
+		}
+		*at(b) = value
+		return nil
+	}
+}
+
+func setAddress(at func(*builder) *string) setter {
+	return func(b *builder, _, value string) error {
+		if value != "" {
+			if err := checkAddress(value); err != nil {
+				return err
+			}
+		}
+		*at(b) = value
+		return nil
+	}
+}
+
+func checkAddress(value string) error {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		return fmt.Errorf("must be an IP number and a port, such as 10.0.0.1:7400")
+	}
+	return nil
+}
+
+func setEndpoint(b *builder, _, value string) error {
+	if value == "" {
+		return nil
+	}
+	u, err := url.Parse(value)
+	if err != nil || u.Scheme != "http" && u.Scheme != "https" {
+		return fmt.Errorf("must be a URL that starts with http:// or https://")
+	}
+	if err := checkAddress(u.Host); err != nil {
+		return fmt.Errorf("must name its host by an IP number and a port")
+	}
+	b.c.agent.Endpoint = value
+	return nil
+}
+
+func setEntries(b *builder, _, value string) error {
+	b.c.agent.Entries = nil
+	if value == "" {
+		return nil
+	}
+	for _, part := range strings.Split(value, ",") {
+		part = strings.TrimSpace(part)
+		if err := checkAddress(part); err != nil {
+			return fmt.Errorf("part %q %w", part, err)
+		}
+		b.c.agent.Entries = append(b.c.agent.Entries, part)
+	}
+	return nil
+}
+
+func setInt(low, high int, at func(*builder) *int) setter {
+	return func(b *builder, _, value string) error {
+		n, err := strconv.Atoi(value)
+		if err != nil || n < low || n > high {
+			return fmt.Errorf("must be a whole number from %d to %d", low, high)
+		}
+		*at(b) = n
+		return nil
+	}
+}
+
+func setTime(low, high time.Duration, at func(*builder) *time.Duration) setter {
+	return func(b *builder, _, value string) error {
+		d, err := parseTime(value, low, high)
+		*at(b) = d
+		return err
+	}
+}
+
+func parseTime(value string, low, high time.Duration) (time.Duration, error) {
+	d, err := time.ParseDuration(value)
+	if err != nil || d < low || d > high {
+		return low, fmt.Errorf("must be a time from %s to %s, such as 500ms or 2s", low, high)
+	}
+	return d, nil
+}
+
+func setKind(parse func(k *Kind, value string) error) setter {
+	return func(b *builder, name, value string) error {
+		k := b.c.kinds[name]
+		err := parse(&k, value)
+		b.c.kinds[name] = k
+		return err
+	}
+}
+
+func setTeam(parse func(t *Team, value string) error) setter {
+	return func(b *builder, name, value string) error {
+		t := b.c.teams[name]
+		err := parse(&t, value)
+		b.c.teams[name] = t
+		return err
+	}
+}
+
+const maxWeight = 1e6
+
+func parseWeight[T any](at func(*T) *float64) func(*T, string) error {
+	return func(t *T, value string) error {
+		w, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(w > 0 && w <= maxWeight) {
+			return fmt.Errorf("must be a number above 0 and at most %g", float64(maxWeight))
+		}
+		*at(t) = w
+		return nil
+	}
+}
+
+func parseKindTime(at func(*Kind) *time.Duration) func(*Kind, string) error {
+	return func(k *Kind, value string) error {
+		d, err := parseTime(value, time.Millisecond, 24*time.Hour)
+		*at(k) = d
+		return err
+	}
+}
+
+const maxRate = 1e9
+
+func parseRate(t *Team, value string) error {
+	rate, err := strconv.ParseFloat(value, 64)
+	if err != nil || !(rate >= 0 && rate <= maxRate) {
+		return fmt.Errorf("must be a number from 0 to %g", float64(maxRate))
+	}
+	t.Rate = rate
+	return nil
+}
+
+func parseConcurrent(t *Team, value string) error {
+	n, err := strconv.Atoi(value)
+	if err != nil || n < 0 {
+		return fmt.Errorf("must be a whole number from 0")
+	}
+	t.Concurrent = n
+	return nil
+}
--- /dev/null
+++ b/version/config/read.go
@@ -0,0 +1,247 @@
+package config
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+
+	"github.com/pkg/errors"
+	"gopkg.in/ini.v1"
+)
+
+// File is one INI file by name.
+type File struct {
+	Name string
+	Text string
+}
+
+// Fault is one thing that is wrong with a setting.
+type Fault struct {
+	File    string
+	Section string
+	Key     string
+	Value   string
+	Reason  string
+}
+
+// Error names file, section, key and value.
+func (f Fault) Error() string {
+	where := f.File + ": [" + f.Section + "]"
+	if f.Key != "" {
+		where += fmt.Sprintf(" %s = %q", f.Key, f.Value)
+	}
+	return where + ": " + f.Reason
+}
+
+// Faults is everything that is wrong with a set of files.
+type Faults []Fault
+
+// Error gives one fault a line.
+func (f Faults) Error() string {
+	lines := make([]string, 0, len(f))
+	for _, one := range f {
+		lines = append(lines, one.Error())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// ReadFolder reads the files *.ini of a folder.
+func ReadFolder(folder string) ([]File, error) {
+	names, err := filepath.Glob(filepath.Join(folder, "*.ini"))
+	if err != nil {
+		return nil, errors.Wrapf(err, "settings folder %q", folder)
+	}
+	if len(names) == 0 {
+		return nil, fmt.Errorf("settings folder %q has no file that ends in .ini", folder)
+	}
+	files := make([]File, 0, len(names))
+	for _, name := range names {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			return nil, errors.Wrap(err, "settings")
+		}
+		files = append(files, File{Name: filepath.Base(name), Text: string(text)})
+	}
+	return files, nil
+}
+
+type builder struct {
+	c        *Config
+	merged   map[string]map[string]Value
+	faults   Faults
+	sections map[string]Section
+}
+
+// Merge merges files in the order of their names and checks the result. All
+// faults are returned at once.
+func Merge(files []File) (*Config, error) {
+	b := &builder{
+		c:        &Config{kinds: map[string]Kind{}, teams: map[string]Team{}},
+		merged:   map[string]map[string]Value{},
+		sections: map[string]Section{},
+	}
+	for _, s := range Sections() {
+		b.sections[s.Name] = s
+		if !s.Named {
+			b.merged[s.Name] = map[string]Value{}
+		}
+	}
+	sorted := append([]File(nil), files...)
+	sort.Slice(sorted, func(i, j int) bool { return sorted[i].Name < sorted[j].Name })
+	for _, f := range sorted {
+		b.read(f)
+	}
+	b.decode()
+	if len(b.faults) > 0 {
+		return nil, b.faults
+	}
+	return b.c, nil
+}
+
+func (b *builder) read(f File) {
+	parsed, err := ini.LoadSources(ini.LoadOptions{
+		AllowNonUniqueSections:  true,
+		IgnoreInlineComment:     true,
+		SkipUnrecognizableLines: false,
+	}, []byte(f.Text))
+	if err != nil {
+		b.faults = append(b.faults, Fault{File: f.Name, Reason: err.Error()})
+		return
+	}
+	for _, section := range parsed.Sections() {
+		if section.Name() == ini.DefaultSection {
+			b.readOutside(f.Name, section)
+			continue
+		}
+		b.readSection(f.Name, section)
+	}
+}
+
+func (b *builder) readOutside(file string, section *ini.Section) {
+	for _, key := range section.Keys() {
+		b.faults = append(b.faults, Fault{File: file, Key: key.Name(), Value: key.Value(), Reason: "the key stands outside of a section"})
+	}
+}
+
+func (b *builder) readSection(file string, section *ini.Section) {
+	spec, known := b.spec(section.Name())
+	if !known {
+		b.faults = append(b.faults, Fault{File: file, Section: section.Name(), Reason: "the section does not exist"})
+		return
+	}
+	into := b.merged[section.Name()]
+	if into == nil {
+		into = map[string]Value{}
+		b.merged[section.Name()] = into
+	}
+	for _, key := range section.Keys() {
+		v := Value{Section: section.Name(), Key: key.Name(), Value: key.Value(), File: file}
+		if !spec.has(key.Name()) {
+			b.faults = append(b.faults, Fault{File: file, Section: v.Section, Key: v.Key, Value: v.Value, Reason: "the key does not exist"})
+			continue
+		}
+		into[key.Name()] = v
+	}
+}
+
+// spec finds the description of a section such as "limits" or "kind seat-check".
+func (b *builder) spec(section string) (Section, bool) {
+	word, name, named := strings.Cut(section, " ")
+	spec, known := b.sections[word]
+	if !known || spec.Named != named || named && !validName(name) {
+		return Section{}, false
+	}
+	return spec, true
+}
+
+func validName(name string) bool {
+	return name != "" && !strings.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r > '~' || r == '/' || r == '#' })
+}
+
+func (s Section) has(key string) bool {
+	for _, f := range s.Fields {
+		if f.Key == key {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *builder) decode() {
+	names := sortedKeys(b.merged)
+	for _, section := range names {
+		spec, known := b.spec(section)
+		if !known {
+			continue
+		}
+		_, name, _ := strings.Cut(section, " ")
+		for _, field := range spec.Fields {
+			b.decodeField(section, name, field)
+		}
+	}
+}
+
+func (b *builder) decodeField(section, name string, field Field) {
+	v, given := b.merged[section][field.Key]
+	if !given {
+		v = Value{Section: section, Key: field.Key, Value: field.Default}
+	}
+	if err := field.set(b, name, v.Value); err != nil {
+		b.faults = append(b.faults, Fault{File: v.File, Section: section, Key: v.Key, Value: v.Value, Reason: err.Error()})
+	}
+	b.c.values = append(b.c.values, v)
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+// Role is what a set of settings is used for.
+type Role string
+
+const (
+	// RoleEntry is an entry process.
+	RoleEntry Role = "entry"
+	// RoleAgent is an agent process.
+	RoleAgent Role = "agent"
+)
+
+// Require checks that the settings that a role cannot do without are there.
+func (c *Config) Require(r Role) error {
+	needs := []struct{ section, key, value string }{
+		{"process", "name", c.process.Name},
+		{"process", "zone", c.process.Zone},
+	}
+	switch r {
+	case RoleEntry:
+		needs = append(needs, []struct{ section, key, value string }{
+			{"log", "address", c.process.Log},
+			{"entry", "listen", c.entry.Listen},
+			{"entry", "callers", c.entry.Callers},
+			{"entry", "admin", c.entry.Admin},
+		}...)
+	case RoleAgent:
+		needs = append(needs, []struct{ section, key, value string }{
+			{"agent", "endpoint", c.agent.Endpoint},
+			{"agent", "entries", strings.Join(c.agent.Entries, ",")},
+			{"agent", "admin", c.agent.Admin},
+		}...)
+	}
+	var faults Faults
+	for _, n := range needs {
+		if n.value == "" {
+			faults = append(faults, Fault{File: "settings", Section: n.section, Key: n.key, Reason: "the " + string(r) + " cannot do without this key"})
+		}
+	}
+	if len(faults) > 0 {
+		return faults
+	}
+	return nil
+}
--- /dev/null
+++ b/version/slot/quorum.go
@@ -0,0 +1,42 @@
+package slot
+
+import "slices"
+
+// quorum follows what each agent of a witness set has acknowledged.
+type quorum struct {
+	members []string
+	acked   map[string]uint64
+	read    map[string]bool
+}
+
+func newQuorum(members []string) quorum {
+	return quorum{
+		members: slices.Clone(members),
+		acked:   map[string]uint64{},
+		read:    map[string]bool{},
+	}
+}
+
+func (q *quorum) has(agent string) bool { return slices.Contains(q.members, agent) }
+
+// majority returns how many members decide.
+func (q *quorum) majority() int { return len(q.members)/2 + 1 }
+
+func (q *quorum) ack(agent string, sequence uint64) {
+	if q.has(agent) && sequence > q.acked[agent] {
+		q.acked[agent] = sequence
+	}
+}
+
+// acknowledged returns the highest sequence that a majority has acknowledged.
+func (q *quorum) acknowledged() uint64 {
+	if len(q.members) == 0 {
+		return 0
+	}
+	sequences := make([]uint64, 0, len(q.members))
+	for _, m := range q.members {
+		sequences = append(sequences, q.acked[m])
+	}
+	slices.Sort(sequences)
+	return sequences[len(sequences)-q.majority()]
+}
--- /dev/null
+++ b/version/slot/slot.go
@@ -0,0 +1,524 @@
+// Package slot is the owner's side of one ownership slot during the epochs in
+// which this entry owns it: the ledger of job keys, the recovery from the
+// former owner, and the proof of ownership that goes before a refusal. It does
+// no I/O. docs/design/ownership.md has the reasoning.
+package slot
+
+import (
+	"time"
+
+	"github.com/corianderhook/corianderhook/request/answer"
+	"github.com/corianderhook/corianderhook/request/job"
+	"github.com/corianderhook/corianderhook/request/outcome"
+	"github.com/corianderhook/corianderhook/request/submission"
+	"github.com/corianderhook/corianderhook/wire"
+)
+
+//go:generate stringer -type=Phase -linecomment
+
+// Phase is how far an entry is with the ownership of a slot.
+type Phase uint8
+
+const (
+	// Recovering means that the witnesses have not yet been read.
+	Recovering Phase = iota // recovering
+	// Active means that submissions are decided here.
+	Active // active
+	// Leaving means that the slot is being handed over; running jobs go on.
+	Leaving // leaving
+	// Deposed means that another entry owns the slot.
+	Deposed // deposed
+)
+
+const (
+	// bodyGrace is how long a recovered job waits for a caller to send its body again.
+	bodyGrace = 10 * time.Second
+	// tombstoneAge is how long a refusal bars attempts that came in before it.
+	// Older attempts are refused without a tombstone.
+	tombstoneAge = 30 * time.Second
+	// maxTombstones bounds the refusals kept per slot. Past it all attempts that
+	// came in before now are barred instead.
+	maxTombstones = 4096
+	// freshRetry is the least Retry-After: heartbeats between entries carry the
+	// owner's clock well within it.
+	freshRetry = time.Second
+)
+
+// Waiter gets the answer of an attempt, or hears that it went to the wrong entry.
+type Waiter interface {
+	job.Waiter
+	NotOwner()
+}
+
+// Attempt is one submission as it reached the owner.
+type Attempt struct {
+	Body   *submission.Submission
+	Waiter Waiter
+	// Owner and Reading are the owner, and that owner's clock in nanoseconds, as
+	// the receiving entry knew them when the request came in.
+	Owner   string
+	Reading uint64
+}
+
+// Host is what a slot needs of the owner process around it.
+type Host interface {
+	// Self returns this entry's instance.
+	Self() string
+	// Now returns the wall time, Clock the monotonic nanoseconds since the start.
+	Now() time.Time
+	Clock() uint64
+	// Send sends a frame and reports whether the agent is attached.
+	Send(agent string, f *wire.EntryFrame) bool
+	// Buried reports whether the agent instance has provably ended.
+	Buried(agent string) bool
+	// Candidates returns the agents that may start tasks of a kind.
+	Candidates(kind string) []string
+	// Admit decides whether a new job may wait here.
+	Admit(s *submission.Submission) (refusal answer.Answer, admitted bool)
+	// Offer hands a job's waiting tasks to the dispatcher, Withdraw takes them back.
+	Offer(slot uint32, j *job.Job)
+	Withdraw(j *job.Job)
+	// Finished hears of each final answer once.
+	Finished(j *job.Job, a answer.Answer)
+	// Refused hears of each refusal once.
+	Refused(s *submission.Submission, a answer.Answer)
+	// JobDeadline returns the time that a job of the kind may take.
+	JobDeadline(kind string) time.Duration
+	// Retention returns how long keys and answers are kept.
+	Retention() time.Duration
+	// MaxKeys returns how many keys a slot keeps.
+	MaxKeys() int
+}
+
+type refusal struct {
+	attempt Attempt
+	answer  answer.Answer
+}
+
+// proof is what waits until a majority of witnesses acknowledged a sequence.
+type proof struct {
+	sequence uint64
+	job      *job.Job
+	refused  []refusal
+	ended    *job.Job
+	verdict  answer.Answer
+}
+
+// inheritance is what the former owner passed on at a planned stop.
+type inheritance struct {
+	owner   string
+	refused map[string]uint64
+	floor   uint64
+	// at is this entry's clock when the former owner had stopped to refuse.
+	at uint64
+}
+
+// Slot is one slot at its owner. It is not safe for concurrent use.
+type Slot struct {
+	host       Host
+	number     uint32
+	epoch      uint64
+	phase      Phase
+	witnesses  quorum
+	next       *quorum
+	sequence   uint64
+	proofs     []proof
+	refusals   []refusal
+	jobs       map[string]*job.Job
+	active     map[string]*job.Job
+	ended      []*job.Job
+	tombstones map[string]uint64
+	floor      uint64
+	inherited  *inheritance
+	held       []Attempt
+	found      map[string]*wire.JobKey
+	records    map[string]map[string][]*wire.TaskRecord
+	fences     map[string]uint64
+	fenceID    uint64
+	doubtUntil time.Time
+}
+
+// New returns a slot that this entry has just claimed with the given epoch.
+// The witnesses are those of the table: at epoch 1 nobody owned the slot before.
+func New(host Host, number uint32, epoch uint64, witnesses []string, doubtUntil time.Time) *Slot {
+	s := &Slot{
+		host:       host,
+		number:     number,
+		epoch:      epoch,
+		witnesses:  newQuorum(witnesses),
+		jobs:       map[string]*job.Job{},
+		active:     map[string]*job.Job{},
+		tombstones: map[string]uint64{},
+		found:      map[string]*wire.JobKey{},
+		records:    map[string]map[string][]*wire.TaskRecord{},
+		fences:     map[string]uint64{},
+		doubtUntil: doubtUntil,
+	}
+	if epoch == 1 {
+		s.activate()
+		return s
+	}
+	s.fence()
+	return s
+}
+
+// Phase returns how far the entry is with the slot.
+func (s *Slot) Phase() Phase { return s.phase }
+
+// Epoch returns the epoch at which this entry owns the slot.
+func (s *Slot) Epoch() uint64 { return s.epoch }
+
+// Keys returns the number of job keys kept.
+func (s *Slot) Keys() int { return len(s.jobs) }
+
+// Running returns the number of jobs without a final answer.
+func (s *Slot) Running() int { return len(s.active) }
+
+// Inherit takes what the former owner passed on. It counts only for attempts
+// that were received while that owner's clock was known to their entry.
+func (s *Slot) Inherit(owner string, refused map[string]uint64, floor uint64) {
+	s.inherited = &inheritance{owner: owner, refused: refused, floor: floor, at: s.host.Clock()}
+}
+
+// Submit decides an attempt, at once or when the slot is ready to.
+func (s *Slot) Submit(a Attempt) {
+	switch s.phase {
+	case Deposed, Leaving:
+		a.Waiter.NotOwner()
+		return
+	case Recovering:
+		s.held = append(s.held, a)
+		return
+	}
+	if j, known := s.jobs[a.Body.Job()]; known {
+		s.join(j, a)
+		return
+	}
+	if refused, barred := s.bar(a); barred {
+		s.refuse(a, refused)
+		return
+	}
+	if refused, admitted := s.host.Admit(a.Body); !admitted {
+		s.refuse(a, refused)
+		return
+	}
+	s.accept(a)
+}
+
+// join adds an attempt to the job that has its key.
+func (s *Slot) join(j *job.Job, a Attempt) {
+	if j.Digest() != a.Body.Digest() || j.Tasks() != a.Body.Tasks() {
+		a.Waiter.Answer(answer.New(outcome.NotRun, "key-conflict",
+			"the Idempotency-Key belongs to a job with another body; nothing of this body ran"))
+		return
+	}
+	if j.Ended() && !s.undecided(j) {
+		a.Waiter.Answer(j.Status())
+		return
+	}
+	j.Wait(a.Waiter)
+	if j.Body() == nil && !j.Ended() {
+		j.Attach(a.Body)
+		s.resume(j)
+	}
+}
+
+// undecided reports whether the final answer still waits for its proof.
+func (s *Slot) undecided(j *job.Job) bool {
+	for i := range s.proofs {
+		if s.proofs[i].ended == j {
+			return true
+		}
+	}
+	return false
+}
+
+// bar refuses attempts that may have come in before a refusal of their key, or
+// whose key may have run unseen.
+func (s *Slot) bar(a Attempt) (answer.Answer, bool) {
+	name := a.Body.Job()
+	if s.host.Now().Before(s.doubtUntil) {
+		return answer.New(outcome.Unknown, "witnesses-lost",
+			"the memory of this key was lost with its witnesses; it may have run").
+			WithRetryAfter(s.doubtUntil.Sub(s.host.Now())), true
+	}
+	if !s.fresh(a, name) {
+		return answer.New(outcome.NotRun, "stale-attempt",
+			"the attempt came in before the owner of its key last changed or refused it").
+			WithRetryAfter(freshRetry), true
+	}
+	if len(s.jobs) >= s.host.MaxKeys() {
+		return answer.New(outcome.NotRun, "keys-full",
+			"the memory for job keys is full").WithRetryAfter(s.host.Retention() / 4), true
+	}
+	if made, ok := submission.MadeAt(a.Body.Key()); ok && s.host.Now().Sub(made) > s.host.Retention() {
+		return answer.New(outcome.NotRun, "key-expired",
+			"the UUIDv7 key is older than the time for which keys are kept"), true
+	}
+	return answer.Answer{}, false
+}
+
+func (s *Slot) fresh(a Attempt, name string) bool {
+	if a.Owner == s.host.Self() {
+		return a.Reading > s.floor && a.Reading > s.tombstones[name]
+	}
+	if s.epoch == 1 && s.floor == 0 {
+		// Nobody owned the slot before, so nobody else can have refused the key.
+		return s.tombstones[name] == 0
+	}
+	if in := s.inherited; in != nil && in.owner == a.Owner {
+		return a.Reading > in.floor && a.Reading > in.refused[name] && s.tombstones[name] == 0
+	}
+	return false
+}
+
+// refuse answers an attempt with not_run once the witnesses have proved that
+// this entry still owned the slot after the attempt came in.
+func (s *Slot) refuse(a Attempt, refused answer.Answer) {
+	if refused.Outcome() == outcome.Unknown {
+		a.Waiter.Answer(refused)
+		return
+	}
+	s.refusals = append(s.refusals, refusal{attempt: a, answer: refused})
+	s.prove()
+}
+
+// prove sends one proof at a time for all refusals that wait.
+func (s *Slot) prove() {
+	if len(s.refusals) == 0 || s.proving() {
+		return
+	}
+	refused := s.refusals
+	s.refusals = nil
+	s.remember(proof{refused: refused}, nil)
+}
+
+func (s *Slot) proving() bool {
+	for i := range s.proofs {
+		if s.proofs[i].refused != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// remember asks the witnesses to keep a key, or only to confirm the epoch.
+func (s *Slot) remember(p proof, j *job.Job) {
+	s.sequence++
+	p.sequence = s.sequence
+	s.proofs = append(s.proofs, p)
+	body := &wire.Remember{Sequence: p.sequence}
+	if j != nil {
+		body.Keys = []*wire.JobKey{s.key(j, p.sequence)}
+	}
+	for _, w := range s.everyWitness() {
+		s.send(w, &wire.EntryFrame{Body: &wire.EntryFrame_Remember{Remember: body}})
+	}
+}
+
+func (s *Slot) key(j *job.Job, sequence uint64) *wire.JobKey {
+	key := j.Key()
+	key.Epoch = s.epoch
+	key.Sequence = sequence
+	if j.Ended() {
+		final := j.Status()
+		if final.Outcome() != outcome.Complete {
+			key.Outcome = final.Outcome().String()
+			key.Reason = final.Reason()
+		}
+	}
+	return key
+}
+
+func (s *Slot) send(agent string, f *wire.EntryFrame) bool {
+	f.Slot = s.number
+	f.Epoch = s.epoch
+	return s.host.Send(agent, f)
+}
+
+// accept makes a new job, registers it and lets the dispatcher reserve for it.
+func (s *Slot) accept(a Attempt) {
+	deadline := a.Body.Deadline()
+	if deadline == 0 {
+		deadline = s.host.JobDeadline(a.Body.Kind())
+	}
+	j := job.New(a.Body, s.host.Now(), deadline)
+	j.Wait(a.Waiter)
+	s.jobs[j.Name()] = j
+	s.active[j.Name()] = j
+	s.resume(j)
+}
+
+// resume registers a job that has its body and offers its tasks.
+func (s *Slot) resume(j *job.Job) {
+	if j.Ended() || j.Body() == nil {
+		return
+	}
+	if !j.Registered() {
+		s.register(j, s.host.Candidates(j.Kind()))
+	}
+	if j.Waiting() > 0 && !j.InDispatch() {
+		s.host.Offer(s.number, j)
+	}
+}
+
+func (s *Slot) register(j *job.Job, agents []string) {
+	j.Register(s.sequence+1, agents)
+	s.remember(proof{job: j}, j)
+}
+
+// Extend registers a further agent for a running job, so that the agent may
+// start tasks of it once the witnesses know.
+func (s *Slot) Extend(j *job.Job, agent string) {
+	if j.Ended() || !j.IsReady() || j.Knows(agent) {
+		return
+	}
+	s.register(j, []string{agent})
+}
+
+// Remembered takes a witness's acknowledgement of all sequences up to the given.
+func (s *Slot) Remembered(agent string, r *wire.Remembered) {
+	if r.GetDeposed() {
+		s.Depose()
+		return
+	}
+	s.witnesses.ack(agent, r.GetSequence())
+	if s.next != nil {
+		s.next.ack(agent, r.GetSequence())
+	}
+	s.pass()
+}
+
+// pass carries out what waited for proofs that are now complete.
+func (s *Slot) pass() {
+	if s.phase != Active && s.phase != Leaving {
+		return
+	}
+	proved := s.witnesses.acknowledged()
+	if s.next != nil {
+		proved = min(proved, s.next.acknowledged())
+	}
+	for len(s.proofs) > 0 && s.proofs[0].sequence <= proved {
+		p := s.proofs[0]
+		s.proofs = s.proofs[1:]
+		s.carryOut(p)
+	}
+	s.prove()
+}
+
+func (s *Slot) carryOut(p proof) {
+	if p.job != nil && p.job.Sequence() == p.sequence {
+		p.job.Ready()
+		if p.job.Waiting() > 0 {
+			s.host.Offer(s.number, p.job)
+		}
+	}
+	for _, r := range p.refused {
+		s.carryOutRefusal(r)
+	}
+	if p.ended != nil {
+		s.announce(p.ended, p.verdict)
+	}
+}
+
+// carryOutRefusal says not_run, unless an attempt of the same key was accepted
+// while the proof was under way: then the refused one joins it.
+func (s *Slot) carryOutRefusal(r refusal) {
+	name := r.attempt.Body.Job()
+	if j, known := s.jobs[name]; known {
+		s.join(j, r.attempt)
+		return
+	}
+	s.bury(name)
+	s.host.Refused(r.attempt.Body, r.answer)
+	r.attempt.Waiter.Answer(r.answer)
+}
+
+// bury bars every attempt of the name that came in before now.
+func (s *Slot) bury(name string) {
+	if len(s.tombstones) >= maxTombstones {
+		s.tombstones = map[string]uint64{}
+		s.floor = s.host.Clock()
+		return
+	}
+	s.tombstones[name] = s.host.Clock()
+}
+
+// Settle looks at a job whose tasks have changed and ends it where that follows.
+func (s *Slot) Settle(j *job.Job) {
+	if j.Ended() {
+		return
+	}
+	a := j.Decide()
+	if a.Outcome() != outcome.Pending {
+		s.end(j, a)
+		return
+	}
+	s.resume(j)
+}
+
+// end makes an answer final. An answer that does not follow from the tasks
+// alone is told only when the witnesses know it, so that no later owner
+// contradicts it.
+func (s *Slot) end(j *job.Job, a answer.Answer) {
+	j.End(a, s.host.Now())
+	s.host.Withdraw(j)
+	delete(s.active, j.Name())
+	if a.Outcome() == outcome.Complete || a.Outcome() == outcome.Unknown {
+		s.announce(j, a)
+		return
+	}
+	s.remember(proof{ended: j, verdict: a}, j)
+}
+
+func (s *Slot) announce(j *job.Job, a answer.Answer) {
+	if s.phase == Leaving && a.Outcome() == outcome.NotRun {
+		// The next owner does not know of this refusal, so it is not said.
+		s.release(j.Waiters())
+		return
+	}
+	s.host.Finished(j, a)
+	for _, w := range j.Waiters() {
+		w.Answer(a)
+	}
+	if a.Outcome() == outcome.NotRun {
+		delete(s.jobs, j.Name())
+		s.bury(j.Name())
+		return
+	}
+	s.ended = append(s.ended, j)
+}
+
+// Done takes the end of a task.
+func (s *Slot) Done(agent string, d *wire.Done) *job.Job {
+	j, known := s.jobs[d.GetJob()]
+	if !known || !j.Record(agent, d.GetTask()) {
+		return nil
+	}
+	s.Settle(j)
+	return j
+}
+
+// Returned takes a task back that the agent gave up without a start.
+func (s *Slot) Returned(agent, name string, pull uint64, index uint32) {
+	j, known := s.jobs[name]
+	if !known || !j.Return(agent, pull, index) {
+		return
+	}
+	s.Settle(j)
+}
+
+// Job returns the job with the given name.
+func (s *Slot) Job(name string) (*job.Job, bool) {
+	j, ok := s.jobs[name]
+	return j, ok
+}
+
+// Cancel gives a job up for its caller. Tasks that run go on to their end.
+func (s *Slot) Cancel(name string) {
+	j, known := s.jobs[name]
+	if !known || j.Ended() {
+		return
+	}
+	s.end(j, j.GiveUp("cancelled", "the caller cancelled the job"))
+}
