Add the experiment tool with six scenarios

Cause: nothing measured the system under load and faults.

Change: bench NAME runs a row of a table: a plan of jobs with a fixed seed, timed faults, and a check against the endpoints' own record of starts. The ideal is a single queue without overhead over all slots.

--- a/commands/bench.go
+++ b/commands/bench.go
@@ -1,12 +1,74 @@
 package commands
 
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/corianderhook/corianderhook/process/bench"
+)
+
 // BenchCommand runs experiments.
 type BenchCommand struct {
-	Idle BenchIdleCommand `cmd:"" help:"Response time against the ideal at half load."`
+	Scenario string `arg:"" help:"Scenario, all, or list."`
+	Seed     uint64 `default:"1" help:"Seed of the arrivals: the same seed gives the same jobs at the same times."`
+	Check    bool   `help:"Compare the figures with the stated targets; exit code 1 on a miss."`
 }
 
-// BenchIdleCommand is the experiment at half load.
-type BenchIdleCommand struct{}
+// Run runs one scenario or all. The last line of each has its figures.
+func (c *BenchCommand) Run(s *Streams) error {
+	if c.Scenario == "list" {
+		for _, one := range bench.Table() {
+			fmt.Fprintf(s.Out, "%-12s %s\n", one.Name, one.Help)
+		}
+		return nil
+	}
+	chosen, err := c.choose()
+	if err != nil {
+		return err
+	}
+	quietLogs()
+	var misses []string
+	for _, one := range chosen {
+		missed, err := c.run(s, one)
+		if err != nil {
+			return errors.Wrapf(err, "bench %s", one.Name)
+		}
+		misses = append(misses, missed...)
+	}
+	if !c.Check {
+		return nil
+	}
+	if len(misses) > 0 {
+		return errors.Errorf("%d targets are missed:\n%s", len(misses), strings.Join(misses, "\n"))
+	}
+	fmt.Fprintln(s.Out, "every target is met")
+	return nil
+}
 
-// Run runs the experiment.
-func (c *BenchIdleCommand) Run() error { return nil }
+func (c *BenchCommand) choose() ([]bench.Scenario, error) {
+	var names []string
+	for _, one := range bench.Table() {
+		if one.Name == c.Scenario {
+			return []bench.Scenario{one}, nil
+		}
+		names = append(names, one.Name)
+	}
+	if c.Scenario == "all" {
+		return bench.Table(), nil
+	}
+	return nil, usageError{errors.Errorf("scenario %q does not exist; there are %s", c.Scenario, strings.Join(names, ", "))}
+}
+
+func (c *BenchCommand) run(s *Streams, one bench.Scenario) ([]string, error) {
+	outcome, err := bench.Do(context.Background(), one, bench.Settings{Clock: realClock(), System: newSystem(), Seed: c.Seed})
+	if err != nil {
+		return nil, err
+	}
+	printTable(s, outcome.Results)
+	line := one.Report(outcome)
+	fmt.Fprintln(s.Out, line)
+	return bench.Misses(one, line)
+}
--- /dev/null
+++ b/process/bench/bench.go
@@ -0,0 +1,272 @@
+// Package bench runs experiments on a local system: a plan of jobs with a fixed
+// seed, a list of timed faults, and the endpoints' own record of starts. A
+// scenario is a row of a table.
+package bench
+
+import (
+	"context"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/corianderhook/corianderhook/process/load"
+	"github.com/corianderhook/corianderhook/process/local"
+	"github.com/corianderhook/corianderhook/version/config"
+)
+
+// Fault is something that is done to the system at a time of the run.
+type Fault struct {
+	At time.Duration
+	Do func(*Run) error
+}
+
+// Scenario is one experiment.
+type Scenario struct {
+	Name string
+	Help string
+	// Entries, Agents and Slots are the size of the system; Slots is per agent.
+	Entries int
+	Agents  int
+	Slots   int
+	// Plan are the jobs for a seed.
+	Plan func(r *rand.Rand) []load.Job
+	// Faults are done in their order.
+	Faults []Fault
+	// ResubmitEvery makes callers send unanswered jobs again.
+	ResubmitEvery time.Duration
+	// Extra are settings beside the scenario's kinds and teams.
+	Extra string
+	// Report writes the scenario's last line.
+	Report func(o Outcome) string
+	// Targets are the stated bounds of the figures.
+	Targets []Target
+}
+
+// Target is a stated bound of a figure in the last line.
+type Target struct {
+	Figure string
+	// Most and Least bound the figure; a nil bound does not hold.
+	Most  *float64
+	Least *float64
+}
+
+// Run is a scenario under way.
+type Run struct {
+	Local  *local.Local
+	Driver *load.Driver
+	Seed   uint64
+	began  time.Time
+	clock  clockwork.Clock
+}
+
+// Outcome is what a run measured.
+type Outcome struct {
+	Name    string
+	Seed    uint64
+	Results []load.Result
+	Verdict load.Verdict
+	// Ideal is the response time of each job on a perfect single queue.
+	Ideal  []time.Duration
+	Wasted float64
+	Sent   int64
+	// FaultAt is when the first fault was done.
+	FaultAt time.Duration
+	Length  time.Duration
+}
+
+// Settings are what an experiment works with.
+type Settings struct {
+	Clock  clockwork.Clock
+	System *actor.ActorSystem
+	Seed   uint64
+}
+
+// giveUp is how long callers keep at a job.
+const giveUp = 30 * time.Second
+
+// settleTime is the time between the start of the parts and the first job.
+const settleTime = 500 * time.Millisecond
+
+// Do runs a scenario.
+func Do(ctx context.Context, s Scenario, set Settings) (Outcome, error) {
+	l, err := local.Start(ctx, local.Settings{
+		Entries: s.Entries,
+		Agents:  s.Agents,
+		Slots:   s.Slots,
+		Zones:   zones,
+		Extra:   []config.File{{Name: "50-bench.ini", Text: kinds + s.Extra}},
+		Clock:   set.Clock,
+		System:  set.System,
+		Seed:    set.Seed,
+	})
+	if err != nil {
+		return Outcome{}, err
+	}
+	defer l.Stop()
+	set.Clock.Sleep(settleTime)
+	var callers []string
+	for _, n := range l.Entries() {
+		callers = append(callers, n.Callers)
+	}
+	r := &Run{Local: l, Seed: set.Seed, clock: set.Clock, began: set.Clock.Now()}
+	r.Driver = load.New(load.Settings{
+		Callers:       callers,
+		Clock:         set.Clock,
+		Seed:          set.Seed,
+		GiveUp:        giveUp,
+		Wait:          giveUp,
+		ResubmitEvery: s.ResubmitEvery,
+	})
+	plan := s.Plan(rand.New(rand.NewPCG(set.Seed, 0)))
+	sort.SliceStable(plan, func(i, j int) bool { return plan[i].At < plan[j].At })
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	failed := make(chan error, 1)
+	go func() { failed <- r.faults(ctx, s.Faults) }()
+	results := r.Driver.Run(ctx, plan)
+	length := set.Clock.Since(r.began)
+	select {
+	case err := <-failed:
+		if err != nil {
+			return Outcome{}, err
+		}
+	default:
+	}
+	return r.outcome(s, plan, results, length), nil
+}
+
+const zones = 3
+
+// kinds are the settings that all scenarios share.
+const kinds = `
+[team cedar-bowl]
+[team remaches]
+[kind urgent]
+weight = 8
+deadline = 30s
+max_delay = 5s
+[kind plain]
+weight = 4
+deadline = 30s
+max_delay = 5s
+[kind bulk]
+weight = 1
+deadline = 60s
+max_delay = 5s
+`
+
+func (r *Run) faults(ctx context.Context, faults []Fault) error {
+	for _, f := range faults {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-r.clock.After(f.At - r.clock.Since(r.began)):
+		}
+		if err := f.Do(r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Run) outcome(s Scenario, plan []load.Job, results []load.Result, length time.Duration) Outcome {
+	o := Outcome{
+		Name:    s.Name,
+		Seed:    r.Seed,
+		Results: results,
+		Verdict: load.Judge(results, r.Local.Starts()),
+		Ideal:   Ideal(plan, s.Agents*s.Slots),
+		Sent:    r.Driver.Attempts(),
+		Length:  length,
+	}
+	if len(s.Faults) > 0 {
+		o.FaultAt = s.Faults[0].At
+	}
+	wasted := 0.0
+	for _, n := range r.Local.Entries() {
+		wasted += n.Entry.Metrics().WastedTotal()
+	}
+	if started := r.Local.Starts().Total(); started > 0 {
+		o.Wasted = wasted / float64(started)
+	}
+	return o
+}
+
+// Ideal returns the response times of the jobs on a single queue without any
+// overhead, first come first served over all slots.
+func Ideal(plan []load.Job, slots int) []time.Duration {
+	free := make([]time.Duration, slots)
+	ideal := make([]time.Duration, len(plan))
+	for i, j := range plan {
+		work := time.Duration(j.WorkMS * float64(time.Millisecond))
+		for range j.Tasks {
+			first := 0
+			for k := range free {
+				if free[k] < free[first] {
+					first = k
+				}
+			}
+			free[first] = max(free[first], j.At) + work
+			ideal[i] = max(ideal[i], free[first]-j.At)
+		}
+	}
+	return ideal
+}
+
+// Ratios returns response time over ideal of the jobs that pass the filter, in
+// order, and the quantile function over them.
+func (o Outcome) Ratios(keep func(load.Result) bool) []float64 {
+	var ratios []float64
+	for i, r := range o.Results {
+		if r.Outcome == "complete" && keep(r) && o.Ideal[i] > 0 {
+			ratios = append(ratios, float64(r.Took)/float64(o.Ideal[i]))
+		}
+	}
+	sort.Float64s(ratios)
+	return ratios
+}
+
+// Quantile returns a quantile of sorted figures.
+func Quantile(sorted []float64, q float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
+}
+
+// Kept returns the share of the tasks of jobs sent after the first fault that
+// were completed.
+func (o Outcome) Kept() float64 {
+	sent, done := 0, 0
+	for _, r := range o.Results {
+		if r.Job.At < o.FaultAt {
+			continue
+		}
+		sent += r.Job.Tasks
+		if r.Outcome == "complete" {
+			done += r.Job.Tasks
+		}
+	}
+	if sent == 0 {
+		return 0
+	}
+	return float64(done) / float64(sent)
+}
+
+// slowBy is how much longer than ideal a job takes that a fault has delayed.
+const slowBy = 250 * time.Millisecond
+
+// Recovered returns the time from the first fault to the end of the last job
+// that was delayed.
+func (o Outcome) Recovered() time.Duration {
+	var last time.Duration
+	for i, r := range o.Results {
+		if r.Took > o.Ideal[i]+slowBy || r.Outcome != "complete" {
+			last = max(last, r.EndedAt)
+		}
+	}
+	return max(0, last-o.FaultAt)
+}
--- /dev/null
+++ b/process/bench/table.go
@@ -0,0 +1,193 @@
+package bench
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/corianderhook/corianderhook/process/load"
+	"github.com/corianderhook/corianderhook/process/logstore"
+)
+
+// bound returns a pointer to a stated bound.
+func bound(f float64) *float64 { return &f }
+
+// Table returns every scenario.
+func Table() []Scenario {
+	return []Scenario{
+		{
+			Name: "idle", Help: "Response time against the ideal at half load, 50 ms tasks.",
+			Entries: 3, Agents: 4, Slots: 8,
+			Plan:   steady(10*time.Second, 0.5, 4*8, 50, 4),
+			Report: reportIdle,
+			Targets: []Target{
+				{Figure: "ratio_p50", Most: bound(1.05)},
+				{Figure: "ratio_p99", Most: bound(1.25)},
+				{Figure: "wasted_per_task", Most: bound(0.2)},
+			},
+		},
+		{
+			Name: "takeover", Help: "One of three entries dies without warning under load.",
+			Entries: 3, Agents: 4, Slots: 8,
+			Plan:    steady(14*time.Second, 0.5, 4*8, 50, 4),
+			Faults:  []Fault{{At: 4 * time.Second, Do: killEntry(0)}},
+			Report:  reportFault,
+			Targets: append(truth(), Target{Figure: "recovered_s", Most: bound(5)}, Target{Figure: "unknown", Most: bound(0)}),
+		},
+		{
+			Name: "outage", Help: "The log is down for the whole run; an agent is replaced meanwhile.",
+			Entries: 3, Agents: 4, Slots: 8,
+			Plan: steady(14*time.Second, 0.5, 4*8, 50, 4),
+			Faults: []Fault{
+				{At: 0, Do: logFaults(logstore.Faults{Down: true})},
+				{At: 5 * time.Second, Do: replaceAgent(0)},
+			},
+			Report:  reportFault,
+			Targets: append(truth(), Target{Figure: "kept", Least: bound(0.98)}),
+		},
+		{
+			Name: "pause", Help: "One of three entries is held for 6 s and wakes again.",
+			Entries: 3, Agents: 4, Slots: 8,
+			Plan: steady(16*time.Second, 0.5, 4*8, 50, 4),
+			Faults: []Fault{
+				{At: 3 * time.Second, Do: shut(0)},
+				{At: 9 * time.Second, Do: open(0)},
+			},
+			Report:  reportFault,
+			Targets: truth(),
+		},
+		{
+			Name: "silent", Help: "Every connection to one entry goes silent; new ones work.",
+			Entries: 3, Agents: 4, Slots: 8,
+			Plan:    steady(12*time.Second, 0.5, 4*8, 50, 4),
+			Faults:  []Fault{{At: 4 * time.Second, Do: silence(0)}},
+			Report:  reportFault,
+			Targets: append(truth(), Target{Figure: "recovered_s", Most: bound(3)}, Target{Figure: "unknown", Most: bound(0)}),
+		},
+		{
+			Name: "throughput", Help: "Task starts a second with 0 ms tasks in large jobs.",
+			Entries: 3, Agents: 4, Slots: 64,
+			Plan:   flatOut(5*time.Second, 200, 100),
+			Extra:  "[limits]\nkeys_per_slot = 1000000\n",
+			Report: reportThroughput,
+		},
+	}
+}
+
+// truth are the bounds that hold in every scenario.
+func truth() []Target {
+	var targets []Target
+	for _, figure := range []string{"started_twice", "lost", "false_not_run", "partial"} {
+		targets = append(targets, Target{Figure: figure, Most: bound(0)})
+	}
+	return targets
+}
+
+// steady returns jobs of 1 to 2*meanTasks-1 tasks that arrive at random and keep
+// a share of the slots busy.
+func steady(length time.Duration, share float64, slots int, workMS float64, meanTasks int) func(*rand.Rand) []load.Job {
+	return func(r *rand.Rand) []load.Job {
+		perSecond := share * float64(slots) / (workMS / 1000) / float64(meanTasks)
+		var plan []load.Job
+		for at := time.Duration(0); at < length; {
+			at += time.Duration(r.ExpFloat64() / perSecond * float64(time.Second))
+			plan = append(plan, load.Job{
+				At:     at,
+				Team:   []string{"cedar-bowl", "remaches"}[r.IntN(2)],
+				Kind:   []string{"urgent", "plain"}[r.IntN(2)],
+				Tasks:  1 + r.IntN(2*meanTasks-1),
+				WorkMS: workMS,
+				Entry:  r.IntN(3),
+			})
+		}
+		return plan
+	}
+}
+
+// flatOut returns jobs of 0 ms tasks at a fixed rate.
+func flatOut(length time.Duration, jobsPerSecond, tasks int) func(*rand.Rand) []load.Job {
+	return func(r *rand.Rand) []load.Job {
+		var plan []load.Job
+		for i := range int(length.Seconds() * float64(jobsPerSecond)) {
+			plan = append(plan, load.Job{
+				At:    time.Duration(i) * time.Second / time.Duration(jobsPerSecond),
+				Team:  "remaches",
+				Kind:  "plain",
+				Tasks: tasks,
+				Entry: r.IntN(3),
+			})
+		}
+		return plan
+	}
+}
+
+func killEntry(i int) func(*Run) error {
+	return func(r *Run) error {
+		r.Driver.SetDead(i, true)
+		r.Local.Entries()[i].Entry.Kill()
+		return nil
+	}
+}
+
+func logFaults(f logstore.Faults) func(*Run) error {
+	return func(r *Run) error {
+		r.Local.Log().SetFaults(f)
+		return nil
+	}
+}
+
+func replaceAgent(i int) func(*Run) error {
+	return func(r *Run) error {
+		r.Local.KillAgent(r.Local.Agents()[i])
+		_, err := r.Local.AddAgent("replacement", i)
+		return err
+	}
+}
+
+func shut(i int) func(*Run) error {
+	return func(r *Run) error {
+		r.Driver.SetDead(i, true)
+		r.Local.Entries()[i].Gate.Shut()
+		return nil
+	}
+}
+
+func open(i int) func(*Run) error {
+	return func(r *Run) error {
+		r.Local.Entries()[i].Gate.Open()
+		r.Driver.SetDead(i, false)
+		return nil
+	}
+}
+
+func silence(i int) func(*Run) error {
+	return func(r *Run) error {
+		r.Local.Entries()[i].Processes.Silence()
+		return nil
+	}
+}
+
+func all(load.Result) bool { return true }
+
+func reportIdle(o Outcome) string {
+	ratios := o.Ratios(all)
+	var overheads []float64
+	for i, r := range o.Results {
+		overheads = append(overheads, float64(r.Took-o.Ideal[i])/float64(time.Millisecond))
+	}
+	sortFloats(overheads)
+	return fmt.Sprintf("bench idle: overhead_p50_ms=%.2f overhead_p99_ms=%.2f ratio_p50=%.3f ratio_p99=%.3f wasted_per_task=%.3f",
+		Quantile(overheads, 0.5), Quantile(overheads, 0.99), Quantile(ratios, 0.5), Quantile(ratios, 0.99), o.Wasted)
+}
+
+func reportFault(o Outcome) string {
+	v := o.Verdict
+	return fmt.Sprintf("bench %s: started_twice=%d lost=%d false_not_run=%d partial=%d unknown=%d recovered_s=%.2f kept=%.3f",
+		o.Name, v.Twice, v.Lost, v.FalseNotRun, v.Partial, v.Outcomes["unknown"], o.Recovered().Seconds(), o.Kept())
+}
+
+func reportThroughput(o Outcome) string {
+	return fmt.Sprintf("bench throughput: starts_per_s=%.0f jobs=%d complete=%d not_run=%d started_twice=%d lost=%d",
+		float64(o.Verdict.Tasks)/o.Length.Seconds(), o.Verdict.Jobs, o.Verdict.Outcomes["complete"],
+		o.Verdict.Outcomes["not_run"], o.Verdict.Twice, o.Verdict.Lost)
+}
--- a/process/local/local.go
+++ b/process/local/local.go
@@ -49,6 +49,8 @@
 	Agent   *agent.Agent
 	Sample  *sample.Endpoint
 	Gate    *Gate
+	// Processes is the listener of an entry for the other processes.
+	Processes *Listener
 
 	files     []config.File
 	listeners entry.Listeners
@@ -150,7 +152,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	n := &Node{Name: name, Zone: l.zone(len(l.entries)), Admin: admin.Addr().String(), Callers: callers.Addr().String()}
-	n.listeners = entry.Listeners{Processes: processes, Callers: callers, Admin: admin}
+	n.Processes = NewListener(processes)
+	n.listeners = entry.Listeners{Processes: n.Processes, Callers: callers, Admin: admin}
 	n.files = append(l.process(n), config.File{Name: "20-entry.ini", Text: fmt.Sprintf(
 		"[entry]\nlisten = %s\ncallers = %s\nadmin = %s\n", processes.Addr(), n.Callers, n.Admin)})
 	if l.seeds != "" {
--- a/process/metrics/metrics.go
+++ b/process/metrics/metrics.go
@@ -3,6 +3,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -21,6 +22,7 @@
 	slots     *prometheus.GaugeVec
 	wasted    prometheus.Counter
 	config    prometheus.Gauge
+	mu        sync.Mutex
 	lastWaste uint64
 }
 
@@ -91,12 +93,20 @@
 // Slots sets the number of ownership slots in a phase.
 func (m *Metrics) Slots(phase string, count int) { m.slots.WithLabelValues(phase).Set(float64(count)) }
 
-// Wasted takes the total of messages that brought no task. It is called by one
-// goroutine.
+// Wasted takes the total of messages that brought no task.
 func (m *Metrics) Wasted(total uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.wasted.Add(float64(total - m.lastWaste))
 	m.lastWaste = total
 }
 
 // Config sets the configuration version in force.
 func (m *Metrics) Config(version uint64) { m.config.Set(float64(version)) }
+
+// WastedTotal returns the messages that brought no task so far.
+func (m *Metrics) WastedTotal() float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return float64(m.lastWaste)
+}
