--- a/common/instance/instance.go
+++ b/common/instance/instance.go
@@ -4,9 +4,9 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"strconv"
 	"strings"
+	"time"
 )
 
 const separator = "#"
@@ -18,9 +18,10 @@
 	incarnation uint64
 }
 
-// New returns an ID with a random incarnation for a process that starts now.
-func New(name string) ID {
-	return ID{name: name, incarnation: rand.Uint64()}
+// New returns the ID of a process that starts now. The incarnation is the wall
+// time in nanoseconds, so that a later run of a name has the higher one.
+func New(name string, now time.Time) ID {
+	return ID{name: name, incarnation: uint64(now.UnixNano())}
 }
 
 // Of returns the ID with the given parts.
@@ -55,6 +56,14 @@
 	return id.name + separator + strconv.FormatUint(id.incarnation, 16)
 }
 
+// Replaces reports whether two texts that String wrote are runs of one name and
+// the first is the later run.
+func Replaces(later, earlier string) bool {
+	a, errA := Parse(later)
+	b, errB := Parse(earlier)
+	return errA == nil && errB == nil && a.name == b.name && a.incarnation > b.incarnation
+}
+
 // Name returns the name part of a text that String wrote, or the whole text.
 func Name(text string) string {
 	name, _, _ := strings.Cut(text, separator)
--- a/process/agent/agent.go
+++ b/process/agent/agent.go
@@ -72,7 +72,7 @@
 	c := deps.Config
 	a := &Agent{
 		deps:     deps,
-		id:       instance.New(c.Process().Name).String(),
+		id:       instance.New(c.Process().Name, deps.Clock.Now()).String(),
 		endpoint: endpoint.New(c.Agent().Endpoint, c.Agent().Connections, deps.Clock),
 		metrics:  metrics.New(),
 		quit:     make(chan struct{}),
--- a/process/entry/actor.go
+++ b/process/entry/actor.go
@@ -16,6 +16,7 @@
 	"github.com/corianderhook/corianderhook/version/ownership"
 	"github.com/corianderhook/corianderhook/version/slot"
 	"github.com/corianderhook/corianderhook/wire"
+	"k8s.io/klog/v2"
 )
 
 const (
@@ -133,8 +134,14 @@
 
 func (a *ownerActor) attach(m attached) {
 	agent := m.session.agent
+	former := a.live[agent]
 	a.live[agent] = m.session
-	a.owner.Attached(agent, m.hello.GetZone(), int(m.hello.GetSlots()))
+	if a.owner.Attached(agent, m.hello.GetZone(), int(m.hello.GetSlots())) {
+		return
+	}
+	klog.InfoS("CH0104 agent session of an earlier run refused", "entry", a.entry.self.Instance, "agent", agent)
+	a.live[agent] = former
+	m.session.out.Close()
 }
 
 func (a *ownerActor) detach(s *session) {
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -77,7 +77,7 @@
 // New returns an entry that has not started.
 func New(deps Dependencies) *Entry {
 	c := deps.Config
-	id := instance.New(c.Process().Name)
+	id := instance.New(c.Process().Name, deps.Clock.Now())
 	address := c.Entry().Advertise
 	if address == "" {
 		address = c.Entry().Listen
--- a/process/entry/steer.go
+++ b/process/entry/steer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"github.com/google/uuid"
@@ -96,8 +97,7 @@
 	}
 	if len(p.Claim) > 0 {
 		klog.InfoS("CH0304 claims slots", "entry", e.self.Instance, "slots", len(p.Claim))
-		claim := &ownership.Claim{Author: e.self.Instance, Owner: e.self.Instance, Slots: p.Claim, Witnesses: p.Witnesses}
-		if err := e.appendRecord(ctx, ownership.Record{Claim: claim}); err != nil {
+		if err := e.claim(ctx, p); err != nil {
 			return err
 		}
 	}
@@ -120,6 +120,29 @@
 	return nil
 }
 
+// claim appends one record for slots that never had an owner, which names their
+// witnesses, and one for slots whose witnesses stay.
+func (e *Entry) claim(ctx context.Context, p membership.Plan) error {
+	first := ownership.Claim{Author: e.self.Instance, Owner: e.self.Instance, Witnesses: p.Witnesses}
+	later := ownership.Claim{Author: e.self.Instance, Owner: e.self.Instance}
+	for _, c := range p.Claim {
+		if c.Expected == 0 {
+			first.Slots = append(first.Slots, c)
+			continue
+		}
+		later.Slots = append(later.Slots, c)
+	}
+	for _, c := range []*ownership.Claim{&first, &later} {
+		if len(c.Slots) == 0 {
+			continue
+		}
+		if err := e.appendRecord(ctx, ownership.Record{Claim: c}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (e *Entry) snapshot(ctx context.Context, m *membership.Membership) error {
 	state := *e.table.Load()
 	if err := e.appendRecord(ctx, ownership.Record{Snapshot: &state}); err != nil {
@@ -237,17 +260,19 @@
 		if !owned || s.Phase() != slot.Active {
 			continue
 		}
-		s.Propose(members)
-		chosen, ready := s.Proposed()
-		if !ready {
-			continue
+		var chosen []string
+		if s.Propose(members) {
+			var ready bool
+			if chosen, ready = s.Proposed(); !ready {
+				continue
+			}
 		}
-		key, _ := json.Marshal([]any{chosen, s.DoubtUntil().UnixMilli()})
-		claim, begun := bySet[string(key)]
+		key := fmt.Sprint(chosen, s.DoubtUntil().UnixMilli())
+		claim, begun := bySet[key]
 		if !begun {
 			claim = &ownership.Claim{Author: self, Owner: self, Witnesses: chosen, DoubtUntil: s.DoubtUntil().UnixMilli()}
-			bySet[string(key)] = claim
-			order = append(order, string(key))
+			bySet[key] = claim
+			order = append(order, key)
 		}
 		claim.Slots = append(claim.Slots, ownership.SlotClaim{Slot: number, Expected: s.Epoch()})
 	}
--- a/process/owner/owner.go
+++ b/process/owner/owner.go
@@ -62,7 +62,6 @@
 	latest    map[string]string
 	zones     map[string]string
 	gone      map[string]time.Time
-	dead      map[string]bool
 	promised  map[handOver]inheritance
 }
 
@@ -86,7 +85,6 @@
 		latest:    map[string]string{},
 		zones:     map[string]string{},
 		gone:      map[string]time.Time{},
-		dead:      map[string]bool{},
 		promised:  map[handOver]inheritance{},
 	}
 	o.dispatch = dispatch.New(dispatchHost{o}, seed)
@@ -112,9 +110,9 @@
 	mine := state.Owner == o.env.Self()
 	switch {
 	case owned && held.Epoch() == state.Epoch && mine:
-	case owned && mine && state.Epoch == held.Epoch()+1 && held.Phase() == slot.Active:
+	case owned && mine && state.Epoch == held.Epoch()+1 && held.Phase() == slot.Active && held.Covers(state.Witnesses):
 		held.Replace(state.Epoch, state.Witnesses)
-	case owned && mine && state.Epoch == held.Epoch()+1 && held.Phase() == slot.Leaving:
+	case owned && mine && state.Epoch == held.Epoch()+1 && held.Phase() == slot.Leaving && held.Covers(state.Witnesses):
 		held.Stay(state.Epoch)
 	case owned:
 		held.Depose()
@@ -176,11 +174,15 @@
 }
 
 // Attached takes note of a session with an agent. An earlier run of the same
-// agent has ended.
-func (o *Owner) Attached(agent, zone string, slots int) {
+// agent has ended. It reports false for a session of such an earlier run.
+func (o *Owner) Attached(agent, zone string, slots int) bool {
 	name := instance.Name(agent)
-	if former := o.latest[name]; former != "" && former != agent {
-		o.bury(former)
+	former := o.latest[name]
+	if instance.Replaces(former, agent) {
+		return false
+	}
+	if former != "" && former != agent {
+		o.forget(former)
 	}
 	o.latest[name] = agent
 	o.zones[agent] = zone
@@ -189,6 +191,7 @@
 		s.Attached(agent)
 	}
 	o.dispatch.Attach(agent, zone, slots)
+	return true
 }
 
 // Zone returns the availability zone of an agent that was attached.
@@ -203,17 +206,11 @@
 // Gone returns the agents that are out of reach and since when.
 func (o *Owner) Gone() map[string]time.Time { return o.gone }
 
-func (o *Owner) bury(agent string) {
-	if o.dead[agent] {
-		return
-	}
-	o.dead[agent] = true
+// forget drops what is kept of a run of an agent that has ended.
+func (o *Owner) forget(agent string) {
 	delete(o.gone, agent)
 	delete(o.zones, agent)
 	o.dispatch.Detach(agent)
-	for _, s := range o.each() {
-		s.Bury(agent)
-	}
 }
 
 // each lists the slots in order, so that equal histories give equal messages.
@@ -311,11 +308,7 @@
 func (h slotHost) Send(agent string, f *wire.EntryFrame) bool { return h.env.Send(agent, f) }
 
 func (h slotHost) Buried(agent string) bool {
-	if h.dead[agent] {
-		return true
-	}
-	latest := h.latest[instance.Name(agent)]
-	return latest != "" && latest != agent
+	return instance.Replaces(h.latest[instance.Name(agent)], agent)
 }
 
 func (h slotHost) Candidates(string) []string { return h.dispatch.Candidates() }
--- a/request/job/job.go
+++ b/request/job/job.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/corianderhook/corianderhook/common/instance"
 	"github.com/corianderhook/corianderhook/request/answer"
 	"github.com/corianderhook/corianderhook/request/outcome"
 	"github.com/corianderhook/corianderhook/request/submission"
@@ -191,6 +192,18 @@
 // tasks of this job.
 func (j *Job) Knows(agent string) bool { return j.agents[agent] }
 
+// EarlierRuns lists the agents of this job that are earlier runs of the given one.
+func (j *Job) EarlierRuns(agent string) []string {
+	var list []string
+	for a := range j.agents {
+		if instance.Replaces(agent, a) {
+			list = append(list, a)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
 // Key returns what a witness has to remember.
 func (j *Job) Key() *wire.JobKey {
 	agents := make([]string, 0, len(j.agents))
--- a/version/slot/recovery.go
+++ b/version/slot/recovery.go
@@ -35,8 +35,10 @@
 		if s.witnesses.has(agent) && !s.witnesses.read[agent] {
 			s.ask(agent)
 		}
+		s.Review()
 		return
 	}
+	s.buryEarlier(agent)
 	touched := false
 	for _, j := range s.active {
 		if j.Suspect(agent) {
@@ -192,12 +194,16 @@
 				continue
 			}
 			asked[a] = true
+			s.ask(a)
+		}
+	}
+	for _, j := range snapshot(s.active) {
+		for _, a := range j.Unproved() {
 			if s.host.Buried(a) {
-				s.Bury(a)
-				continue
+				j.Bury(a)
 			}
-			s.ask(a)
 		}
+		s.Settle(j)
 	}
 }
 
@@ -238,16 +244,18 @@
 	}
 }
 
-// Bury takes it that an agent has ended with all that it held.
-func (s *Slot) Bury(agent string) {
+// buryEarlier takes it that the earlier runs of an agent have ended with all
+// that they held.
+func (s *Slot) buryEarlier(agent string) {
 	for _, j := range snapshot(s.active) {
-		if !j.Knows(agent) {
-			continue
+		earlier := j.EarlierRuns(agent)
+		for _, a := range earlier {
+			j.Bury(a)
+		}
+		if len(earlier) > 0 {
+			s.Settle(j)
 		}
-		j.Bury(agent)
-		s.Settle(j)
 	}
-	s.Review()
 }
 
 // Forsake answers those who wait for jobs with tasks at an agent that has been
@@ -333,10 +341,15 @@
 func (s *Slot) Witnesses() []string { return s.witnesses.members }
 
 // Propose starts to replace the witnesses: the new ones get every key, and
-// until Replace both sets have to acknowledge.
-func (s *Slot) Propose(members []string) {
-	if s.phase != Active || s.next != nil {
-		return
+// until Replace both sets have to acknowledge. It reports false where an
+// earlier proposal may still be on its way to the log: that one has to be made
+// void first, by a claim of this entry without witnesses.
+func (s *Slot) Propose(members []string) bool {
+	if s.phase != Active || s.next != nil && slices.Equal(s.next.members, members) {
+		return true
+	}
+	if s.offered {
+		return false
 	}
 	next := newQuorum(members)
 	for _, m := range members {
@@ -346,9 +359,11 @@
 	}
 	s.next = &next
 	s.sequence++
+	s.copied = s.sequence
 	for _, m := range members {
 		s.repeat(m)
 	}
+	return true
 }
 
 // Proposed returns the new witnesses once a majority of them has every key.
@@ -356,20 +371,23 @@
 	if s.next == nil {
 		return nil, false
 	}
-	return s.next.members, s.next.acknowledged() >= s.copied()
-}
-
-// copied is the sequence that a new witness has once it got the whole ledger.
-func (s *Slot) copied() uint64 {
-	if len(s.proofs) > 0 {
-		return s.proofs[0].sequence
-	}
-	return s.sequence
+	ready := s.next.acknowledged() >= s.copied
+	s.offered = s.offered || ready
+	return s.next.members, ready
 }
 
 // DoubtUntil returns until when keys that no witness knows may have run.
 func (s *Slot) DoubtUntil() time.Time { return s.doubtUntil }
 
+// Covers reports whether the keys of this slot are known to a majority of the
+// given witnesses, because they are its own or have got a copy.
+func (s *Slot) Covers(witnesses []string) bool {
+	if slices.Equal(s.witnesses.members, witnesses) {
+		return true
+	}
+	return s.next != nil && slices.Equal(s.next.members, witnesses) && s.next.acknowledged() >= s.copied
+}
+
 // Replace takes the new witnesses that the log has confirmed.
 func (s *Slot) Replace(epoch uint64, witnesses []string) {
 	s.epoch = epoch
@@ -377,6 +395,7 @@
 		s.witnesses = *s.next
 	}
 	s.next = nil
+	s.offered = false
 	s.pass()
 }
 
--- a/version/slot/slot.go
+++ b/version/slot/slot.go
@@ -115,12 +115,16 @@
 
 // Slot is one slot at its owner. It is not safe for concurrent use.
 type Slot struct {
-	host       Host
-	number     uint32
-	epoch      uint64
-	phase      Phase
-	witnesses  quorum
-	next       *quorum
+	host      Host
+	number    uint32
+	epoch     uint64
+	phase     Phase
+	witnesses quorum
+	next      *quorum
+	// copied is the sequence with which the new witnesses got the whole ledger.
+	copied uint64
+	// offered tells that a record with the new witnesses may have been appended.
+	offered    bool
 	sequence   uint64
 	proofs     []proof
 	refusals   []refusal
