Decide recovered jobs anew where no task of them started

Cause: an owner that dies before a majority of witnesses has a key leaves the key at a minority. The next owner may not see it and refuse the key; the one after that may see it, and let an attempt from before the refusal join and run. The check found it as: task started after not_run (stale-attempt).

Change: a recovered job of which no task started is dropped once every agent has been heard, and its attempts pass the same bars as new ones. Every final answer to a recovered job goes to the witnesses first, since a witness that was not read may hold another verdict.

--- a/request/job/job.go
+++ b/request/job/job.go
@@ -46,25 +46,26 @@
 
 // Job is one job. It is not safe for concurrent use.
 type Job struct {
-	name     string
-	kind     string
-	team     string
-	digest   uint64
-	body     *submission.Submission
-	tasks    []task
-	open     []uint32
-	unended  int
-	agents   map[string]bool
-	unproved map[string]bool
-	lost     bool
-	created  time.Time
-	deadline time.Time
-	waiters  []Waiter
-	final    answer.Answer
-	sequence uint64
-	ready    bool
-	endedAt  time.Time
-	handed   bool
+	name      string
+	kind      string
+	team      string
+	digest    uint64
+	body      *submission.Submission
+	tasks     []task
+	open      []uint32
+	unended   int
+	agents    map[string]bool
+	unproved  map[string]bool
+	lost      bool
+	recovered bool
+	created   time.Time
+	deadline  time.Time
+	waiters   []Waiter
+	final     answer.Answer
+	sequence  uint64
+	ready     bool
+	endedAt   time.Time
+	handed    bool
 }
 
 // New returns a job that was just accepted. No task has started.
@@ -88,20 +89,21 @@
 	return j
 }
 
-// Recovered returns a job that a witness knows from a former owner. Its tasks
+// Recover returns a job that a witness knows from a former owner. Its tasks
 // are in doubt until each agent that may have started some has answered.
-func Recovered(key *wire.JobKey, team string, now time.Time, deadline time.Duration) *Job {
+func Recover(key *wire.JobKey, team string, now time.Time, deadline time.Duration) *Job {
 	j := &Job{
-		name:     key.GetJob(),
-		kind:     key.GetKind(),
-		team:     team,
-		digest:   key.GetDigest(),
-		tasks:    make([]task, key.GetTasks()),
-		unended:  int(key.GetTasks()),
-		agents:   map[string]bool{},
-		unproved: map[string]bool{},
-		created:  now,
-		deadline: now.Add(deadline),
+		name:      key.GetJob(),
+		kind:      key.GetKind(),
+		team:      team,
+		digest:    key.GetDigest(),
+		tasks:     make([]task, key.GetTasks()),
+		unended:   int(key.GetTasks()),
+		agents:    map[string]bool{},
+		unproved:  map[string]bool{},
+		recovered: true,
+		created:   now,
+		deadline:  now.Add(deadline),
 	}
 	for i := range j.tasks {
 		j.tasks[i].state = doubt
@@ -176,6 +178,9 @@
 	}
 }
 
+// Recovered reports whether a former owner accepted the job.
+func (j *Job) Recovered() bool { return j.recovered }
+
 // Registered reports whether Register was called by this owner.
 func (j *Job) Registered() bool { return j.sequence > 0 }
 
--- a/version/slot/recovery.go
+++ b/version/slot/recovery.go
@@ -180,7 +180,7 @@
 		return
 	}
 	team, _, _ := strings.Cut(key.GetJob(), "/")
-	j := job.Recovered(key, team, s.host.Now(), s.host.JobDeadline(key.GetKind()))
+	j := job.Recover(key, team, s.host.Now(), s.host.JobDeadline(key.GetKind()))
 	s.jobs[j.Name()] = j
 	s.active[j.Name()] = j
 	if err == nil && final != outcome.Pending {
@@ -222,6 +222,37 @@
 	}
 }
 
+// unsettled reports whether agents still have to say what they hold of a
+// recovered job.
+func (s *Slot) unsettled(j *job.Job) bool {
+	return j.Recovered() && !j.Registered() && len(j.Unproved()) > 0
+}
+
+// settleRecovered decides what becomes of a recovered job once every agent has
+// been heard. A job of which no task started is dropped as if it had never been
+// accepted: perhaps only a minority of the witnesses knew it, and an owner in
+// between, which did not, has refused its key. Attempts are decided anew.
+func (s *Slot) settleRecovered(j *job.Job) bool {
+	if !j.Recovered() || j.Registered() || len(j.Unproved()) > 0 {
+		return false
+	}
+	attempts := s.doubtful[j.Name()]
+	delete(s.doubtful, j.Name())
+	if !j.Untouched() {
+		for _, a := range attempts {
+			j.Attach(a.Body)
+		}
+		return false
+	}
+	delete(s.jobs, j.Name())
+	delete(s.active, j.Name())
+	j.Waiters()
+	for _, a := range attempts {
+		s.Submit(a)
+	}
+	return true
+}
+
 // snapshot lists jobs so that the map may change while they are looked at.
 func snapshot(jobs map[string]*job.Job) []*job.Job {
 	list := make([]*job.Job, 0, len(jobs))
@@ -300,7 +331,7 @@
 			r.attempt.Waiter.NotOwner()
 		}
 	}
-	s.jobs, s.active, s.held, s.refusals, s.proofs = nil, nil, nil, nil, nil
+	s.jobs, s.active, s.held, s.refusals, s.proofs, s.doubtful = nil, nil, nil, nil, nil, nil
 }
 
 func (s *Slot) release(waiters []job.Waiter) {
--- a/version/slot/slot.go
+++ b/version/slot/slot.go
@@ -137,6 +137,8 @@
 	floor      uint64
 	inherited  *inheritance
 	held       []Attempt
+	// doubtful are the attempts of recovered jobs that are not settled yet.
+	doubtful   map[string][]Attempt
 	found      map[string]*wire.JobKey
 	records    map[string]map[string][]*wire.TaskRecord
 	fences     map[string]uint64
@@ -159,6 +161,7 @@
 		found:      map[string]*wire.JobKey{},
 		records:    map[string]map[string][]*wire.TaskRecord{},
 		fences:     map[string]uint64{},
+		doubtful:   map[string][]Attempt{},
 		doubtUntil: doubtUntil,
 	}
 	if epoch == 1 {
@@ -224,10 +227,15 @@
 		return
 	}
 	j.Wait(a.Waiter)
-	if j.Body() == nil && !j.Ended() {
-		j.Attach(a.Body)
-		s.resume(j)
+	if j.Body() != nil || j.Ended() {
+		return
+	}
+	if s.unsettled(j) {
+		s.doubtful[j.Name()] = append(s.doubtful[j.Name()], a)
+		return
 	}
+	j.Attach(a.Body)
+	s.resume(j)
 }
 
 // undecided reports whether the final answer still waits for its proof.
@@ -463,7 +471,7 @@
 
 // Settle looks at a job whose tasks have changed and ends it where that follows.
 func (s *Slot) Settle(j *job.Job) {
-	if j.Ended() {
+	if j.Ended() || s.settleRecovered(j) {
 		return
 	}
 	a := j.Decide()
@@ -476,12 +484,14 @@
 
 // end makes an answer final. An answer that does not follow from the tasks
 // alone is told only when the witnesses know it, so that no later owner
-// contradicts it.
+// contradicts it. So is any answer to a recovered job: a witness that was not
+// read may hold what a former owner decided, and this has to overrule it.
 func (s *Slot) end(j *job.Job, a answer.Answer) {
 	j.End(a, s.host.Now())
 	s.host.Withdraw(j)
 	delete(s.active, j.Name())
-	if a.Outcome() == outcome.Complete || a.Outcome() == outcome.Unknown {
+	follows := a.Outcome() == outcome.Complete || a.Outcome() == outcome.Unknown
+	if follows && !j.Recovered() {
 		s.announce(j, a)
 		return
 	}
