Waste fewer messages, find silent connections sooner, estimate waits better

A silent listener made the peers take an entry for dead after 1.5 s and its slots were claimed. After a pause jobs were refused for 30 s: the rate of starts was measured while nothing could start.

Change: agents report at once when their slots fill up or free; a reservation that finds no slot is answered and goes elsewhere; leftovers are told to two agents, or one in four, and recalled; free agents are told again after 200 ms. Heartbeats count in both directions. Sessions are given up after three quarters of the bound. Waits are estimated from the kind's guaranteed share where that is higher. Wasted messages are counted by cause.

--- a/commands/bench.go
+++ b/commands/bench.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -17,6 +20,9 @@
 	Check    bool   `help:"Compare the figures with the stated targets; exit code 1 on a miss."`
 }
 
+// slowestShown is how many of the slowest jobs are listed.
+const slowestShown = 3
+
 // Run runs one scenario or all. The last line of each has its figures.
 func (c *BenchCommand) Run(s *Streams) error {
 	if c.Scenario == "list" {
@@ -68,6 +74,13 @@
 		return nil, err
 	}
 	printTable(s, outcome.Results)
+	for _, cause := range slices.Sorted(maps.Keys(outcome.Wasted)) {
+		fmt.Fprintf(s.Out, "wasted messages per task, %s: %.3f\n", cause, outcome.Wasted[cause])
+	}
+	for _, r := range outcome.Slowest(slowestShown) {
+		fmt.Fprintf(s.Out, "slow job: key=%s sent_at=%s took=%s tasks=%d outcome=%s reason=%s attempts=%d\n",
+			r.Key, r.Job.At.Round(time.Millisecond), r.Took.Round(time.Millisecond), r.Job.Tasks, r.Outcome, r.Reason, r.Attempts)
+	}
 	line := one.Report(outcome)
 	fmt.Fprintln(s.Out, line)
 	return bench.Misses(one, line)
--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -33,8 +33,11 @@
 	Self    string
 	Clock   clockwork.Clock
 	Started time.Time
-	// Silence is after how long a silent connection is replaced.
+	// Silence is within which time a silent connection is replaced: it is given up
+	// after three quarters of it.
 	Silence time.Duration
+	// Pass, where set, may hold messages back in experiments.
+	Pass func()
 }
 
 // Peers are the connections of one entry to all others. They are safe for
@@ -111,7 +114,7 @@
 	defer p.setConn(l, nil)
 	heard := make(chan *wire.PeerHeartbeat, 1)
 	failed := make(chan error, 1)
-	go receive(ctx, stream, heard, failed)
+	go p.receive(ctx, stream, heard, failed)
 	return p.exchange(ctx, l, stream, heard, failed)
 }
 
@@ -124,13 +127,20 @@
 	return conn, errors.Wrapf(err, "connect to %s", address)
 }
 
-func receive(ctx context.Context, stream wire.Entry_PeerClient, heard chan<- *wire.PeerHeartbeat, failed chan<- error) {
+func (p *Peers) pass() {
+	if p.settings.Pass != nil {
+		p.settings.Pass()
+	}
+}
+
+func (p *Peers) receive(ctx context.Context, stream wire.Entry_PeerClient, heard chan<- *wire.PeerHeartbeat, failed chan<- error) {
 	for {
 		beat, err := stream.Recv()
 		if err != nil {
 			failed <- err
 			return
 		}
+		p.pass()
 		select {
 		case heard <- beat:
 		case <-ctx.Done():
@@ -143,6 +153,7 @@
 	ticker := p.settings.Clock.NewTicker(heartbeat)
 	defer ticker.Stop()
 	for {
+		p.pass()
 		if err := stream.Send(p.Heartbeat()); err != nil {
 			return errors.Wrap(err, "send heartbeat")
 		}
@@ -151,7 +162,7 @@
 			return ctx.Err()
 		case err := <-failed:
 			return errors.Wrap(err, "receive heartbeat")
-		case <-p.settings.Clock.After(p.settings.Silence):
+		case <-p.settings.Clock.After(p.settings.Silence * 3 / 4):
 			return errors.New("the connection was silent for too long")
 		case beat := <-heard:
 			p.hear(l, beat, p.settings.Clock.Now())
@@ -170,6 +181,17 @@
 	l.conn = conn
 }
 
+// Heard takes a heartbeat that another entry sent over its own connection. The
+// other entry lives, even where the connection to it has gone silent.
+func (p *Peers) Heard(beat *wire.PeerHeartbeat) {
+	p.mu.Lock()
+	l, known := p.links[beat.GetEntry()]
+	p.mu.Unlock()
+	if known {
+		p.hear(l, beat, p.settings.Clock.Now())
+	}
+}
+
 func (p *Peers) hear(l *link, beat *wire.PeerHeartbeat, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/process/admission/admission.go
+++ b/process/admission/admission.go
@@ -18,7 +18,11 @@
 	rateWindow = 500 * time.Millisecond
 	// minRetry and maxRetry bound the Retry-After of refusals.
 	minRetry = time.Second
-	maxRetry = 30 * time.Second
+	maxRetry = 10 * time.Second
+	// firstService is the service time in seconds of a kind that was never measured.
+	firstService = 0.1
+	// serviceShare is the weight of a new measurement in the mean service time.
+	serviceShare = 0.02
 	// freeQueue is how many tasks of a kind may always wait, so that the rate of
 	// starts can be measured at all.
 	freeQueue = 64
@@ -57,15 +61,18 @@
 	teams  map[string]*bucket
 	kinds  map[string]*meter
 	share  float64
+	// service is the mean service time per kind, in seconds.
+	service map[string]float64
 }
 
 // New returns an admission with nothing in use. The seed spreads Retry-After.
 func New(seed uint64) *Admission {
 	return &Admission{
-		random: rand.New(rand.NewPCG(seed, 1)),
-		teams:  map[string]*bucket{},
-		kinds:  map[string]*meter{},
-		share:  1,
+		random:  rand.New(rand.NewPCG(seed, 1)),
+		teams:   map[string]*bucket{},
+		kinds:   map[string]*meter{},
+		share:   1,
+		service: map[string]float64{},
 	}
 }
 
@@ -81,6 +88,10 @@
 	Tasks     int
 	// Waiting is the number of tasks of the kind that wait at this entry.
 	Waiting int
+	// Slots is the number of slots at all agents, and KindShare the share of them
+	// that the kind gets even when every kind is flooded.
+	Slots     int
+	KindShare float64
 }
 
 // Admit decides whether the job may wait. An admitted job counts against the
@@ -115,19 +126,39 @@
 }
 
 // late estimates the wait of the job's tasks from the rate at which tasks of
-// the kind start here now.
+// the kind start here now, or from the kind's share where that is higher: a
+// rate that was measured while nothing could start says little.
 func (m *Admission) late(r Request, now time.Time) (time.Duration, bool) {
 	if r.KindRule.MaxDelay <= 0 || r.Waiting < freeQueue {
 		return 0, false
 	}
-	k := m.meter(r.Kind, now)
-	if k.rate <= 0 {
+	rate := max(m.meter(r.Kind, now).rate, m.guaranteed(r))
+	if rate <= 0 {
 		return r.KindRule.MaxDelay, true
 	}
-	delay := time.Duration(float64(r.Waiting) / k.rate * float64(time.Second))
+	delay := time.Duration(float64(r.Waiting) / rate * float64(time.Second))
 	return delay, delay > r.KindRule.MaxDelay
 }
 
+// guaranteed is the rate of starts that the kind's share of the slots gives this
+// entry by the measured service times, whatever the other kinds do.
+func (m *Admission) guaranteed(r Request) float64 {
+	mean := m.service[r.Kind]
+	if mean <= 0 {
+		mean = firstService
+	}
+	return float64(r.Slots) * r.KindShare * m.share / mean
+}
+
+// Served takes the service time of a task in seconds.
+func (m *Admission) Served(kind string, seconds float64) {
+	old, known := m.service[kind]
+	if !known {
+		old = seconds
+	}
+	m.service[kind] = old + serviceShare*(seconds-old)
+}
+
 func (m *Admission) meter(kind string, now time.Time) *meter {
 	k, known := m.kinds[kind]
 	if !known {
--- a/process/agent/actor.go
+++ b/process/agent/actor.go
@@ -39,6 +39,8 @@
 	ctx      context.Context
 	executor *executor.Executor
 	live     map[string]*link
+	told     uint32
+	toldAt   time.Time
 	expireAt time.Time
 }
 
@@ -73,12 +75,26 @@
 		m.run(e.executor)
 		close(m.done)
 	}
-	e.agent.load.Store(e.executor.Load())
+	load := e.executor.Load()
+	e.agent.load.Store(load)
+	if (load.GetFree() == 0) != (e.told == 0) && e.Now().Sub(e.toldAt) > fullGap {
+		e.report(load.GetFree())
+	}
+}
+
+// report tells every entry how many slots are free.
+func (e *executorActor) report(free uint32) {
+	e.told = free
+	e.toldAt = e.Now()
+	e.tellAll()
 }
 
 func (e *executorActor) tick() {
 	now := e.Now()
 	e.executor.Tick(now)
+	if free := e.executor.Load().GetFree(); free != e.told {
+		e.report(free)
+	}
 	if now.After(e.expireAt) {
 		e.executor.Expire(now)
 		e.expireAt = now.Add(expireEvery)
--- a/process/agent/agent.go
+++ b/process/agent/agent.go
@@ -28,7 +28,11 @@
 )
 
 const (
-	tickEvery   = 50 * time.Millisecond
+	// tickEvery is also the time between two reports of a load that changes.
+	tickEvery = 20 * time.Millisecond
+	// fullGap is the least time between two reports that the slots are all taken,
+	// or no longer are.
+	fullGap     = 2 * time.Millisecond
 	expireEvery = time.Second
 	adminTime   = 5 * time.Second
 	// restAfterRefusal is how long an agent waits with further pulls when its
--- a/process/agent/links.go
+++ b/process/agent/links.go
@@ -226,7 +226,9 @@
 func (l *links) watch(ctx context.Context, cancel context.CancelFunc, own *link, heard <-chan struct{}) {
 	defer cancel()
 	clock := l.agent.deps.Clock
-	silence := l.agent.deps.Config.Silence()
+	// The new session has to stand within the bound, so the old one is given up
+	// somewhat before it.
+	silence := l.agent.deps.Config.Silence() * 3 / 4
 	ticker := clock.NewTicker(pingEvery)
 	defer ticker.Stop()
 	last := clock.Now()
--- a/process/bench/bench.go
+++ b/process/bench/bench.go
@@ -4,8 +4,10 @@
 package bench
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -69,8 +71,9 @@
 	Results []load.Result
 	Verdict load.Verdict
 	// Ideal is the response time of each job on a perfect single queue.
-	Ideal  []time.Duration
-	Wasted float64
+	Ideal []time.Duration
+	// Wasted are messages without a task per task that was started, by cause.
+	Wasted map[string]float64
 	Sent   int64
 	// FaultAt is when the first fault was done.
 	FaultAt time.Duration
@@ -185,12 +188,12 @@
 	if len(s.Faults) > 0 {
 		o.FaultAt = s.Faults[0].At
 	}
-	wasted := 0.0
+	o.Wasted = map[string]float64{}
+	started := max(1, r.Local.Starts().Total())
 	for _, n := range r.Local.Entries() {
-		wasted += n.Entry.Metrics().WastedTotal()
-	}
-	if started := r.Local.Starts().Total(); started > 0 {
-		o.Wasted = wasted / float64(started)
+		for cause, count := range n.Entry.Metrics().WastedTotals() {
+			o.Wasted[cause] += float64(count) / float64(started)
+		}
 	}
 	return o
 }
@@ -229,6 +232,22 @@
 	return ratios
 }
 
+// WastedPerTask returns the messages without a task per started task.
+func (o Outcome) WastedPerTask() float64 {
+	total := 0.0
+	for _, w := range o.Wasted {
+		total += w
+	}
+	return total
+}
+
+// Slowest returns the jobs that took the longest.
+func (o Outcome) Slowest(count int) []load.Result {
+	sorted := slices.Clone(o.Results)
+	slices.SortFunc(sorted, func(a, b load.Result) int { return cmp.Compare(b.Took, a.Took) })
+	return sorted[:min(count, len(sorted))]
+}
+
 // Quantile returns a quantile of sorted figures.
 func Quantile(sorted []float64, q float64) float64 {
 	if len(sorted) == 0 {
--- a/process/bench/table.go
+++ b/process/bench/table.go
@@ -18,7 +18,7 @@
 		{
 			Name: "idle", Help: "Response time against the ideal at half load, 50 ms tasks.",
 			Entries: 3, Agents: 4, Slots: 8,
-			Plan:   steady(10*time.Second, 0.5, 4*8, 50, 4),
+			Plan:   steady(10*time.Second, 0.5, 4*8, 50, 4, "plain"),
 			Report: reportIdle,
 			Targets: []Target{
 				{Figure: "ratio_p50", Most: bound(1.05)},
@@ -26,10 +26,16 @@
 				{Figure: "wasted_per_task", Most: bound(0.2)},
 			},
 		},
+		{
+			Name: "serial", Help: "Response time of jobs of one task on an idle system, 50 ms tasks.",
+			Entries: 3, Agents: 4, Slots: 8,
+			Plan:   steady(5*time.Second, 0.03, 4*8, 50, 1, "plain"),
+			Report: reportIdle,
+		},
 		{
 			Name: "takeover", Help: "One of three entries dies without warning under load.",
 			Entries: 3, Agents: 4, Slots: 8,
-			Plan:    steady(14*time.Second, 0.5, 4*8, 50, 4),
+			Plan:    steady(14*time.Second, 0.5, 4*8, 50, 4, "urgent", "plain"),
 			Faults:  []Fault{{At: 4 * time.Second, Do: killEntry(0)}},
 			Report:  reportFault,
 			Targets: append(truth(), Target{Figure: "recovered_s", Most: bound(5)}, Target{Figure: "unknown", Most: bound(0)}),
@@ -37,7 +43,7 @@
 		{
 			Name: "outage", Help: "The log is down for the whole run; an agent is replaced meanwhile.",
 			Entries: 3, Agents: 4, Slots: 8,
-			Plan: steady(14*time.Second, 0.5, 4*8, 50, 4),
+			Plan: steady(14*time.Second, 0.5, 4*8, 50, 4, "urgent", "plain"),
 			Faults: []Fault{
 				{At: 0, Do: logFaults(logstore.Faults{Down: true})},
 				{At: 5 * time.Second, Do: replaceAgent(0)},
@@ -48,7 +54,7 @@
 		{
 			Name: "pause", Help: "One of three entries is held for 6 s and wakes again.",
 			Entries: 3, Agents: 4, Slots: 8,
-			Plan: steady(16*time.Second, 0.5, 4*8, 50, 4),
+			Plan: steady(16*time.Second, 0.5, 4*8, 50, 4, "urgent", "plain"),
 			Faults: []Fault{
 				{At: 3 * time.Second, Do: shut(0)},
 				{At: 9 * time.Second, Do: open(0)},
@@ -59,7 +65,7 @@
 		{
 			Name: "silent", Help: "Every connection to one entry goes silent; new ones work.",
 			Entries: 3, Agents: 4, Slots: 8,
-			Plan:    steady(12*time.Second, 0.5, 4*8, 50, 4),
+			Plan:    steady(12*time.Second, 0.5, 4*8, 50, 4, "urgent", "plain"),
 			Faults:  []Fault{{At: 4 * time.Second, Do: silence(0)}},
 			Report:  reportFault,
 			Targets: append(truth(), Target{Figure: "recovered_s", Most: bound(3)}, Target{Figure: "unknown", Most: bound(0)}),
@@ -85,7 +91,7 @@
 
 // steady returns jobs of 1 to 2*meanTasks-1 tasks that arrive at random and keep
 // a share of the slots busy.
-func steady(length time.Duration, share float64, slots int, workMS float64, meanTasks int) func(*rand.Rand) []load.Job {
+func steady(length time.Duration, share float64, slots int, workMS float64, meanTasks int, kindsOf ...string) func(*rand.Rand) []load.Job {
 	return func(r *rand.Rand) []load.Job {
 		perSecond := share * float64(slots) / (workMS / 1000) / float64(meanTasks)
 		var plan []load.Job
@@ -94,7 +100,7 @@
 			plan = append(plan, load.Job{
 				At:     at,
 				Team:   []string{"cedar-bowl", "remaches"}[r.IntN(2)],
-				Kind:   []string{"urgent", "plain"}[r.IntN(2)],
+				Kind:   kindsOf[r.IntN(len(kindsOf))],
 				Tasks:  1 + r.IntN(2*meanTasks-1),
 				WorkMS: workMS,
 				Entry:  r.IntN(3),
@@ -176,8 +182,8 @@
 		overheads = append(overheads, float64(r.Took-o.Ideal[i])/float64(time.Millisecond))
 	}
 	sortFloats(overheads)
-	return fmt.Sprintf("bench idle: overhead_p50_ms=%.2f overhead_p99_ms=%.2f ratio_p50=%.3f ratio_p99=%.3f wasted_per_task=%.3f",
-		Quantile(overheads, 0.5), Quantile(overheads, 0.99), Quantile(ratios, 0.5), Quantile(ratios, 0.99), o.Wasted)
+	return fmt.Sprintf("bench %s: overhead_p50_ms=%.2f overhead_p99_ms=%.2f ratio_p50=%.3f ratio_p99=%.3f wasted_per_task=%.3f",
+		o.Name, Quantile(overheads, 0.5), Quantile(overheads, 0.99), Quantile(ratios, 0.5), Quantile(ratios, 0.99), o.WastedPerTask())
 }
 
 func reportFault(o Outcome) string {
--- a/process/dispatch/dispatch.go
+++ b/process/dispatch/dispatch.go
@@ -16,8 +16,14 @@
 const (
 	// patience is how long a promise to one agent keeps tasks from the others.
 	patience = 5 * time.Millisecond
+	// retell is how often free agents hear again of tasks that nobody pulls.
+	retell = 200 * time.Millisecond
 	// parkTime is how long a pull waits for tasks that the witnesses do not know yet.
 	parkTime = 50 * time.Millisecond
+	// leastTold is how many agents without room hear of waiting tasks.
+	leastTold = 2
+	// toldShare is how many waiting tasks there are to each agent that hears of them.
+	toldShare = 4
 	// scanJobs bounds how many jobs of a flow a pull looks at.
 	scanJobs = 16
 	// maxCandidates is how many agents a job is registered with at first.
@@ -64,6 +70,7 @@
 	count    int
 	promised int
 	since    time.Time
+	again    time.Time
 	parked   []parked
 }
 
@@ -87,7 +94,7 @@
 	flows  map[Flow]*flow
 	agents map[string]*agent
 	list   []*agent
-	wasted uint64
+	wasted Wasted
 }
 
 // New returns a dispatcher without agents. The seed breaks ties between agents
@@ -146,7 +153,10 @@
 	}
 	a.free = int(l.GetFree())
 	a.waiting = int(l.GetWaiting())
-	a.draining = l.GetDraining()
+	if l.GetDraining() && !a.draining {
+		a.draining = true
+		d.release(a)
+	}
 }
 
 // Eject keeps an agent from getting tasks, or lets it back.
@@ -218,11 +228,7 @@
 // Offer takes a job with waiting tasks, or takes note that their number changed.
 func (d *Dispatch) Offer(slot uint32, j *job.Job) {
 	name := Flow{Kind: j.Kind(), Team: j.Team()}
-	f, known := d.flows[name]
-	if !known {
-		f = &flow{name: name, byJob: map[*job.Job]*item{}}
-		d.flows[name] = f
-	}
+	f := d.flow(name)
 	it, held := f.byJob[j]
 	if !held {
 		it = &item{slot: slot, job: j, offered: d.host.Now()}
@@ -232,12 +238,22 @@
 	}
 	if f.count == 0 {
 		f.since = d.host.Now()
+		f.again = f.since
 	}
 	d.recount(f, it)
 	d.servePark(f)
 	d.promise(f)
 }
 
+func (d *Dispatch) flow(name Flow) *flow {
+	f, known := d.flows[name]
+	if !known {
+		f = &flow{name: name, byJob: map[*job.Job]*item{}}
+		d.flows[name] = f
+	}
+	return f
+}
+
 func (d *Dispatch) recount(f *flow, it *item) {
 	waiting := it.job.Waiting()
 	f.count += waiting - it.counted
@@ -286,18 +302,86 @@
 		d.tell(a, f, a.believed[f.name]+n)
 	}
 	if need > 0 {
-		d.tellAll(f, need)
+		d.tellSome(f, need)
 	}
 }
 
-func (d *Dispatch) tellAll(f *flow, count int) {
+// tellSome makes waiting tasks known to agents without room. The next free slot
+// of any of them pulls: two agents for few
+// tasks, more for many.
+func (d *Dispatch) tellSome(f *flow, count int) {
+	told := 0
 	for _, a := range d.list {
-		if a.usable() && a.believed[f.name] == 0 {
+		if a.usable() && a.believed[f.name] > 0 {
+			told++
+		}
+	}
+	wanted := max(leastTold, count/toldShare)
+	if told >= wanted {
+		return
+	}
+	for _, a := range d.byRoom() {
+		if told >= wanted {
+			return
+		}
+		if a.believed[f.name] == 0 {
 			d.tell(a, f, count)
+			told++
 		}
 	}
 }
 
+// tellFree makes waiting tasks known to the agents that have a slot free now.
+// An agent that has heard of them and still does not pull hears again.
+func (d *Dispatch) tellFree(f *flow, now time.Time) {
+	again := now.Sub(f.again) > retell
+	if again {
+		f.again = now
+	}
+	for _, a := range d.list {
+		if a.usable() && a.free > 0 && (a.believed[f.name] == 0 || again) {
+			d.tell(a, f, f.count)
+		}
+	}
+}
+
+// recall tells agents that what they were told of is gone, so that they do not
+// pull for nothing.
+func (d *Dispatch) recall(f *flow) {
+	if f.count > f.promised {
+		return
+	}
+	for _, a := range d.list {
+		if a.believed[f.name] > 0 && a.promised[f.name] == 0 {
+			d.tell(a, f, 0)
+			d.wasted.Recalled++
+		}
+	}
+}
+
+// Busy takes it that an agent has no slot free for what it was promised: the
+// tasks are offered to others. The agent may still pull them.
+func (d *Dispatch) Busy(name string) {
+	if a, known := d.agents[name]; known && a.free == 0 {
+		d.release(a)
+	}
+}
+
+// release offers to others what an agent was promised and has not pulled.
+func (d *Dispatch) release(a *agent) {
+	for flowName, n := range a.promised {
+		if n == 0 {
+			continue
+		}
+		d.wasted.Busy += 2
+		a.promised[flowName] = 0
+		a.total -= n
+		f := d.flows[flowName]
+		f.promised -= n
+		d.promise(f)
+	}
+}
+
 func (d *Dispatch) tell(a *agent, f *flow, count int) {
 	a.believed[f.name] = count
 	d.host.Send(a.name, &wire.EntryFrame{Body: &wire.EntryFrame_Reserve{Reserve: &wire.Reserve{
@@ -320,11 +404,7 @@
 	if !known {
 		return
 	}
-	f := d.flows[Flow{Kind: p.GetKind(), Team: p.GetTeam()}]
-	if f == nil {
-		d.answer(a, nil, p, nil)
-		return
-	}
+	f := d.flow(Flow{Kind: p.GetKind(), Team: p.GetTeam()})
 	d.keep(a, f, int(p.GetCount()))
 	if !a.usable() {
 		d.answer(a, f, p, nil)
@@ -385,14 +465,17 @@
 
 func (d *Dispatch) answer(a *agent, f *flow, p *wire.Pull, tasks []*wire.TaskStart) {
 	remaining := 0
-	if f != nil && a.usable() {
+	if a.usable() {
 		remaining = max(0, f.count-f.promised+a.promised[f.name])
-		a.believed[f.name] = remaining
 	}
+	a.believed[f.name] = remaining
 	if len(tasks) == 0 {
-		d.wasted += 2
+		d.wasted.Empty += 2
 	}
 	a.free = max(0, a.free-len(tasks))
+	if len(tasks) > 0 {
+		d.recall(f)
+	}
 	d.host.Send(a.name, &wire.EntryFrame{Body: &wire.EntryFrame_Start{Start: &wire.Start{
 		Pull:      p.GetId(),
 		Remaining: uint32(remaining),
@@ -430,7 +513,8 @@
 		}
 		if now.Sub(f.since) > patience {
 			f.since = now
-			d.tellAll(f, f.count)
+			d.tellFree(f, now)
+			d.tellSome(f, f.count)
 		}
 	}
 }
@@ -450,5 +534,15 @@
 	f.parked = kept
 }
 
-// Wasted returns the number of messages that brought no task.
-func (d *Dispatch) Wasted() uint64 { return d.wasted }
+// Wasted counts messages that brought no task, by their cause.
+type Wasted struct {
+	// Empty are pulls that found no task, and their answers.
+	Empty uint64
+	// Busy are reservations at agents that had no free slot, and their answers.
+	Busy uint64
+	// Recalled are reservations that were taken back.
+	Recalled uint64
+}
+
+// Wasted returns the messages that brought no task so far.
+func (d *Dispatch) Wasted() Wasted { return d.wasted }
--- a/process/entry/actor.go
+++ b/process/entry/actor.go
@@ -6,6 +6,8 @@
 
 	"github.com/asynkron/protoactor-go/actor"
 
+	"k8s.io/klog/v2"
+
 	"github.com/corianderhook/corianderhook/process/membership"
 	"github.com/corianderhook/corianderhook/process/owner"
 	"github.com/corianderhook/corianderhook/process/router"
@@ -16,7 +18,6 @@
 	"github.com/corianderhook/corianderhook/version/ownership"
 	"github.com/corianderhook/corianderhook/version/slot"
 	"github.com/corianderhook/corianderhook/wire"
-	"k8s.io/klog/v2"
 )
 
 const (
@@ -234,7 +235,10 @@
 	for _, kind := range e.config.Load().KindNames() {
 		e.metrics.Waiting(kind, o.Dispatch().Waiting(kind))
 	}
-	e.metrics.Wasted(o.Dispatch().Wasted())
+	wasted := o.Dispatch().Wasted()
+	e.metrics.Wasted("empty", wasted.Empty)
+	e.metrics.Wasted("busy", wasted.Busy)
+	e.metrics.Wasted("recalled", wasted.Recalled)
 }
 
 // agents returns the agents that are attached or were lately.
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -100,7 +100,12 @@
 	e.config.Store(c)
 	empty := ownership.New().Snapshot()
 	e.table.Store(&empty)
+	var pass func()
+	if deps.Gate != nil {
+		pass = deps.Gate.Pass
+	}
 	e.peers = peer.New(peer.Settings{
+		Pass:    pass,
 		Self:    e.self.Instance,
 		Clock:   deps.Clock,
 		Started: e.started,
--- a/process/entry/service.go
+++ b/process/entry/service.go
@@ -168,10 +168,12 @@
 // Peer answers each heartbeat of another entry by one of this entry.
 func (s *service) Peer(stream wire.Entry_PeerServer) error {
 	for {
-		if _, err := stream.Recv(); err != nil {
+		beat, err := stream.Recv()
+		if err != nil {
 			return err
 		}
 		s.pass()
+		s.entry.peers.Heard(beat)
 		if err := stream.Send(s.entry.peers.Heartbeat()); err != nil {
 			return err
 		}
--- a/process/metrics/metrics.go
+++ b/process/metrics/metrics.go
@@ -2,6 +2,7 @@
 package metrics
 
 import (
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -20,10 +21,10 @@
 	startWait *prometheus.HistogramVec
 	waiting   *prometheus.GaugeVec
 	slots     *prometheus.GaugeVec
-	wasted    prometheus.Counter
+	wasted    *prometheus.CounterVec
 	config    prometheus.Gauge
 	mu        sync.Mutex
-	lastWaste uint64
+	lastWaste map[string]uint64
 }
 
 // buckets are response times in seconds.
@@ -54,9 +55,10 @@
 		slots: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "corianderhook_ownership_slots", Help: "Ownership slots held by phase.",
 		}, []string{"phase"}),
-		wasted: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "corianderhook_wasted_messages_total", Help: "Messages that brought no task.",
-		}),
+		wasted: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "corianderhook_wasted_messages_total", Help: "Messages that brought no task, by cause.",
+		}, []string{"cause"}),
+		lastWaste: map[string]uint64{},
 		config: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "corianderhook_config_version", Help: "Configuration version in force.",
 		}),
@@ -93,20 +95,20 @@
 // Slots sets the number of ownership slots in a phase.
 func (m *Metrics) Slots(phase string, count int) { m.slots.WithLabelValues(phase).Set(float64(count)) }
 
-// Wasted takes the total of messages that brought no task.
-func (m *Metrics) Wasted(total uint64) {
+// Wasted takes the total of messages of a cause that brought no task.
+func (m *Metrics) Wasted(cause string, total uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.wasted.Add(float64(total - m.lastWaste))
-	m.lastWaste = total
+	m.wasted.WithLabelValues(cause).Add(float64(total - m.lastWaste[cause]))
+	m.lastWaste[cause] = total
 }
 
 // Config sets the configuration version in force.
 func (m *Metrics) Config(version uint64) { m.config.Set(float64(version)) }
 
-// WastedTotal returns the messages that brought no task so far.
-func (m *Metrics) WastedTotal() float64 {
+// WastedTotals returns the messages that brought no task so far, by cause.
+func (m *Metrics) WastedTotals() map[string]uint64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return float64(m.lastWaste)
+	return maps.Clone(m.lastWaste)
 }
--- a/process/owner/owner.go
+++ b/process/owner/owner.go
@@ -47,6 +47,8 @@
 type Policy interface {
 	Kind(name string) (admission.Kind, bool)
 	Team(name string) (admission.Team, bool)
+	// KindShare returns the kind's weight over the weights of all kinds.
+	KindShare(kind string) float64
 	JobDeadline(kind string) time.Duration
 	TaskTimeout(kind string) time.Duration
 	Retention() time.Duration
@@ -235,6 +237,8 @@
 		o.dispatch.Pull(agent, body.Pull)
 	case *wire.AgentFrame_Rejected:
 		o.rejected(agent, body.Rejected)
+	case nil:
+		o.dispatch.Busy(agent)
 	default:
 		o.slotFrame(agent, f)
 	}
@@ -247,7 +251,7 @@
 	}
 	switch body := f.GetBody().(type) {
 	case *wire.AgentFrame_Done:
-		s.Done(agent, body.Done)
+		o.done(agent, s, body.Done)
 	case *wire.AgentFrame_Remembered:
 		s.Remembered(agent, f.GetEpoch(), body.Remembered)
 	case *wire.AgentFrame_Fenced:
@@ -255,6 +259,13 @@
 	}
 }
 
+func (o *Owner) done(agent string, s *slot.Slot, d *wire.Done) {
+	j := s.Done(agent, d)
+	if j != nil && d.GetTask().GetServiceUs() > 0 {
+		o.admission.Served(j.Kind(), float64(d.GetTask().GetServiceUs())/1e6)
+	}
+}
+
 func (o *Owner) rejected(agent string, r *wire.Rejected) {
 	for _, t := range r.GetTasks() {
 		s, owned := o.slots[t.GetSlot()]
@@ -322,6 +333,8 @@
 		KindRule:  kind,
 		Tasks:     s.Tasks(),
 		Waiting:   h.dispatch.Waiting(s.Kind()),
+		Slots:     h.dispatch.Slots(),
+		KindShare: policy.KindShare(s.Kind()),
 	}, h.env.Now())
 }
 
--- a/version/config/config.go
+++ b/version/config/config.go
@@ -123,6 +123,18 @@
 	return 1
 }
 
+// KindShare returns the kind's weight over the weights of all kinds.
+func (c *Config) KindShare(name string) float64 {
+	total := 0.0
+	for _, k := range c.kinds {
+		total += k.Weight
+	}
+	if total == 0 {
+		return 0
+	}
+	return c.kinds[name].Weight / total
+}
+
 // TeamWeight returns the weight of a team; 1 for one that is not configured.
 func (c *Config) TeamWeight(name string) float64 {
 	if t, known := c.teams[name]; known {
