--- a/commands/agent.go
+++ b/commands/agent.go
@@ -26,5 +26,10 @@
 		return usageError{errors.Wrap(err, "setting [agent] admin")}
 	}
 	a := agent.New(agent.Dependencies{Config: settings, Clock: realClock(), System: newSystem()})
-	return runUntilSignal(settings.DrainTime(), func(ctx context.Context) error { return a.Run(ctx, admin) }, a.Drain)
+	return runUntilSignal(lifecycle{
+		drainTime: settings.DrainTime(),
+		run:       func(ctx context.Context) error { return a.Run(ctx, admin) },
+		drain:     a.Drain,
+		asked:     a.DrainAsked(),
+	})
 }
--- a/commands/entry.go
+++ b/commands/entry.go
@@ -34,7 +34,12 @@
 		System: newSystem(),
 		Seed:   seedOrTime(c.Seed),
 	})
-	return runUntilSignal(settings.DrainTime(), func(ctx context.Context) error { return e.Run(ctx, listeners) }, e.Drain)
+	return runUntilSignal(lifecycle{
+		drainTime: settings.DrainTime(),
+		run:       func(ctx context.Context) error { return e.Run(ctx, listeners) },
+		drain:     e.Drain,
+		asked:     e.DrainAsked(),
+	})
 }
 
 func seedOrTime(seed uint64) uint64 {
@@ -59,22 +64,32 @@
 	return settings, nil
 }
 
-// runUntilSignal runs a process. The first signal drains it; the second, or the
-// end of the drain time, stops it at once.
-func runUntilSignal(drainTime time.Duration, run func(context.Context) error, drain func(context.Context) error) error {
+// lifecycle is how a process is run and stopped.
+type lifecycle struct {
+	drainTime time.Duration
+	run       func(context.Context) error
+	drain     func(context.Context) error
+	// asked is closed when an operator asks the process to drain.
+	asked <-chan struct{}
+}
+
+// runUntilSignal runs a process. The first signal, or an operator, drains it;
+// the second signal, or the end of the drain time, stops it at once.
+func runUntilSignal(l lifecycle) error {
 	first, second, stop := signals()
 	defer stop()
 	ended := make(chan error, 1)
-	go func() { ended <- run(second) }()
+	go func() { ended <- l.run(second) }()
 	select {
 	case err := <-ended:
 		return err
 	case <-first.Done():
+	case <-l.asked:
 	}
-	klog.InfoS("CH0004 signal caught, stopping as planned", "bound", drainTime)
-	ctx, cancel := context.WithTimeout(second, drainTime)
+	klog.InfoS("CH0004 stopping as planned", "bound", l.drainTime)
+	ctx, cancel := context.WithTimeout(second, l.drainTime)
 	defer cancel()
-	if err := drain(ctx); err != nil {
+	if err := l.drain(ctx); err != nil {
 		return err
 	}
 	return <-ended
--- a/commands/submit.go
+++ b/commands/submit.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"net/url"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/google/uuid"
@@ -29,8 +30,9 @@
 // SubmitCommand submits a job.
 type SubmitCommand struct {
 	Caller
-	Key  string `help:"Idempotency-Key; a new UUIDv7 where it is empty. Sending the same key again joins the job."`
-	File string `arg:"" help:"JSON file with the job, or - for standard input."`
+	Key     string `help:"Idempotency-Key; a new UUIDv7 where it is empty. Sending the same key again joins the job."`
+	Retries int    `default:"0" help:"How often to send the key again when the answer says when to come back."`
+	File    string `arg:"" help:"JSON file with the job, or - for standard input."`
 }
 
 // Run prints the answer. It fails unless the outcome is complete.
@@ -51,7 +53,21 @@
 	if _, err := submission.Read(bytes.NewReader(body), c.Team, key); err != nil {
 		return usageError{errors.Wrapf(err, "job %s", c.File)}
 	}
-	return c.call(s, http.MethodPost, "/v1/jobs", key, body)
+	for left := c.Retries; ; left-- {
+		err := c.call(s, http.MethodPost, "/v1/jobs", key, body)
+		var later retryError
+		if left <= 0 || !errors.As(err, &later) {
+			return err
+		}
+		fmt.Fprintf(s.Err, "%v; sending again after %s\n", err, later.after)
+		time.Sleep(later.after)
+	}
+}
+
+// retryError is an answer that says when to come back.
+type retryError struct {
+	error
+	after time.Duration
 }
 
 func readInput(file string) ([]byte, error) {
@@ -96,10 +112,14 @@
 	if err := encoder.Encode(doc); err != nil {
 		return err
 	}
-	if doc.Outcome != "complete" {
-		return errors.Errorf("outcome %s: %s", doc.Outcome, doc.Detail)
+	if doc.Outcome == "complete" {
+		return nil
+	}
+	err := errors.Errorf("outcome %s: %s", doc.Outcome, doc.Detail)
+	if seconds, bad := strconv.Atoi(response.Header.Get("Retry-After")); bad == nil {
+		return retryError{error: err, after: time.Duration(seconds) * time.Second}
 	}
-	return nil
+	return err
 }
 
 // JobCommand shows or cancels a job.
--- a/process/agent/agent.go
+++ b/process/agent/agent.go
@@ -19,6 +19,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/corianderhook/corianderhook/common/instance"
+	"github.com/corianderhook/corianderhook/common/loopback"
 	"github.com/corianderhook/corianderhook/connection/endpoint"
 	"github.com/corianderhook/corianderhook/process/executor"
 	"github.com/corianderhook/corianderhook/process/metrics"
@@ -66,6 +67,8 @@
 	executor *actor.PID
 	links    *links
 	load     atomic.Pointer[wire.Load]
+	asked    chan struct{}
+	askOnce  sync.Once
 	quit     chan struct{}
 	quitOnce sync.Once
 	done     chan struct{}
@@ -79,6 +82,7 @@
 		id:       instance.New(c.Process().Name, deps.Clock.Now()).String(),
 		endpoint: endpoint.New(c.Agent().Endpoint, c.Agent().Connections, deps.Clock),
 		metrics:  metrics.New(),
+		asked:    make(chan struct{}),
 		quit:     make(chan struct{}),
 		done:     make(chan struct{}),
 	}
@@ -119,6 +123,9 @@
 	}
 }
 
+// DrainAsked is closed when an operator asks the agent to drain.
+func (a *Agent) DrainAsked() <-chan struct{} { return a.asked }
+
 // Kill ends the agent at once, as a failure of its VM would.
 func (a *Agent) Kill() {
 	a.quitOnce.Do(func() { close(a.quit) })
@@ -206,6 +213,10 @@
 			http.Error(w, "no entry is connected", http.StatusServiceUnavailable)
 		}
 	})
+	mux.HandleFunc("POST /v1/drain", loopback.Only(func(w http.ResponseWriter, _ *http.Request) {
+		a.askOnce.Do(func() { close(a.asked) })
+		w.WriteHeader(http.StatusAccepted)
+	}))
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, r *http.Request) {
 		s, err := a.Status(r.Context())
 		if err != nil {
--- a/process/bench/table.go
+++ b/process/bench/table.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/corianderhook/corianderhook/process/load"
@@ -14,6 +15,11 @@
 
 // Table returns every scenario.
 func Table() []Scenario {
+	return slices.Concat(loads(), faults())
+}
+
+// loads are the scenarios without faults.
+func loads() []Scenario {
 	return []Scenario{
 		{
 			Name: "idle", Help: "Response time against the ideal at half load, 50 ms tasks.",
@@ -32,6 +38,19 @@
 			Plan:   steady(5*time.Second, 0.03, 4*8, 50, 1, "plain"),
 			Report: reportIdle,
 		},
+		{
+			Name: "throughput", Help: "Task starts a second with 0 ms tasks in large jobs.",
+			Entries: 3, Agents: 4, Slots: 64,
+			Plan:   flatOut(5*time.Second, 200, 100),
+			Extra:  "[limits]\nkeys_per_slot = 1000000\n",
+			Report: reportThroughput,
+		},
+	}
+}
+
+// faults are the scenarios in which something breaks.
+func faults() []Scenario {
+	return []Scenario{
 		{
 			Name: "takeover", Help: "One of three entries dies without warning under load.",
 			Entries: 3, Agents: 4, Slots: 8,
@@ -70,13 +89,6 @@
 			Report:  reportFault,
 			Targets: append(truth(), Target{Figure: "recovered_s", Most: bound(3)}, Target{Figure: "unknown", Most: bound(0)}),
 		},
-		{
-			Name: "throughput", Help: "Task starts a second with 0 ms tasks in large jobs.",
-			Entries: 3, Agents: 4, Slots: 64,
-			Plan:   flatOut(5*time.Second, 200, 100),
-			Extra:  "[limits]\nkeys_per_slot = 1000000\n",
-			Report: reportThroughput,
-		},
 	}
 }
 
--- a/process/entry/admin.go
+++ b/process/entry/admin.go
@@ -7,6 +7,7 @@
 	"sort"
 	"time"
 
+	"github.com/corianderhook/corianderhook/common/loopback"
 	"github.com/corianderhook/corianderhook/process/owner"
 	"github.com/corianderhook/corianderhook/version/slot"
 )
@@ -39,6 +40,10 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", e.readyz)
 	mux.HandleFunc("GET /v1/status", e.status)
+	mux.HandleFunc("POST /v1/drain", loopback.Only(func(w http.ResponseWriter, _ *http.Request) {
+		e.askOnce.Do(func() { close(e.asked) })
+		w.WriteHeader(http.StatusAccepted)
+	}))
 	return mux
 }
 
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -69,6 +69,8 @@
 	grpc     *grpc.Server
 	callers  *http.Server
 	admin    *http.Server
+	asked    chan struct{}
+	askOnce  sync.Once
 	quit     chan struct{}
 	quitOnce sync.Once
 	done     chan struct{}
@@ -87,6 +89,7 @@
 		started:  deps.Clock.Now(),
 		metrics:  metrics.New(),
 		sessions: newSessions(),
+		asked:    make(chan struct{}),
 		quit:     make(chan struct{}),
 		done:     make(chan struct{}),
 		self: ownership.Entry{
@@ -208,6 +211,9 @@
 
 func (e *Entry) stop() { e.quitOnce.Do(func() { close(e.quit) }) }
 
+// DrainAsked is closed when an operator asks the entry to drain.
+func (e *Entry) DrainAsked() <-chan struct{} { return e.asked }
+
 // Kill ends the entry at once, as a failure of its VM would.
 func (e *Entry) Kill() {
 	e.stop()
