Eject workers that fail or straggle; add flood scenarios with a baseline

Cause: a worker that fails everything at once attracts work by being fast, and one that is ten times slower holds every job that it touches.

Scenarios flood-low, flood-high, retry-storm, blackhole, straggler, poison, each against first come first served without admission or ejection. Reservations say whether they expect a free slot, so that only those are answered.

--- a/commands/bench.go
+++ b/commands/bench.go
@@ -17,6 +17,7 @@
 type BenchCommand struct {
 	Scenario string `arg:"" help:"Scenario, all, or list."`
 	Seed     uint64 `default:"1" help:"Seed of the arrivals: the same seed gives the same jobs at the same times."`
+	Policy   string `enum:"fair,fifo" default:"fair" help:"Policy to run: fair is the product's, fifo is the baseline."`
 	Check    bool   `help:"Compare the figures with the stated targets; exit code 1 on a miss."`
 }
 
@@ -69,7 +70,20 @@
 }
 
 func (c *BenchCommand) run(s *Streams, one bench.Scenario) ([]string, error) {
-	outcome, err := bench.Do(context.Background(), one, bench.Settings{Clock: realClock(), System: newSystem(), Seed: c.Seed})
+	settings := bench.Settings{Clock: realClock(), System: newSystem(), Seed: c.Seed, FIFO: c.Policy == "fifo"}
+	var baseline bench.Outcome
+	var err error
+	if one.Baseline {
+		with := settings
+		with.FIFO = true
+		with.System = newSystem()
+		if baseline, err = bench.Do(context.Background(), one, with); err != nil {
+			return nil, err
+		}
+		fmt.Fprintln(s.Out, "baseline, first come first served:")
+		printTable(s, baseline.Results)
+	}
+	outcome, err := bench.Do(context.Background(), one, settings)
 	if err != nil {
 		return nil, err
 	}
@@ -81,7 +95,7 @@
 		fmt.Fprintf(s.Out, "slow job: key=%s sent_at=%s took=%s tasks=%d outcome=%s reason=%s attempts=%d\n",
 			r.Key, r.Job.At.Round(time.Millisecond), r.Took.Round(time.Millisecond), r.Job.Tasks, r.Outcome, r.Reason, r.Attempts)
 	}
-	line := one.Report(outcome)
+	line := one.Report(outcome, baseline)
 	fmt.Fprintln(s.Out, line)
 	return bench.Misses(one, line)
 }
--- a/commands/demo.go
+++ b/commands/demo.go
@@ -116,7 +116,7 @@
 	results := driver.Run(context.Background(), plan)
 	close(done)
 	printTable(s, results)
-	v := load.Judge(results, l.Starts())
+	v := load.Judge(results, l.Starts(), demoGiveUp)
 	fmt.Fprintf(s.Out, "demo: jobs=%d complete=%d failed=%d not_run=%d unknown=%d tasks=%d started_twice=%d lost=%d\n",
 		v.Jobs, v.Outcomes["complete"], v.Outcomes["failed"], v.Outcomes["not_run"], v.Outcomes["unknown"],
 		v.Tasks, v.Twice, v.Lost+v.Partial+v.FalseNotRun)
--- a/process/bench/bench.go
+++ b/process/bench/bench.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -39,10 +40,15 @@
 	Faults []Fault
 	// ResubmitEvery makes callers send unanswered jobs again.
 	ResubmitEvery time.Duration
+	// GiveUp is how long callers keep at a job; zero is 30 s.
+	GiveUp time.Duration
+	// Baseline runs the same load on the baseline policy first.
+	Baseline bool
 	// Extra are settings beside the scenario's kinds and teams.
 	Extra string
-	// Report writes the scenario's last line.
-	Report func(o Outcome) string
+	// Report writes the scenario's last line. The baseline's outcome is empty
+	// where the scenario has none.
+	Report func(o, baseline Outcome) string
 	// Targets are the stated bounds of the figures.
 	Targets []Target
 }
@@ -85,6 +91,8 @@
 	Clock  clockwork.Clock
 	System *actor.ActorSystem
 	Seed   uint64
+	// FIFO runs the baseline policy: first come first served, no admission.
+	FIFO bool
 }
 
 // giveUp is how long callers keep at a job.
@@ -95,12 +103,20 @@
 
 // Do runs a scenario.
 func Do(ctx context.Context, s Scenario, set Settings) (Outcome, error) {
+	if s.GiveUp == 0 {
+		s.GiveUp = giveUp
+	}
+	text := kinds + s.Extra
+	if set.FIFO {
+		text = strings.ReplaceAll(text, "max_delay = 5s", "max_delay = 24h")
+	}
 	l, err := local.Start(ctx, local.Settings{
 		Entries: s.Entries,
 		Agents:  s.Agents,
 		Slots:   s.Slots,
 		Zones:   zones,
-		Extra:   []config.File{{Name: "50-bench.ini", Text: kinds + s.Extra}},
+		Extra:   []config.File{{Name: "50-bench.ini", Text: text}},
+		FIFO:    set.FIFO,
 		Clock:   set.Clock,
 		System:  set.System,
 		Seed:    set.Seed,
@@ -119,8 +135,8 @@
 		Callers:       callers,
 		Clock:         set.Clock,
 		Seed:          set.Seed,
-		GiveUp:        giveUp,
-		Wait:          giveUp,
+		GiveUp:        s.GiveUp,
+		Wait:          s.GiveUp,
 		ResubmitEvery: s.ResubmitEvery,
 	})
 	plan := s.Plan(rand.New(rand.NewPCG(set.Seed, 0)))
@@ -180,7 +196,7 @@
 		Name:    s.Name,
 		Seed:    r.Seed,
 		Results: results,
-		Verdict: load.Judge(results, r.Local.Starts()),
+		Verdict: load.Judge(results, r.Local.Starts(), s.GiveUp),
 		Ideal:   Ideal(plan, s.Agents*s.Slots),
 		Sent:    r.Driver.Attempts(),
 		Length:  length,
@@ -198,12 +214,15 @@
 	return o
 }
 
-// Ideal returns the response times of the jobs on a single queue without any
+// Ideal returns the response times of the jobs beside the flood on a single queue without any
 // overhead, first come first served over all slots.
 func Ideal(plan []load.Job, slots int) []time.Duration {
 	free := make([]time.Duration, slots)
 	ideal := make([]time.Duration, len(plan))
 	for i, j := range plan {
+		if j.Flood {
+			continue
+		}
 		work := time.Duration(j.WorkMS * float64(time.Millisecond))
 		for range j.Tasks {
 			first := 0
@@ -241,6 +260,29 @@
 	return total
 }
 
+// lateBy is how long after the last arrival a task still counts as finished.
+const lateBy = 2 * time.Second
+
+// KeptFromFlood returns the share of the tasks beside the flood that were
+// finished by the end of the arrivals, or shortly after.
+func (o Outcome) KeptFromFlood() float64 {
+	sent, done := 0, 0
+	var last time.Duration
+	for _, r := range o.Results {
+		last = max(last, r.Job.At)
+	}
+	for _, r := range o.Results {
+		if r.Job.Flood {
+			continue
+		}
+		sent += r.Job.Tasks
+		if r.Outcome == "complete" && r.EndedAt <= last+lateBy {
+			done += r.Job.Tasks
+		}
+	}
+	return float64(done) / float64(max(1, sent))
+}
+
 // Slowest returns the jobs that took the longest.
 func (o Outcome) Slowest(count int) []load.Result {
 	sorted := slices.Clone(o.Results)
--- a/process/bench/table.go
+++ b/process/bench/table.go
@@ -15,7 +15,7 @@
 
 // Table returns every scenario.
 func Table() []Scenario {
-	return slices.Concat(loads(), faults())
+	return slices.Concat(loads(), faults(), floods())
 }
 
 // loads are the scenarios without faults.
@@ -187,7 +187,7 @@
 
 func all(load.Result) bool { return true }
 
-func reportIdle(o Outcome) string {
+func reportIdle(o, _ Outcome) string {
 	ratios := o.Ratios(all)
 	var overheads []float64
 	for i, r := range o.Results {
@@ -198,13 +198,13 @@
 		o.Name, Quantile(overheads, 0.5), Quantile(overheads, 0.99), Quantile(ratios, 0.5), Quantile(ratios, 0.99), o.WastedPerTask())
 }
 
-func reportFault(o Outcome) string {
+func reportFault(o, _ Outcome) string {
 	v := o.Verdict
 	return fmt.Sprintf("bench %s: started_twice=%d lost=%d false_not_run=%d partial=%d unknown=%d recovered_s=%.2f kept=%.3f",
 		o.Name, v.Twice, v.Lost, v.FalseNotRun, v.Partial, v.Outcomes["unknown"], o.Recovered().Seconds(), o.Kept())
 }
 
-func reportThroughput(o Outcome) string {
+func reportThroughput(o, _ Outcome) string {
 	return fmt.Sprintf("bench throughput: starts_per_s=%.0f jobs=%d complete=%d not_run=%d started_twice=%d lost=%d",
 		float64(o.Verdict.Tasks)/o.Length.Seconds(), o.Verdict.Jobs, o.Verdict.Outcomes["complete"],
 		o.Verdict.Outcomes["not_run"], o.Verdict.Twice, o.Verdict.Lost)
--- a/process/dispatch/dispatch.go
+++ b/process/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/corianderhook/corianderhook/process/health"
 	"github.com/corianderhook/corianderhook/request/job"
 	"github.com/corianderhook/corianderhook/wire"
 )
@@ -84,28 +85,65 @@
 	believed map[Flow]int
 	total    int
 	draining bool
-	ejected  bool
+	// ejected agents get nothing; probing ones get one task.
+	ejected bool
+	probing bool
+	// running are the tasks that were handed out and have not ended.
+	running map[taskKey]taskRun
+}
+
+type taskKey struct {
+	job   string
+	index uint32
+}
+
+type taskRun struct {
+	kind  string
+	since time.Time
+}
+
+// Option changes how a dispatcher decides.
+type Option func(*Dispatch)
+
+// WithBaseline puts all tasks into one flow, first come first served, and ejects
+// no agent, as a baseline for experiments.
+func WithBaseline() Option {
+	return func(d *Dispatch) { d.baseline = true }
 }
 
 // Dispatch is the dispatcher of one entry. It is not safe for concurrent use.
 type Dispatch struct {
-	host   Host
-	random *rand.Rand
-	flows  map[Flow]*flow
-	agents map[string]*agent
-	list   []*agent
-	wasted Wasted
+	host     Host
+	random   *rand.Rand
+	flows    map[Flow]*flow
+	agents   map[string]*agent
+	list     []*agent
+	wasted   Wasted
+	baseline bool
+	health   *health.Health
 }
 
 // New returns a dispatcher without agents. The seed breaks ties between agents
 // of the same load.
-func New(host Host, seed uint64) *Dispatch {
-	return &Dispatch{
+func New(host Host, seed uint64, options ...Option) *Dispatch {
+	d := &Dispatch{
 		host:   host,
 		random: rand.New(rand.NewPCG(seed, 0)),
 		flows:  map[Flow]*flow{},
 		agents: map[string]*agent{},
+		health: health.New(),
+	}
+	for _, o := range options {
+		o(d)
+	}
+	return d
+}
+
+func (d *Dispatch) flowOf(j *job.Job) Flow {
+	if d.baseline {
+		return Flow{Kind: "all", Team: "all"}
 	}
+	return Flow{Kind: j.Kind(), Team: j.Team()}
 }
 
 // Attach adds an agent that has opened a session, or opens its session anew.
@@ -118,7 +156,9 @@
 		free:     slots,
 		promised: map[Flow]int{},
 		believed: map[Flow]int{},
+		running:  map[taskKey]taskRun{},
 	}
+	a.ejected = d.health.Ejected(name)
 	d.agents[name] = a
 	d.list = append(d.list, a)
 	for _, f := range d.flows {
@@ -159,13 +199,58 @@
 	}
 }
 
-// Eject keeps an agent from getting tasks, or lets it back.
-func (d *Dispatch) Eject(name string, ejected bool) {
+// Observe takes how a task ended at an agent.
+func (d *Dispatch) Observe(o health.Observation) {
+	if a, known := d.agents[o.Agent]; known {
+		delete(a.running, taskKey{job: o.Job, index: o.Index})
+	}
+	d.apply(o.Agent, d.health.Observe(o, d.host.Now()))
+}
+
+// Returned takes it that an agent gave a task up without a start.
+func (d *Dispatch) Returned(name, job string, index uint32) {
 	if a, known := d.agents[name]; known {
-		a.ejected = ejected
+		delete(a.running, taskKey{job: job, index: index})
+	}
+}
+
+// TickHealth looks for agents whose tasks take far too long.
+func (d *Dispatch) TickHealth(now time.Time) {
+	for _, a := range d.list {
+		overdue := 0
+		for _, r := range a.running {
+			if d.health.Overdue(r.kind, now.Sub(r.since)) {
+				overdue++
+			}
+		}
+		d.apply(a.name, d.health.ObserveOverdue(a.name, overdue, now))
 	}
 }
 
+// apply lets the verdict on an agent take effect.
+func (d *Dispatch) apply(name string, v health.Verdict) {
+	a, known := d.agents[name]
+	if !known || v == health.Keep || d.baseline {
+		return
+	}
+	a.ejected = v != health.Readmit
+	a.probing = v == health.Probe
+	if v == health.Eject {
+		d.release(a)
+	}
+}
+
+// Ejected lists the attached agents that get no tasks, or only one to probe them.
+func (d *Dispatch) Ejected() []string {
+	var names []string
+	for _, a := range d.list {
+		if a.ejected {
+			names = append(names, a.name)
+		}
+	}
+	return names
+}
+
 // Agents returns the names of the attached agents.
 func (d *Dispatch) Agents() []string {
 	names := make([]string, 0, len(d.list))
@@ -186,10 +271,16 @@
 	return total
 }
 
-func (a *agent) usable() bool { return !a.draining && !a.ejected }
+func (a *agent) usable() bool { return !a.draining && (!a.ejected || a.probing) }
 
 // room is how many tasks the agent can start at once as far as is known here.
-func (a *agent) room() int { return a.free - a.total }
+func (a *agent) room() int {
+	room := a.free - a.total
+	if a.probing {
+		return min(room, 1-a.total)
+	}
+	return room
+}
 
 // Candidates returns the agents that a new job is registered with: the ones
 // with the most room first, the others in an order that differs per job.
@@ -227,8 +318,7 @@
 
 // Offer takes a job with waiting tasks, or takes note that their number changed.
 func (d *Dispatch) Offer(slot uint32, j *job.Job) {
-	name := Flow{Kind: j.Kind(), Team: j.Team()}
-	f := d.flow(name)
+	f := d.flow(d.flowOf(j))
 	it, held := f.byJob[j]
 	if !held {
 		it = &item{slot: slot, job: j, offered: d.host.Now()}
@@ -268,7 +358,7 @@
 
 // Withdraw drops a job that has ended.
 func (d *Dispatch) Withdraw(j *job.Job) {
-	f := d.flows[Flow{Kind: j.Kind(), Team: j.Team()}]
+	f := d.flows[d.flowOf(j)]
 	if f == nil {
 		return
 	}
@@ -299,7 +389,7 @@
 		a.total += n
 		f.promised += n
 		need -= n
-		d.tell(a, f, a.believed[f.name]+n)
+		d.tell(a, f, a.believed[f.name]+n, true)
 	}
 	if need > 0 {
 		d.tellSome(f, need)
@@ -325,7 +415,7 @@
 			return
 		}
 		if a.believed[f.name] == 0 {
-			d.tell(a, f, count)
+			d.tell(a, f, count, false)
 			told++
 		}
 	}
@@ -340,7 +430,7 @@
 	}
 	for _, a := range d.list {
 		if a.usable() && a.free > 0 && (a.believed[f.name] == 0 || again) {
-			d.tell(a, f, f.count)
+			d.tell(a, f, f.count, true)
 		}
 	}
 }
@@ -353,7 +443,7 @@
 	}
 	for _, a := range d.list {
 		if a.believed[f.name] > 0 && a.promised[f.name] == 0 {
-			d.tell(a, f, 0)
+			d.tell(a, f, 0, false)
 			d.wasted.Recalled++
 		}
 	}
@@ -376,18 +466,19 @@
 		d.wasted.Busy += 2
 		a.promised[flowName] = 0
 		a.total -= n
-		f := d.flows[flowName]
+		f := d.flow(flowName)
 		f.promised -= n
 		d.promise(f)
 	}
 }
 
-func (d *Dispatch) tell(a *agent, f *flow, count int) {
+func (d *Dispatch) tell(a *agent, f *flow, count int, now bool) {
 	a.believed[f.name] = count
 	d.host.Send(a.name, &wire.EntryFrame{Body: &wire.EntryFrame_Reserve{Reserve: &wire.Reserve{
 		Kind:  f.name.Kind,
 		Team:  f.name.Team,
 		Count: uint32(count),
+		Now:   now,
 	}}})
 }
 
@@ -410,7 +501,13 @@
 		d.answer(a, f, p, nil)
 		return
 	}
+	if a.probing {
+		p.Count = min(p.GetCount(), 1)
+	}
 	tasks := d.take(a, f, p)
+	if a.probing && len(tasks) > 0 {
+		a.probing = false
+	}
 	if len(tasks) == 0 && f.count > 0 {
 		f.parked = append(f.parked, parked{agent: name, pull: p, until: d.host.Now().Add(parkTime)})
 		return
@@ -439,6 +536,7 @@
 		indexes := it.job.Take(a.name, p.GetId(), count-len(tasks))
 		for _, index := range indexes {
 			tasks = append(tasks, d.start(it, index))
+			a.running[taskKey{job: it.job.Name(), index: index}] = taskRun{kind: it.job.Kind(), since: d.host.Now()}
 		}
 		if len(indexes) > 0 {
 			d.host.Started(it.job, len(indexes))
@@ -503,6 +601,11 @@
 
 // Tick lets go of promises and parked pulls that have waited for too long.
 func (d *Dispatch) Tick(now time.Time) {
+	for _, a := range d.list {
+		if a.ejected && !a.probing && d.health.Due(a.name, now) {
+			d.apply(a.name, health.Probe)
+		}
+	}
 	for name, f := range d.flows {
 		d.expirePark(f, now)
 		if f.count == 0 {
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -19,6 +19,7 @@
 
 	"github.com/corianderhook/corianderhook/common/instance"
 	"github.com/corianderhook/corianderhook/connection/peer"
+	"github.com/corianderhook/corianderhook/process/dispatch"
 	"github.com/corianderhook/corianderhook/process/logstore"
 	"github.com/corianderhook/corianderhook/process/membership"
 	"github.com/corianderhook/corianderhook/process/metrics"
@@ -43,6 +44,8 @@
 	System *actor.ActorSystem
 	// Seed breaks ties and spreads Retry-After.
 	Seed uint64
+	// Dispatch changes how the dispatcher decides, for baselines of experiments.
+	Dispatch []dispatch.Option
 	// Gate, where set, may hold messages back; see Gate.
 	Gate Gate
 }
--- a/process/executor/executor.go
+++ b/process/executor/executor.go
@@ -146,7 +146,7 @@
 func (e *Executor) reserve(entry string, r *wire.Reserve) {
 	e.queue.Set(entry, r.GetKind(), r.GetTeam(), int(r.GetCount()))
 	e.fill()
-	if r.GetCount() > 0 && e.running+e.reserved >= e.slots && e.queue.Waiting() > 0 {
+	if r.GetNow() && e.running+e.reserved >= e.slots && e.queue.Waiting() > 0 {
 		e.host.Send(entry, &wire.AgentFrame{Load: e.Load()})
 	}
 }
--- a/process/load/load.go
+++ b/process/load/load.go
@@ -33,6 +33,8 @@
 	Fail   bool
 	// Entry is the entry that the balancer would choose.
 	Entry int
+	// Flood marks the jobs that the others are to be kept from.
+	Flood bool
 }
 
 // Result is how one job ended for its caller.
@@ -246,25 +248,31 @@
 	Outcomes map[string]int
 	Tasks    int
 	Twice    int
-	// Lost are jobs without a final answer, or complete ones with a task that
-	// no endpoint started.
-	Lost        int
+	// Lost are jobs without a final answer in the whole time that a job may take,
+	// or complete ones with a task that no endpoint started.
+	Lost int
+	// GivenUp are jobs that their caller gave up before that time.
+	GivenUp     int
 	FalseNotRun int
 	Partial     int
 }
 
-// Judge checks the results of a run that has ended.
-func Judge(results []Result, starts *sample.Starts) Verdict {
+// Judge checks the results of a run that has ended. The callers kept at each job
+// for the given time.
+func Judge(results []Result, starts *sample.Starts, kept time.Duration) Verdict {
 	v := Verdict{Jobs: len(results), Outcomes: map[string]int{}, Twice: starts.Twice()}
 	for _, r := range results {
 		v.Outcomes[r.Outcome]++
 		v.Tasks += r.Job.Tasks
-		judge(&v, r, starts)
+		judge(&v, r, starts, kept >= longestJob)
 	}
 	return v
 }
 
-func judge(v *Verdict, r Result, starts *sample.Starts) {
+// longestJob is how long a job may take until it is answered or given up.
+const longestJob = 20 * time.Second
+
+func judge(v *Verdict, r Result, starts *sample.Starts, patient bool) {
 	began := 0
 	for i := range r.Job.Tasks {
 		if starts.Count(r.Job.Team+"/"+r.Key+"/"+strconv.Itoa(i)) > 0 {
@@ -284,6 +292,10 @@
 			v.FalseNotRun++
 		}
 	case "none", "pending":
+		if !patient {
+			v.GivenUp++
+			return
+		}
 		v.Lost++
 	}
 }
--- a/process/local/local.go
+++ b/process/local/local.go
@@ -18,6 +18,7 @@
 
 	"github.com/corianderhook/corianderhook/connection/logclient"
 	"github.com/corianderhook/corianderhook/process/agent"
+	"github.com/corianderhook/corianderhook/process/dispatch"
 	"github.com/corianderhook/corianderhook/process/entry"
 	"github.com/corianderhook/corianderhook/process/logstore"
 	"github.com/corianderhook/corianderhook/process/sample"
@@ -31,6 +32,8 @@
 	// Slots is the number of slots per agent.
 	Slots int
 	Zones int
+	// FIFO runs the baseline: first come first served.
+	FIFO bool
 	// Extra are INI texts with kinds, teams and limits.
 	Extra  []config.File
 	Clock  clockwork.Clock
@@ -178,13 +181,18 @@
 		return err
 	}
 	n.Gate = NewGate()
+	var options []dispatch.Option
+	if l.settings.FIFO {
+		options = append(options, dispatch.WithBaseline())
+	}
 	n.Entry = entry.New(entry.Dependencies{
-		Config: c,
-		Log:    logclient.New(l.logAddr),
-		Clock:  l.settings.Clock,
-		System: l.system,
-		Seed:   l.settings.Seed,
-		Gate:   n.Gate,
+		Dispatch: options,
+		Config:   c,
+		Log:      logclient.New(l.logAddr),
+		Clock:    l.settings.Clock,
+		System:   l.system,
+		Seed:     l.settings.Seed,
+		Gate:     n.Gate,
 	})
 	l.group.Add(1)
 	go func() {
--- a/process/owner/owner.go
+++ b/process/owner/owner.go
@@ -10,6 +10,7 @@
 	"github.com/corianderhook/corianderhook/common/instance"
 	"github.com/corianderhook/corianderhook/process/admission"
 	"github.com/corianderhook/corianderhook/process/dispatch"
+	"github.com/corianderhook/corianderhook/process/health"
 	"github.com/corianderhook/corianderhook/request/answer"
 	"github.com/corianderhook/corianderhook/request/job"
 	"github.com/corianderhook/corianderhook/request/outcome"
@@ -79,7 +80,7 @@
 }
 
 // New returns an owner of nothing.
-func New(env Environment, seed uint64) *Owner {
+func New(env Environment, seed uint64, options ...dispatch.Option) *Owner {
 	o := &Owner{
 		env:       env,
 		admission: admission.New(seed),
@@ -89,7 +90,7 @@
 		gone:      map[string]time.Time{},
 		promised:  map[handOver]inheritance{},
 	}
-	o.dispatch = dispatch.New(dispatchHost{o}, seed)
+	o.dispatch = dispatch.New(dispatchHost{o}, seed, options...)
 	return o
 }
 
@@ -261,8 +262,21 @@
 
 func (o *Owner) done(agent string, s *slot.Slot, d *wire.Done) {
 	j := s.Done(agent, d)
-	if j != nil && d.GetTask().GetServiceUs() > 0 {
-		o.admission.Served(j.Kind(), float64(d.GetTask().GetServiceUs())/1e6)
+	if j == nil {
+		return
+	}
+	t := d.GetTask()
+	seconds := float64(t.GetServiceUs()) / 1e6
+	o.dispatch.Observe(health.Observation{
+		Agent:   agent,
+		Kind:    j.Kind(),
+		Job:     j.Name(),
+		Index:   t.GetIndex(),
+		Failed:  t.GetState() != wire.TaskState_TASK_STATE_DONE,
+		Seconds: seconds,
+	})
+	if seconds > 0 {
+		o.admission.Served(j.Kind(), seconds)
 	}
 }
 
@@ -272,6 +286,7 @@
 		if !owned {
 			continue
 		}
+		o.dispatch.Returned(agent, t.GetJob(), t.GetIndex())
 		s.Returned(agent, t.GetJob(), r.GetPull(), t.GetIndex())
 	}
 }
@@ -281,6 +296,7 @@
 
 // TickSlots does what is due once in some tens of milliseconds.
 func (o *Owner) TickSlots(now time.Time) {
+	o.dispatch.TickHealth(now)
 	for agent, since := range o.gone {
 		if now.Sub(since) > goneMemory {
 			delete(o.gone, agent)
