--- a/commands/bench.go
+++ b/commands/bench.go
@@ -15,7 +15,7 @@
 
 // BenchCommand runs experiments.
 type BenchCommand struct {
-	Scenario string `arg:"" help:"Scenario, all, or list."`
+	Scenario string `arg:"" help:"Scenario, all, scale, or list."`
 	Seed     uint64 `default:"1" help:"Seed of the arrivals: the same seed gives the same jobs at the same times."`
 	Policy   string `enum:"fair,fifo" default:"fair" help:"Policy to run: fair is the product's, fifo is the baseline."`
 	Check    bool   `help:"Compare the figures with the stated targets; exit code 1 on a miss."`
@@ -26,6 +26,10 @@
 
 // Run runs one scenario or all. The last line of each has its figures.
 func (c *BenchCommand) Run(s *Streams) error {
+	if c.Scenario == "scale" {
+		quietLogs()
+		return c.scale(s)
+	}
 	if c.Scenario == "list" {
 		for _, one := range bench.Table() {
 			fmt.Fprintf(s.Out, "%-12s %s\n", one.Name, one.Help)
@@ -55,6 +59,18 @@
 	return nil
 }
 
+// scale measures idle control traffic at several numbers of agents.
+func (c *BenchCommand) scale(s *Streams) error {
+	for _, agents := range bench.ScaleSizes() {
+		line, err := bench.Scale(context.Background(), agents, bench.Settings{Clock: realClock(), System: newSystem(), Seed: c.Seed})
+		if err != nil {
+			return errors.Wrapf(err, "bench scale with %d agents", agents)
+		}
+		fmt.Fprintln(s.Out, line)
+	}
+	return nil
+}
+
 func (c *BenchCommand) choose() ([]bench.Scenario, error) {
 	var names []string
 	for _, one := range bench.Table() {
--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -24,6 +24,9 @@
 	heartbeat = 200 * time.Millisecond
 	// redial is the pause before a new connection to a peer that failed.
 	redial = 100 * time.Millisecond
+	// WindowBytes is the fixed flow-control window. A fixed one needs no probes of
+	// the connection's bandwidth.
+	WindowBytes = 1 << 20
 	// MaxMessageBytes is the largest message between processes.
 	MaxMessageBytes = 64 << 20
 )
@@ -121,6 +124,8 @@
 // Dial opens a connection to another process of the system.
 func Dial(address string) (*grpc.ClientConn, error) {
 	conn, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithInitialWindowSize(WindowBytes),
+		grpc.WithInitialConnWindowSize(WindowBytes),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes), grpc.MaxCallSendMsgSize(MaxMessageBytes)),
 	)
--- a/process/agent/links.go
+++ b/process/agent/links.go
@@ -17,7 +17,7 @@
 
 const (
 	// pingEvery is the time between two pings to an entry.
-	pingEvery = 250 * time.Millisecond
+	pingEvery = 500 * time.Millisecond
 	// redial is the pause before a new session with an entry.
 	redial = 100 * time.Millisecond
 	// dropAfter is how long an address is tried after no entry named it any more.
@@ -94,7 +94,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for at, a := range l.known {
-		if !a.seed && a.entry == "" && l.agent.deps.Clock.Since(a.named) > dropAfter {
+		if !a.seed && a.entry == "" && len(entries) > 0 && l.agent.deps.Clock.Since(a.named) > dropAfter {
 			a.cancel()
 			delete(l.known, at)
 		}
--- a/process/bench/floods.go
+++ b/process/bench/floods.go
@@ -88,7 +88,9 @@
 	}
 }
 
-// flood returns jobs of a kind at floodFactor times the capacity.
+// flood returns jobs of a kind at floodFactor times the capacity. Their tasks
+// take half to one and a half times floodWorkMS: equal times would make all
+// slots end their tasks together, for the whole flood.
 func flood(from, to time.Duration, kind string) func(*rand.Rand) []load.Job {
 	return func(r *rand.Rand) []load.Job {
 		perSecond := floodFactor * floodAgents * floodSlots * 1000 / floodWorkMS / floodTasks
@@ -99,7 +101,7 @@
 				Team:   "remaches",
 				Kind:   kind,
 				Tasks:  floodTasks,
-				WorkMS: floodWorkMS,
+				WorkMS: floodWorkMS * (0.5 + r.Float64()),
 				Entry:  r.IntN(3),
 				Flood:  true,
 			})
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -177,6 +177,8 @@
 	e.owner = e.deps.System.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return newOwnerActor(e) }))
 	defer e.deps.System.Root.Stop(e.owner)
 	e.grpc = grpc.NewServer(
+		grpc.InitialWindowSize(peer.WindowBytes),
+		grpc.InitialConnWindowSize(peer.WindowBytes),
 		grpc.MaxRecvMsgSize(peer.MaxMessageBytes),
 		grpc.MaxSendMsgSize(peer.MaxMessageBytes),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: e.deps.Config.Silence(), Timeout: e.deps.Config.Silence()}),
--- a/process/entry/service.go
+++ b/process/entry/service.go
@@ -30,6 +30,8 @@
 	agent string
 	out   *outbox.Outbox
 	heard chan struct{}
+	// told is the table whose entries the agent has had; only receive uses it.
+	told *ownership.State
 }
 
 // sessions holds the newest session of each agent.
@@ -129,12 +131,21 @@
 		if ping := f.GetPing(); ping != nil {
 			own.out.Put(&wire.EntryFrame{Body: &wire.EntryFrame_Pong{Pong: &wire.Pong{
 				Sequence: ping.GetSequence(),
-				Entries:  s.entry.addresses(),
+				Entries:  s.news(own),
 			}}})
 		}
 	}
 }
 
+// news returns the entries where the session has not had them yet.
+func (s *service) news(own *session) []*wire.EntryAddress {
+	if table := s.entry.table.Load(); table != own.told {
+		own.told = table
+		return s.entry.addresses()
+	}
+	return nil
+}
+
 // watch ends a session that has been silent for too long.
 func (s *service) watch(ctx context.Context, cancel context.CancelFunc, own *session) {
 	silence := s.entry.deps.Config.Silence()
--- a/process/local/silence.go
+++ b/process/local/silence.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 )
 
 // Listener is a listener whose open connections can be made silent: nothing is
@@ -10,8 +11,9 @@
 // that are opened later work.
 type Listener struct {
 	net.Listener
-	mu   sync.Mutex
-	open map[*conn]bool
+	mu    sync.Mutex
+	open  map[*conn]bool
+	bytes atomic.Int64
 }
 
 // NewListener wraps a listener.
@@ -32,6 +34,9 @@
 	return c, nil
 }
 
+// Bytes returns what was read from and written to all connections.
+func (l *Listener) Bytes() int64 { return l.bytes.Load() }
+
 // Silence makes every open connection silent and returns their number.
 func (l *Listener) Silence() int {
 	l.mu.Lock()
@@ -55,6 +60,7 @@
 // Read reads, or blocks until the connection is closed once it is silent.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	c.listener.bytes.Add(int64(n))
 	select {
 	case <-c.silent:
 		<-c.closed
@@ -70,6 +76,7 @@
 	case <-c.silent:
 		return len(b), nil
 	default:
+		c.listener.bytes.Add(int64(len(b)))
 		return c.Conn.Write(b)
 	}
 }
