--- /dev/null
+++ b/process/queue/queue_test.go
@@ -0,0 +1,143 @@
+package queue_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/corianderhook/corianderhook/process/queue"
+)
+
+type weights map[string]float64
+
+func (w weights) KindWeight(kind string) float64 { return max(w[kind], 1) }
+func (w weights) TeamWeight(team string) float64 { return max(w[team], 1) }
+
+func take(q *queue.Queue, count int) map[string]int {
+	got := map[string]int{}
+	for range count {
+		c, ok := q.Next()
+		if !ok {
+			break
+		}
+		got[c.Kind]++
+		got[c.Kind+"/"+c.Team]++
+		got[c.Source]++
+	}
+	return got
+}
+
+func TestSharesFollowWeights(t *testing.T) {
+	is := is.New(t)
+	q := queue.New(weights{"urgent": 3})
+	q.Set("e1", "urgent", "a", 1000)
+	q.Set("e1", "bulk", "a", 1000)
+	q.Set("e2", "bulk", "b", 1000)
+	got := take(q, 400)
+	is.Equal(got["urgent"], 300)
+	is.Equal(got["bulk/a"], 50)
+	is.Equal(got["bulk/b"], 50)
+}
+
+func TestUnusedShareGoesToTheOthers(t *testing.T) {
+	is := is.New(t)
+	q := queue.New(weights{"urgent": 3})
+	q.Set("e1", "bulk", "a", 10)
+	is.Equal(take(q, 10)["bulk"], 10)
+	is.Equal(q.Waiting(), 0)
+	_, ok := q.Next()
+	is.True(!ok)
+}
+
+func TestAbsentKindDoesNotSaveUp(t *testing.T) {
+	is := is.New(t)
+	q := queue.New(weights{})
+	q.Set("e1", "bulk", "a", 10_000)
+	take(q, 1000)
+	q.Set("e1", "late", "a", 1000)
+	got := take(q, 100)
+	is.True(got["late"] >= 49 && got["late"] <= 51)
+}
+
+func TestLongTasksPayForTheirTime(t *testing.T) {
+	is := is.New(t)
+	q := queue.New(weights{})
+	q.Measured("long", 1)
+	q.Measured("short", 0.1)
+	q.Set("e1", "long", "a", 1000)
+	q.Set("e1", "short", "a", 1000)
+	got := take(q, 110)
+	is.True(got["short"] >= 99 && got["short"] <= 101)
+}
+
+func TestSourcesTakeTurns(t *testing.T) {
+	is := is.New(t)
+	q := queue.New(weights{})
+	q.Set("e1", "k", "a", 100)
+	q.Set("e2", "k", "a", 100)
+	got := take(q, 100)
+	is.Equal(got["e1"], 50)
+	q.Drop("e1")
+	is.Equal(take(q, 100)["e2"], 50)
+}
+
+// TestNothingIsLostOrMadeUp compares the queue with a plain count.
+func TestNothingIsLostOrMadeUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := queue.New(weights{"k1": 5, "t2": 2})
+		counts := map[queue.Choice]int{}
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			c := queue.Choice{
+				Source: fmt.Sprint("e", rapid.IntRange(0, 2).Draw(t, "source")),
+				Kind:   fmt.Sprint("k", rapid.IntRange(0, 2).Draw(t, "kind")),
+				Team:   fmt.Sprint("t", rapid.IntRange(0, 2).Draw(t, "team")),
+			}
+			switch rapid.IntRange(0, 3).Draw(t, "action") {
+			case 0:
+				n := rapid.IntRange(0, 5).Draw(t, "count")
+				q.Set(c.Source, c.Kind, c.Team, n)
+				counts[c] = n
+			case 1:
+				q.Drop(c.Source)
+				for other := range counts {
+					if other.Source == c.Source {
+						counts[other] = 0
+					}
+				}
+			default:
+				if got, ok := q.Next(); ok {
+					counts[got]--
+				}
+			}
+			total := 0
+			for c, n := range counts {
+				if n < 0 {
+					t.Fatalf("%v was chosen more often than it waited", c)
+				}
+				total += n
+			}
+			if q.Waiting() != total {
+				t.Fatalf("queue has %d tasks, %d wait", q.Waiting(), total)
+			}
+		}
+	})
+}
+
+// BenchmarkNext measures one choice among flows with 10,000 waiting tasks.
+func BenchmarkNext(b *testing.B) {
+	for _, teams := range []int{10, 640} {
+		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
+			q := queue.New(weights{"k0": 8})
+			for i := range teams {
+				q.Set("e", fmt.Sprint("k", i%4), fmt.Sprint("t", i), max(1, 10_000/teams))
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				c, _ := q.Next()
+				q.Set(c.Source, c.Kind, c.Team, max(1, 10_000/teams))
+			}
+		})
+	}
+}
