--- a/process/dispatch/dispatch.go
+++ b/process/dispatch/dispatch.go
@@ -4,7 +4,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -75,33 +74,6 @@
 	parked   []parked
 }
 
-type agent struct {
-	name     string
-	zone     string
-	slots    int
-	free     int
-	waiting  int
-	promised map[Flow]int
-	believed map[Flow]int
-	total    int
-	draining bool
-	// ejected agents get nothing; probing ones get one task.
-	ejected bool
-	probing bool
-	// running are the tasks that were handed out and have not ended.
-	running map[taskKey]taskRun
-}
-
-type taskKey struct {
-	job   string
-	index uint32
-}
-
-type taskRun struct {
-	kind  string
-	since time.Time
-}
-
 // Option changes how a dispatcher decides.
 type Option func(*Dispatch)
 
@@ -146,165 +118,6 @@
 	return Flow{Kind: j.Kind(), Team: j.Team()}
 }
 
-// Attach adds an agent that has opened a session, or opens its session anew.
-func (d *Dispatch) Attach(name, zone string, slots int) {
-	d.Detach(name)
-	a := &agent{
-		name:     name,
-		zone:     zone,
-		slots:    slots,
-		free:     slots,
-		promised: map[Flow]int{},
-		believed: map[Flow]int{},
-		running:  map[taskKey]taskRun{},
-	}
-	a.ejected = d.health.Ejected(name)
-	d.agents[name] = a
-	d.list = append(d.list, a)
-	for _, f := range d.flows {
-		d.spread(f)
-	}
-}
-
-// Detach removes an agent whose session has ended.
-func (d *Dispatch) Detach(name string) {
-	a, known := d.agents[name]
-	if !known {
-		return
-	}
-	delete(d.agents, name)
-	d.list = slices.DeleteFunc(d.list, func(b *agent) bool { return a == b })
-	for flowName, n := range a.promised {
-		if f := d.flows[flowName]; f != nil {
-			f.promised -= n
-		}
-	}
-	for _, f := range d.flows {
-		f.parked = slices.DeleteFunc(f.parked, func(p parked) bool { return p.agent == name })
-		d.spread(f)
-	}
-}
-
-// Load takes what an agent says of itself.
-func (d *Dispatch) Load(name string, l *wire.Load) {
-	a, known := d.agents[name]
-	if !known || l == nil {
-		return
-	}
-	a.free = int(l.GetFree())
-	a.waiting = int(l.GetWaiting())
-	if l.GetDraining() && !a.draining {
-		a.draining = true
-		d.release(a)
-	}
-}
-
-// Observe takes how a task ended at an agent.
-func (d *Dispatch) Observe(o health.Observation) {
-	if a, known := d.agents[o.Agent]; known {
-		delete(a.running, taskKey{job: o.Job, index: o.Index})
-	}
-	d.apply(o.Agent, d.health.Observe(o, d.host.Now()))
-}
-
-// Returned takes it that an agent gave a task up without a start.
-func (d *Dispatch) Returned(name, job string, index uint32) {
-	if a, known := d.agents[name]; known {
-		delete(a.running, taskKey{job: job, index: index})
-	}
-}
-
-// TickHealth looks for agents whose tasks take far too long.
-func (d *Dispatch) TickHealth(now time.Time) {
-	for _, a := range d.list {
-		overdue := 0
-		for _, r := range a.running {
-			if d.health.Overdue(r.kind, now.Sub(r.since)) {
-				overdue++
-			}
-		}
-		d.apply(a.name, d.health.ObserveOverdue(a.name, overdue, now))
-	}
-}
-
-// apply lets the verdict on an agent take effect.
-func (d *Dispatch) apply(name string, v health.Verdict) {
-	a, known := d.agents[name]
-	if !known || v == health.Keep || d.baseline {
-		return
-	}
-	a.ejected = v != health.Readmit
-	a.probing = v == health.Probe
-	if v == health.Eject {
-		d.release(a)
-	}
-}
-
-// Ejected lists the attached agents that get no tasks, or only one to probe them.
-func (d *Dispatch) Ejected() []string {
-	var names []string
-	for _, a := range d.list {
-		if a.ejected {
-			names = append(names, a.name)
-		}
-	}
-	return names
-}
-
-// Agents returns the names of the attached agents.
-func (d *Dispatch) Agents() []string {
-	names := make([]string, 0, len(d.list))
-	for _, a := range d.list {
-		names = append(names, a.name)
-	}
-	return names
-}
-
-// Slots returns the number of slots at the agents that take tasks.
-func (d *Dispatch) Slots() int {
-	total := 0
-	for _, a := range d.list {
-		if a.usable() {
-			total += a.slots
-		}
-	}
-	return total
-}
-
-func (a *agent) usable() bool { return !a.draining && (!a.ejected || a.probing) }
-
-// room is how many tasks the agent can start at once as far as is known here.
-func (a *agent) room() int {
-	room := a.free - a.total
-	if a.probing {
-		return min(room, 1-a.total)
-	}
-	return room
-}
-
-// Candidates returns the agents that a new job is registered with: the ones
-// with the most room first, the others in an order that differs per job.
-func (d *Dispatch) Candidates() []string {
-	usable := d.byRoom()
-	names := make([]string, 0, min(len(usable), maxCandidates))
-	for _, a := range usable[:min(len(usable), maxCandidates)] {
-		names = append(names, a.name)
-	}
-	return names
-}
-
-func (d *Dispatch) byRoom() []*agent {
-	usable := make([]*agent, 0, len(d.list))
-	for _, a := range d.list {
-		if a.usable() {
-			usable = append(usable, a)
-		}
-	}
-	d.random.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
-	slices.SortStableFunc(usable, func(a, b *agent) int { return cmp.Compare(b.room(), a.room()) })
-	return usable
-}
-
 // Waiting returns the number of tasks of a kind that wait here.
 func (d *Dispatch) Waiting(kind string) int {
 	total := 0
@@ -372,123 +185,6 @@
 	j.SetInDispatch(false)
 }
 
-// promise tells agents with room about tasks that nobody was told of yet. What
-// finds no room is made known to all, so that the next free slot pulls it.
-func (d *Dispatch) promise(f *flow) {
-	need := f.count - f.promised
-	if need <= 0 {
-		return
-	}
-	for _, a := range d.byRoom() {
-		room := a.room()
-		if need <= 0 || room <= 0 {
-			break
-		}
-		n := min(room, need)
-		a.promised[f.name] += n
-		a.total += n
-		f.promised += n
-		need -= n
-		d.tell(a, f, a.believed[f.name]+n, true)
-	}
-	if need > 0 {
-		d.tellSome(f, need)
-	}
-}
-
-// tellSome makes waiting tasks known to agents without room. The next free slot
-// of any of them pulls: two agents for few
-// tasks, more for many.
-func (d *Dispatch) tellSome(f *flow, count int) {
-	told := 0
-	for _, a := range d.list {
-		if a.usable() && a.believed[f.name] > 0 {
-			told++
-		}
-	}
-	wanted := max(leastTold, count/toldShare)
-	if told >= wanted {
-		return
-	}
-	for _, a := range d.byRoom() {
-		if told >= wanted {
-			return
-		}
-		if a.believed[f.name] == 0 {
-			d.tell(a, f, count, false)
-			told++
-		}
-	}
-}
-
-// tellFree makes waiting tasks known to the agents that have a slot free now.
-// An agent that has heard of them and still does not pull hears again.
-func (d *Dispatch) tellFree(f *flow, now time.Time) {
-	again := now.Sub(f.again) > retell
-	if again {
-		f.again = now
-	}
-	for _, a := range d.list {
-		if a.usable() && a.free > 0 && (a.believed[f.name] == 0 || again) {
-			d.tell(a, f, f.count, true)
-		}
-	}
-}
-
-// recall tells agents that what they were told of is gone, so that they do not
-// pull for nothing.
-func (d *Dispatch) recall(f *flow) {
-	if f.count > f.promised {
-		return
-	}
-	for _, a := range d.list {
-		if a.believed[f.name] > 0 && a.promised[f.name] == 0 {
-			d.tell(a, f, 0, false)
-			d.wasted.Recalled++
-		}
-	}
-}
-
-// Busy takes it that an agent has no slot free for what it was promised: the
-// tasks are offered to others. The agent may still pull them.
-func (d *Dispatch) Busy(name string) {
-	if a, known := d.agents[name]; known && a.free == 0 {
-		d.release(a)
-	}
-}
-
-// release offers to others what an agent was promised and has not pulled.
-func (d *Dispatch) release(a *agent) {
-	for flowName, n := range a.promised {
-		if n == 0 {
-			continue
-		}
-		d.wasted.Busy += 2
-		a.promised[flowName] = 0
-		a.total -= n
-		f := d.flow(flowName)
-		f.promised -= n
-		d.promise(f)
-	}
-}
-
-func (d *Dispatch) tell(a *agent, f *flow, count int, now bool) {
-	a.believed[f.name] = count
-	d.host.Send(a.name, &wire.EntryFrame{Body: &wire.EntryFrame_Reserve{Reserve: &wire.Reserve{
-		Kind:  f.name.Kind,
-		Team:  f.name.Team,
-		Count: uint32(count),
-		Now:   now,
-	}}})
-}
-
-// spread makes waiting tasks known to agents that have not heard of them.
-func (d *Dispatch) spread(f *flow) {
-	if f.count > 0 {
-		d.promise(f)
-	}
-}
-
 // Pull answers an agent that has slots for a flow.
 func (d *Dispatch) Pull(name string, p *wire.Pull) {
 	a, known := d.agents[name]
@@ -515,14 +211,6 @@
 	d.answer(a, f, p, tasks)
 }
 
-// keep counts a promise as kept by the pull.
-func (d *Dispatch) keep(a *agent, f *flow, count int) {
-	n := min(a.promised[f.name], count)
-	a.promised[f.name] -= n
-	a.total -= n
-	f.promised -= n
-}
-
 // take hands out tasks of the flow for a pull, first come first served.
 func (d *Dispatch) take(a *agent, f *flow, p *wire.Pull) []*wire.TaskStart {
 	count := int(p.GetCount())
