Keep an audit trail of ownership changes and planned stops

Cause: nobody could tell who had changed which ownership, and the house style asks for an audit trail.

Conclusion: ownership is on the trail; configuration and agents' drains are not yet.

--- a/commands/commands.go
+++ b/commands/commands.go
@@ -40,6 +40,7 @@
 	Submit  SubmitCommand  `cmd:"" help:"Submit a job and wait for its answer."`
 	Job     JobCommand     `cmd:"" help:"Show or cancel a job."`
 	Config  ConfigCommand  `cmd:"" help:"Check and show a settings folder."`
+	Audit   AuditCommand   `cmd:"" help:"Show the trail of changes: who changed what, when, from where."`
 	Status  StatusCommand  `cmd:"" help:"Show what processes say of themselves."`
 	Drain   DrainCommand   `cmd:"" help:"Stop a process as planned: no new work, nothing cut."`
 	Bench   BenchCommand   `cmd:"" help:"Run an experiment on loopback."`
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -19,6 +19,7 @@
 
 	"github.com/corianderhook/corianderhook/common/instance"
 	"github.com/corianderhook/corianderhook/connection/peer"
+	"github.com/corianderhook/corianderhook/process/audit"
 	"github.com/corianderhook/corianderhook/process/dispatch"
 	"github.com/corianderhook/corianderhook/process/logstore"
 	"github.com/corianderhook/corianderhook/process/membership"
@@ -62,6 +63,7 @@
 	self     ownership.Entry
 	started  time.Time
 	metrics  *metrics.Metrics
+	trail    *audit.Trail
 	peers    *peer.Peers
 	router   *router.Router
 	config   atomic.Pointer[config.Config]
@@ -91,6 +93,7 @@
 		deps:     deps,
 		started:  deps.Clock.Now(),
 		metrics:  metrics.New(),
+		trail:    audit.New(deps.Log, deps.Clock),
 		sessions: newSessions(),
 		asked:    make(chan struct{}),
 		quit:     make(chan struct{}),
@@ -190,6 +193,7 @@
 	go func() { failed <- e.grpc.Serve(l.Processes) }()
 	go func() { failed <- e.callers.Serve(l.Callers) }()
 	go func() { failed <- e.admin.Serve(l.Admin) }()
+	go e.trail.Run(ctx)
 	go e.follow(ctx)
 	go e.steer(ctx)
 	go e.tick(ctx)
@@ -230,6 +234,7 @@
 func (e *Entry) Drain(ctx context.Context) error {
 	klog.InfoS("CH0002 entry drains", "entry", e.self.Instance)
 	e.draining.Store(true)
+	e.audit("drain", e.self.Instance, "serving", "draining", nil)
 	e.peers.SetDraining()
 	e.callers.SetKeepAlivesEnabled(false)
 	err := e.waitHandedOver(ctx)
--- a/process/entry/steer.go
+++ b/process/entry/steer.go
@@ -4,12 +4,16 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/corianderhook/corianderhook/process/audit"
 	"github.com/corianderhook/corianderhook/process/membership"
 	"github.com/corianderhook/corianderhook/process/owner"
 	"github.com/corianderhook/corianderhook/version/ownership"
@@ -93,7 +97,9 @@
 
 func (e *Entry) carryOut(ctx context.Context, m *membership.Membership, p membership.Plan) error {
 	if p.Join {
-		return e.appendRecord(ctx, ownership.Record{Join: &e.self})
+		err := e.appendRecord(ctx, ownership.Record{Join: &e.self})
+		e.audit("join", e.self.Instance, "", e.self.Address, err)
+		return err
 	}
 	if len(p.Claim) > 0 {
 		klog.InfoS("CH0304 claims slots", "entry", e.self.Instance, "slots", len(p.Claim))
@@ -110,7 +116,9 @@
 		return err
 	}
 	for _, gone := range p.Leave {
-		if err := e.appendRecord(ctx, ownership.Record{Leave: gone}); err != nil {
+		err := e.appendRecord(ctx, ownership.Record{Leave: gone})
+		e.audit("leave", gone, "listed", "unheard for too long", err)
+		if err != nil {
 			return err
 		}
 	}
@@ -136,13 +144,45 @@
 		if len(c.Slots) == 0 {
 			continue
 		}
-		if err := e.appendRecord(ctx, ownership.Record{Claim: c}); err != nil {
+		before := e.ownersOf(c.Slots)
+		err := e.appendRecord(ctx, ownership.Record{Claim: c})
+		e.audit("claim", fmt.Sprintf("%d slots", len(c.Slots)), before, e.ownersOf(c.Slots), err)
+		if err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// ownersOf lists the owners of slots as the table has them now.
+func (e *Entry) ownersOf(claims []ownership.SlotClaim) string {
+	table := e.table.Load()
+	counts := map[string]int{}
+	for _, c := range claims {
+		counts[table.Slots[c.Slot].Owner]++
+	}
+	var parts []string
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		owner := name
+		if owner == "" {
+			owner = "nobody"
+		}
+		parts = append(parts, fmt.Sprintf("%s:%d", owner, counts[name]))
+	}
+	return strings.Join(parts, " ")
+}
+
+// audit takes a change that this entry made or failed to make.
+func (e *Entry) audit(what, subject, before, after string, err error) {
+	outcome := "done"
+	if err != nil {
+		outcome = "failed: " + err.Error()
+	}
+	e.trail.Add(audit.Record{
+		Who: e.self.Instance, From: e.self.Address, What: what, Subject: subject, Before: before, After: after, Outcome: outcome,
+	})
+}
+
 func (e *Entry) snapshot(ctx context.Context, m *membership.Membership) error {
 	state := *e.table.Load()
 	if err := e.appendRecord(ctx, ownership.Record{Snapshot: &state}); err != nil {
@@ -207,7 +247,9 @@
 		ready = claimsOf(requests)
 	}
 	claim := &ownership.Claim{Author: e.self.Instance, Owner: owner, Slots: ready}
-	return e.appendRecord(ctx, ownership.Record{Claim: claim})
+	err := e.appendRecord(ctx, ownership.Record{Claim: claim})
+	e.audit("hand-over", fmt.Sprintf("%d slots", len(ready)), e.self.Instance, e.ownersOf(ready), err)
+	return err
 }
 
 func (e *Entry) passOn(ctx context.Context, client wire.EntryClient, requests []*wire.HandOverRequest) []ownership.SlotClaim {
@@ -243,7 +285,9 @@
 		return err
 	}
 	for _, r := range records {
-		if err := e.appendRecord(ctx, r); err != nil {
+		err := e.appendRecord(ctx, r)
+		e.audit("witnesses", fmt.Sprintf("%d slots", len(r.Claim.Slots)), "", strings.Join(r.Claim.Witnesses, " "), err)
+		if err != nil {
 			return err
 		}
 	}
