--- a/process/agent/agent.go
+++ b/process/agent/agent.go
@@ -67,6 +67,8 @@
 	executor *actor.PID
 	links    *links
 	load     atomic.Pointer[wire.Load]
+	// idle tells that the executor needs no ticks but for expiry.
+	idle     atomic.Bool
 	asked    chan struct{}
 	askOnce  sync.Once
 	quit     chan struct{}
@@ -233,11 +235,17 @@
 func (a *Agent) tick(ctx context.Context) {
 	ticker := a.deps.Clock.NewTicker(tickEvery)
 	defer ticker.Stop()
+	expire := a.deps.Clock.NewTicker(expireEvery)
+	defer expire.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.Chan():
+			if !a.idle.Load() {
+				a.deps.System.Root.Send(a.executor, tick{})
+			}
+		case <-expire.Chan():
 			a.deps.System.Root.Send(a.executor, tick{})
 		}
 	}
--- a/process/dispatch/dispatch.go
+++ b/process/dispatch/dispatch.go
@@ -325,6 +325,9 @@
 	f.parked = kept
 }
 
+// Idle reports whether nothing waits here, so that Tick has nothing to do.
+func (d *Dispatch) Idle() bool { return len(d.flows) == 0 }
+
 // Wasted counts messages that brought no task, by their cause.
 type Wasted struct {
 	// Empty are pulls that found no task, and their answers.
--- a/process/entry/actor.go
+++ b/process/entry/actor.go
@@ -110,6 +110,7 @@
 		m.run(a.owner)
 		close(m.done)
 	}
+	a.entry.idle.Store(a.owner.Dispatch().Idle())
 }
 
 func (a *ownerActor) slowTick() {
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -71,6 +71,8 @@
 	owner    *actor.PID
 	sessions *sessions
 	draining atomic.Bool
+	// idle tells that the dispatcher needs no ticks.
+	idle     atomic.Bool
 	grpc     *grpc.Server
 	callers  *http.Server
 	admin    *http.Server
@@ -296,8 +298,11 @@
 		case <-ctx.Done():
 			return
 		case <-fast.Chan():
-			e.deps.System.Root.Send(e.owner, tick{})
+			if !e.idle.Load() {
+				e.deps.System.Root.Send(e.owner, tick{})
+			}
 		case <-slow.Chan():
+			e.deps.System.Root.Send(e.owner, tick{})
 			e.deps.System.Root.Send(e.owner, slowTick{})
 		}
 	}
