Publish configuration over the log, with one verdict at every reader

Change: a change names the file version that it replaces and carries an id; every reader folds the same verdict: conflict, not valid as a whole, or accepted. Entries tail the stream and bring each other up to date over heartbeats, agents hear from entries.

Tokens and roles are not built.

--- a/commands/agent.go
+++ b/commands/agent.go
@@ -17,7 +17,7 @@
 
 // Run runs the agent until a signal ends it.
 func (c *AgentCommand) Run() error {
-	settings, err := readSettings(c.Config, config.RoleAgent)
+	settings, files, err := readSettings(c.Config, config.RoleAgent)
 	if err != nil {
 		return err
 	}
@@ -25,7 +25,7 @@
 	if err != nil {
 		return usageError{errors.Wrap(err, "setting [agent] admin")}
 	}
-	a := agent.New(agent.Dependencies{Config: settings, Clock: realClock(), System: newSystem()})
+	a := agent.New(agent.Dependencies{Config: settings, Files: files, Clock: realClock(), System: newSystem()})
 	return runUntilSignal(lifecycle{
 		drainTime: settings.DrainTime(),
 		run:       func(ctx context.Context) error { return a.Run(ctx, admin) },
--- a/commands/config.go
+++ b/commands/config.go
@@ -12,6 +12,11 @@
 	Check ConfigCheckCommand `cmd:"" help:"Check a settings folder and list all that is wrong with it."`
 	Show  ConfigShowCommand  `cmd:"" help:"Show the merged settings and the file that each value came from."`
 	Keys  ConfigKeysCommand  `cmd:"" help:"List every section and key with unit and default."`
+
+	Publish  ConfigPublishCommand  `cmd:"" help:"Publish one change of one file to every process."`
+	Diff     ConfigDiffCommand     `cmd:"" help:"Compare a file with the published one in force."`
+	History  ConfigHistoryCommand  `cmd:"" help:"List the changes and what each led to."`
+	Rollback ConfigRollbackCommand `cmd:"" help:"Publish an old text of a file as a new change."`
 }
 
 // ConfigCheckCommand checks a folder.
--- a/commands/entry.go
+++ b/commands/entry.go
@@ -19,7 +19,7 @@
 
 // Run runs the entry until a signal ends it.
 func (c *EntryCommand) Run() error {
-	settings, err := readSettings(c.Config, config.RoleEntry)
+	settings, files, err := readSettings(c.Config, config.RoleEntry)
 	if err != nil {
 		return err
 	}
@@ -29,6 +29,7 @@
 	}
 	e := entry.New(entry.Dependencies{
 		Config: settings,
+		Files:  files,
 		Log:    logclient.New(settings.Process().Log),
 		Clock:  realClock(),
 		System: newSystem(),
@@ -49,19 +50,19 @@
 	return uint64(time.Now().UnixNano())
 }
 
-func readSettings(folder string, role config.Role) (*config.Config, error) {
+func readSettings(folder string, role config.Role) (*config.Config, []config.File, error) {
 	files, err := config.ReadFolder(folder)
 	if err != nil {
-		return nil, usageError{err}
+		return nil, nil, usageError{err}
 	}
 	settings, err := config.Merge(files)
 	if err != nil {
-		return nil, usageError{err}
+		return nil, nil, usageError{err}
 	}
 	if err := settings.Require(role); err != nil {
-		return nil, usageError{err}
+		return nil, nil, usageError{err}
 	}
-	return settings, nil
+	return settings, files, nil
 }
 
 // lifecycle is how a process is run and stopped.
--- /dev/null
+++ b/commands/publish.go
@@ -0,0 +1,212 @@
+package commands
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/corianderhook/corianderhook/connection/logclient"
+	"github.com/corianderhook/corianderhook/version/publication"
+)
+
+// Operator is how configuration commands reach the log.
+type Operator struct {
+	Log string `required:"" placeholder:"IP:PORT" help:"Address of the platform's log."`
+}
+
+// change is one change of the stream with what it led to.
+type change struct {
+	publication.Change
+	verdict publication.Verdict
+	offset  uint64
+}
+
+// read folds the whole stream.
+func (o *Operator) read() (*publication.Publication, []change, error) {
+	if _, err := netip.ParseAddrPort(o.Log); err != nil {
+		return nil, nil, usageError{errors.Errorf("--log is %q; it must be an IP number and a port", o.Log)}
+	}
+	client := logclient.New(o.Log)
+	folded := publication.New()
+	var changes []change
+	for from := uint64(0); ; {
+		ctx, cancel := context.WithTimeout(context.Background(), adminTime)
+		batch, err := client.Read(ctx, publication.Stream, from, 0)
+		cancel()
+		if err != nil {
+			return nil, nil, err
+		}
+		for i, raw := range batch.Records {
+			offset := batch.From + uint64(i)
+			verdict := folded.Apply(offset, raw)
+			var r publication.Record
+			if json.Unmarshal(raw, &r) == nil && r.Change != nil {
+				changes = append(changes, change{Change: *r.Change, verdict: verdict, offset: offset})
+			}
+		}
+		from = batch.From + uint64(len(batch.Records))
+		if len(batch.Records) == 0 || from >= batch.Next {
+			return folded, changes, nil
+		}
+	}
+}
+
+// publish appends a change until the log has it, and says what it led to.
+func (o *Operator) publish(s *Streams, c publication.Change) error {
+	c.ID = uuid.NewString()
+	host, err := os.Hostname()
+	if err == nil {
+		c.From = host
+	}
+	raw, err := json.Marshal(publication.Record{Change: &c})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), adminTime)
+	defer cancel()
+	_, appendErr := logclient.New(o.Log).Append(ctx, publication.Stream, raw)
+	_, changes, err := o.read()
+	if err != nil {
+		return errors.Wrap(err, "whether the change was published is not known")
+	}
+	for _, one := range changes {
+		if one.ID != c.ID {
+			continue
+		}
+		if !one.verdict.Accepted {
+			return errors.Errorf("file %q was not published: %s", c.File, one.verdict.Reason)
+		}
+		fmt.Fprintf(s.Out, "published: file=%s version=%d change=%s\n", c.File, one.verdict.Version, c.ID)
+		return nil
+	}
+	return errors.Wrapf(appendErr, "file %q was not published", c.File)
+}
+
+// ConfigPublishCommand publishes a file.
+type ConfigPublishCommand struct {
+	Operator
+	Author string `required:"" help:"Who publishes it."`
+	Base   int64  `default:"-1" help:"Version of the file that it replaces; -1 takes the one in force now."`
+	File   string `arg:"" help:"INI file with kinds, teams or limits."`
+}
+
+// Run publishes one change of one file.
+func (c *ConfigPublishCommand) Run(s *Streams) error {
+	text, err := os.ReadFile(c.File)
+	if err != nil {
+		return usageError{err}
+	}
+	folded, _, err := c.read()
+	if err != nil {
+		return err
+	}
+	name := filepath.Base(c.File)
+	base := folded.State().Files[name].Version
+	if c.Base >= 0 {
+		base = uint64(c.Base)
+	}
+	return c.publish(s, publication.Change{File: name, Base: base, Author: c.Author, Text: string(text)})
+}
+
+// ConfigHistoryCommand lists the changes.
+type ConfigHistoryCommand struct {
+	Operator
+}
+
+// Run prints every change that the log still has, and what it led to.
+func (c *ConfigHistoryCommand) Run(s *Streams) error {
+	_, changes, err := c.read()
+	if err != nil {
+		return err
+	}
+	table := tabwriter.NewWriter(s.Out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "OFFSET\tFILE\tREPLACES\tAUTHOR\tFROM\tRESULT")
+	for _, one := range changes {
+		result := fmt.Sprintf("version %d", one.verdict.Version)
+		if !one.verdict.Accepted {
+			result = "void: " + one.verdict.Reason
+		}
+		fmt.Fprintf(table, "%d\t%s\t%d\t%s\t%s\t%s\n", one.offset, one.File, one.Base, one.Author, one.From, result)
+	}
+	return table.Flush()
+}
+
+// ConfigRollbackCommand restores an old text of a file by a new change.
+type ConfigRollbackCommand struct {
+	Operator
+	Author string `required:"" help:"Who publishes it."`
+	To     uint64 `required:"" help:"Version of the file whose text is to be in force again."`
+	File   string `arg:"" help:"Name of the published file."`
+}
+
+// Run publishes the old text as a new version.
+func (c *ConfigRollbackCommand) Run(s *Streams) error {
+	folded, changes, err := c.read()
+	if err != nil {
+		return err
+	}
+	for _, one := range changes {
+		if one.File != c.File || !one.verdict.Accepted || one.verdict.Version != c.To {
+			continue
+		}
+		base := folded.State().Files[c.File].Version
+		return c.publish(s, publication.Change{File: c.File, Base: base, Author: c.Author, Text: one.Text})
+	}
+	return errors.Errorf("version %d of file %q is not on the log", c.To, c.File)
+}
+
+// ConfigDiffCommand compares a file with the published one.
+type ConfigDiffCommand struct {
+	Operator
+	File string `arg:"" help:"INI file."`
+}
+
+// Run prints the lines that differ; it fails where there are any.
+func (c *ConfigDiffCommand) Run(s *Streams) error {
+	text, err := os.ReadFile(c.File)
+	if err != nil {
+		return usageError{err}
+	}
+	folded, _, err := c.read()
+	if err != nil {
+		return err
+	}
+	name := filepath.Base(c.File)
+	published := folded.State().Files[name]
+	old, mine := strings.Split(published.Text, "\n"), strings.Split(string(text), "\n")
+	differs := printMissing(s, "-", old, mine)
+	differs = printMissing(s, "+", mine, old) || differs
+	if differs {
+		return errors.Errorf("file %q differs from version %d in force", name, published.Version)
+	}
+	fmt.Fprintf(s.Out, "file %q is as version %d in force\n", name, published.Version)
+	return nil
+}
+
+// printMissing prints the lines of one text that the other lacks.
+func printMissing(s *Streams, mark string, lines, other []string) bool {
+	counts := map[string]int{}
+	for _, l := range other {
+		counts[l]++
+	}
+	found := false
+	for _, l := range lines {
+		if counts[l] > 0 {
+			counts[l]--
+			continue
+		}
+		if strings.TrimSpace(l) != "" {
+			fmt.Fprintln(s.Out, mark, l)
+			found = true
+		}
+	}
+	return found
+}
--- a/commands/status.go
+++ b/commands/status.go
@@ -37,6 +37,7 @@
 	Waiting  any            `json:"waiting,omitempty"`
 	LogNext  uint64         `json:"log_next,omitempty"`
 	Entries  []string       `json:"entries,omitempty"`
+	Config   uint64         `json:"config"`
 	Extra    map[string]any `json:"-"`
 }
 
@@ -68,9 +69,9 @@
 		return encoder.Encode(list)
 	}
 	table := tabwriter.NewWriter(s.Out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "PROCESS\tZONE\tSTATE\tJOBS\tKEYS\tRUNNING\tPEERS")
+	fmt.Fprintln(table, "PROCESS\tZONE\tSTATE\tJOBS\tKEYS\tRUNNING\tPEERS\tCONFIG")
 	for _, p := range list {
-		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%d\t%d\n", p.Entry+p.Agent, p.Zone, p.state(), p.Jobs, p.Keys, p.Running, len(p.Entries)+len(p.Agents))
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\n", p.Entry+p.Agent, p.Zone, p.state(), p.Jobs, p.Keys, p.Running, len(p.Entries)+len(p.Agents), p.Config)
 	}
 	return table.Flush()
 }
--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -39,10 +39,18 @@
 	// Silence is within which time a silent connection is replaced: it is given up
 	// after three quarters of it.
 	Silence time.Duration
+	// Config is the configuration in force, which peers bring each other up to.
+	Config Config
 	// Pass, where set, may hold messages back in experiments.
 	Pass func()
 }
 
+// Config is the published configuration of this entry.
+type Config interface {
+	ConfigVersion() uint64
+	Adopt(newer *wire.ConfigVersion)
+}
+
 // Peers are the connections of one entry to all others. They are safe for
 // concurrent use.
 type Peers struct {
@@ -200,6 +208,9 @@
 func (p *Peers) hear(l *link, beat *wire.PeerHeartbeat, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if len(beat.GetConfig().GetFiles()) > 0 {
+		go p.settings.Config.Adopt(beat.GetConfig())
+	}
 	if l.peer.FirstHeard.IsZero() {
 		l.peer.FirstHeard = now
 	}
@@ -217,6 +228,7 @@
 		Entry:    p.settings.Self,
 		Clock:    p.Now(),
 		Draining: p.draining,
+		Config:   &wire.ConfigVersion{Version: p.settings.Config.ConfigVersion()},
 	}
 	for name, l := range p.links {
 		if p.settings.Clock.Since(l.peer.LastHeard) <= membership.Suspicion {
--- a/process/agent/actor.go
+++ b/process/agent/actor.go
@@ -47,7 +47,7 @@
 func newExecutorActor(ctx context.Context, a *Agent) *executorActor {
 	e := &executorActor{agent: a, ctx: ctx, live: map[string]*link{}}
 	c := a.deps.Config
-	e.executor = executor.New(e, c, c.Agent().Slots, recordTime(c))
+	e.executor = executor.New(e, a, c.Agent().Slots, recordTime(c))
 	return e
 }
 
--- a/process/agent/agent.go
+++ b/process/agent/agent.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -46,6 +47,8 @@
 // Dependencies are what an agent works with.
 type Dependencies struct {
 	Config *config.Config
+	// Files are the files that Config was merged from; published ones join them.
+	Files  []config.File
 	Clock  clockwork.Clock
 	System *actor.ActorSystem
 	// Gate, where set, may hold messages back.
@@ -67,6 +70,10 @@
 	executor *actor.PID
 	links    *links
 	load     atomic.Pointer[wire.Load]
+	config   atomic.Pointer[config.Config]
+	// published is the version of the published files in force here.
+	published atomic.Uint64
+	adoptMu   sync.Mutex
 	// idle tells that the executor needs no ticks but for expiry.
 	idle     atomic.Bool
 	asked    chan struct{}
@@ -88,6 +95,7 @@
 		quit:     make(chan struct{}),
 		done:     make(chan struct{}),
 	}
+	a.config.Store(c)
 	a.links = newLinks(a)
 	return a
 }
@@ -170,16 +178,18 @@
 
 // Status is what an agent shows of itself.
 type Status struct {
-	Agent    string   `json:"agent"`
-	Zone     string   `json:"zone"`
-	Endpoint string   `json:"endpoint"`
-	Slots    int      `json:"slots"`
-	Running  int      `json:"running"`
-	Waiting  int      `json:"waiting"`
-	Keys     int      `json:"keys"`
-	Jobs     int      `json:"jobs"`
-	Draining bool     `json:"draining"`
-	Entries  []string `json:"entries"`
+	Agent    string `json:"agent"`
+	Zone     string `json:"zone"`
+	Endpoint string `json:"endpoint"`
+	Slots    int    `json:"slots"`
+	Running  int    `json:"running"`
+	Waiting  int    `json:"waiting"`
+	Keys     int    `json:"keys"`
+	Jobs     int    `json:"jobs"`
+	Draining bool   `json:"draining"`
+	// Config is the number of published changes in force.
+	Config  uint64   `json:"config"`
+	Entries []string `json:"entries"`
 }
 
 // Status returns what the agent shows of itself.
@@ -190,6 +200,7 @@
 		Endpoint: a.deps.Config.Agent().Endpoint,
 		Slots:    a.deps.Config.Agent().Slots,
 		Entries:  a.links.connected(),
+		Config:   a.published.Load(),
 	}
 	done := make(chan struct{})
 	a.deps.System.Root.Send(a.executor, inspect{done: done, run: func(e *executor.Executor) {
@@ -264,6 +275,34 @@
 	a.deps.System.Root.Send(a.executor, finished{task: t, record: record})
 }
 
+// adopt puts published files into force where they are newer.
+func (a *Agent) adopt(newer *wire.ConfigVersion) {
+	a.adoptMu.Lock()
+	defer a.adoptMu.Unlock()
+	if newer.GetVersion() <= a.published.Load() {
+		return
+	}
+	files := slices.Clone(a.deps.Files)
+	for _, f := range newer.GetFiles() {
+		files = append(files, config.File{Name: f.GetName(), Text: f.GetText()})
+	}
+	merged, err := config.Merge(files)
+	if err != nil {
+		klog.ErrorS(err, "CH0502 published configuration does not fit this process's own files", "agent", a.id, "version", newer.GetVersion())
+		return
+	}
+	a.config.Store(merged)
+	a.published.Store(newer.GetVersion())
+	a.metrics.Config(newer.GetVersion())
+	klog.InfoS("CH0501 configuration in force", "agent", a.id, "version", newer.GetVersion())
+}
+
+// KindWeight returns the weight of a kind in the configuration in force.
+func (a *Agent) KindWeight(kind string) float64 { return a.config.Load().KindWeight(kind) }
+
+// TeamWeight returns the weight of a team in the configuration in force.
+func (a *Agent) TeamWeight(team string) float64 { return a.config.Load().TeamWeight(team) }
+
 // recordTime is how long an agent keeps records that no owner forgets: longer
 // than any job can run and its answer is kept.
 func recordTime(c *config.Config) time.Duration {
--- a/process/agent/links.go
+++ b/process/agent/links.go
@@ -207,6 +207,9 @@
 		for _, f := range batch.GetFrames() {
 			if pong := f.GetPong(); pong != nil {
 				l.learn(parent, pong.GetEntries())
+				if pong.GetConfig() != nil {
+					l.agent.adopt(pong.GetConfig())
+				}
 			}
 		}
 		l.agent.deps.System.Root.Send(l.agent.executor, received{link: own, batch: batch})
--- a/process/entry/admin.go
+++ b/process/entry/admin.go
@@ -32,6 +32,8 @@
 	Keys     int            `json:"keys"`
 	Waiting  map[string]int `json:"waiting"`
 	LogNext  uint64         `json:"log_next"`
+	// Config is the number of published changes in force.
+	Config uint64 `json:"config"`
 }
 
 func (e *Entry) adminHandler() http.Handler {
@@ -82,6 +84,7 @@
 	err := e.onOwner(ctx, func(o *owner.Owner) { e.describe(o, &s) })
 	table := e.table.Load()
 	s.LogNext = table.Next
+	s.Config = e.published.Load().Version
 	owned := 0
 	for _, one := range table.Slots {
 		if one.Epoch > 0 {
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -28,6 +28,7 @@
 	"github.com/corianderhook/corianderhook/request/gateway"
 	"github.com/corianderhook/corianderhook/version/config"
 	"github.com/corianderhook/corianderhook/version/ownership"
+	"github.com/corianderhook/corianderhook/version/publication"
 	"github.com/corianderhook/corianderhook/wire"
 )
 
@@ -45,6 +46,8 @@
 	System *actor.ActorSystem
 	// Seed breaks ties and spreads Retry-After.
 	Seed uint64
+	// Files are the files that Config was merged from; published ones join them.
+	Files []config.File
 	// Dispatch changes how the dispatcher decides, for baselines of experiments.
 	Dispatch []dispatch.Option
 	// Gate, where set, may hold messages back; see Gate.
@@ -59,18 +62,22 @@
 
 // Entry is one entry process.
 type Entry struct {
-	deps     Dependencies
-	self     ownership.Entry
-	started  time.Time
-	metrics  *metrics.Metrics
-	trail    *audit.Trail
-	peers    *peer.Peers
-	router   *router.Router
-	config   atomic.Pointer[config.Config]
-	table    atomic.Pointer[ownership.State]
-	owner    *actor.PID
-	sessions *sessions
-	draining atomic.Bool
+	deps    Dependencies
+	self    ownership.Entry
+	started time.Time
+	metrics *metrics.Metrics
+	trail   *audit.Trail
+	peers   *peer.Peers
+	router  *router.Router
+	config  atomic.Pointer[config.Config]
+	// published is the configuration from the log that is in force here.
+	published atomic.Pointer[publication.State]
+	adoptMu   sync.Mutex
+	adopted   *publication.Publication
+	table     atomic.Pointer[ownership.State]
+	owner     *actor.PID
+	sessions  *sessions
+	draining  atomic.Bool
 	// idle tells that the dispatcher needs no ticks.
 	idle     atomic.Bool
 	grpc     *grpc.Server
@@ -109,6 +116,9 @@
 		},
 	}
 	e.config.Store(c)
+	e.adopted = publication.New()
+	none := e.adopted.State()
+	e.published.Store(&none)
 	empty := ownership.New().Snapshot()
 	e.table.Store(&empty)
 	var pass func()
@@ -121,6 +131,7 @@
 		Clock:   deps.Clock,
 		Started: e.started,
 		Silence: c.Silence(),
+		Config:  e,
 	})
 	e.router = router.New(router.Dependencies{
 		Self:  e.self.Instance,
@@ -196,6 +207,7 @@
 	go func() { failed <- e.callers.Serve(l.Callers) }()
 	go func() { failed <- e.admin.Serve(l.Admin) }()
 	go e.trail.Run(ctx)
+	go e.followConfig(ctx)
 	go e.follow(ctx)
 	go e.steer(ctx)
 	go e.tick(ctx)
--- a/process/entry/service.go
+++ b/process/entry/service.go
@@ -32,6 +32,8 @@
 	heard chan struct{}
 	// told is the table whose entries the agent has had; only receive uses it.
 	told *ownership.State
+	// configTold is the version of the published files that the agent has had.
+	configTold uint64
 }
 
 // sessions holds the newest session of each agent.
@@ -132,6 +134,7 @@
 			own.out.Put(&wire.EntryFrame{Body: &wire.EntryFrame_Pong{Pong: &wire.Pong{
 				Sequence: ping.GetSequence(),
 				Entries:  s.news(own),
+				Config:   s.configNews(own),
 			}}})
 		}
 	}
@@ -146,6 +149,16 @@
 	return nil
 }
 
+// configNews returns the published files where the session has not had them yet.
+func (s *service) configNews(own *session) *wire.ConfigVersion {
+	state := s.entry.published.Load()
+	if state.Version <= own.configTold {
+		return nil
+	}
+	own.configTold = state.Version
+	return configWire(*state)
+}
+
 // watch ends a session that has been silent for too long.
 func (s *service) watch(ctx context.Context, cancel context.CancelFunc, own *session) {
 	silence := s.entry.deps.Config.Silence()
@@ -185,7 +198,11 @@
 		}
 		s.pass()
 		s.entry.peers.Heard(beat)
-		if err := stream.Send(s.entry.peers.Heartbeat()); err != nil {
+		answer := s.entry.peers.Heartbeat()
+		if state := s.entry.published.Load(); state.Version > beat.GetConfig().GetVersion() {
+			answer.Config = configWire(*state)
+		}
+		if err := stream.Send(answer); err != nil {
 			return err
 		}
 	}
--- a/process/local/local.go
+++ b/process/local/local.go
@@ -186,6 +186,7 @@
 		options = append(options, dispatch.WithBaseline())
 	}
 	n.Entry = entry.New(entry.Dependencies{
+		Files:    n.files,
 		Dispatch: options,
 		Config:   c,
 		Log:      logclient.New(l.logAddr),
@@ -238,7 +239,7 @@
 	}
 	n.Admin = n.admin.Addr().String()
 	n.Gate = NewGate()
-	n.Agent = agent.New(agent.Dependencies{Config: c, Clock: l.settings.Clock, System: l.system, Gate: n.Gate})
+	n.Agent = agent.New(agent.Dependencies{Config: c, Files: n.files, Clock: l.settings.Clock, System: l.system, Gate: n.Gate})
 	l.group.Add(1)
 	go func() {
 		defer l.group.Done()
