Measure configuration in force; let idle agents sleep

Cause: the 4 s to be in force were not shown, and 192 idle agents woke 9600 times a second for ticks that had nothing to do.

Change: bench config publishes ten changes a second with the log healthy, slow by 100 ms, and down for 3 s, and follows every process. An idle agent waits for work instead of its ticker.

--- a/commands/bench.go
+++ b/commands/bench.go
@@ -15,7 +15,7 @@
 
 // BenchCommand runs experiments.
 type BenchCommand struct {
-	Scenario string `arg:"" help:"Scenario, all, scale, or list."`
+	Scenario string `arg:"" help:"Scenario, all, scale, config, or list."`
 	Seed     uint64 `default:"1" help:"Seed of the arrivals: the same seed gives the same jobs at the same times."`
 	Policy   string `enum:"fair,fifo" default:"fair" help:"Policy to run: fair is the product's, fifo is the baseline."`
 	Check    bool   `help:"Compare the figures with the stated targets; exit code 1 on a miss."`
@@ -30,6 +30,10 @@
 		quietLogs()
 		return c.scale(s)
 	}
+	if c.Scenario == "config" {
+		quietLogs()
+		return c.publish(s)
+	}
 	if c.Scenario == "list" {
 		for _, one := range bench.Table() {
 			fmt.Fprintf(s.Out, "%-12s %s\n", one.Name, one.Help)
@@ -71,6 +75,18 @@
 	return nil
 }
 
+// publish measures how long configuration changes take to be in force.
+func (c *BenchCommand) publish(s *Streams) error {
+	for _, weather := range []string{"healthy", "slow", "down"} {
+		line, err := bench.Publish(context.Background(), weather, bench.Settings{Clock: realClock(), System: newSystem(), Seed: c.Seed})
+		if err != nil {
+			return errors.Wrapf(err, "bench config with the log %s", weather)
+		}
+		fmt.Fprintln(s.Out, line)
+	}
+	return nil
+}
+
 func (c *BenchCommand) choose() ([]bench.Scenario, error) {
 	var names []string
 	for _, one := range bench.Table() {
--- a/process/agent/actor.go
+++ b/process/agent/actor.go
@@ -77,7 +77,13 @@
 	}
 	load := e.executor.Load()
 	e.agent.load.Store(load)
-	e.agent.idle.Store(e.executor.Idle() && load.GetFree() == e.told)
+	idle := e.executor.Idle() && load.GetFree() == e.told
+	if e.agent.idle.Swap(idle) && !idle {
+		select {
+		case e.agent.wake <- struct{}{}:
+		default:
+		}
+	}
 	if (load.GetFree() == 0) != (e.told == 0) && e.Now().Sub(e.toldAt) > fullGap {
 		e.report(load.GetFree())
 	}
--- a/process/agent/agent.go
+++ b/process/agent/agent.go
@@ -74,8 +74,9 @@
 	// published is the version of the published files in force here.
 	published atomic.Uint64
 	adoptMu   sync.Mutex
-	// idle tells that the executor needs no ticks but for expiry.
+	// idle tells that the executor needs no ticks but for expiry; wake ends that.
 	idle     atomic.Bool
+	wake     chan struct{}
 	asked    chan struct{}
 	askOnce  sync.Once
 	quit     chan struct{}
@@ -92,6 +93,7 @@
 		endpoint: endpoint.New(c.Agent().Endpoint, c.Agent().Connections, deps.Clock),
 		metrics:  metrics.New(),
 		asked:    make(chan struct{}),
+		wake:     make(chan struct{}, 1),
 		quit:     make(chan struct{}),
 		done:     make(chan struct{}),
 	}
@@ -249,13 +251,16 @@
 	expire := a.deps.Clock.NewTicker(expireEvery)
 	defer expire.Stop()
 	for {
+		var due <-chan time.Time
+		if !a.idle.Load() {
+			due = ticker.Chan()
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.Chan():
-			if !a.idle.Load() {
-				a.deps.System.Root.Send(a.executor, tick{})
-			}
+		case <-a.wake:
+		case <-due:
+			a.deps.System.Root.Send(a.executor, tick{})
 		case <-expire.Chan():
 			a.deps.System.Root.Send(a.executor, tick{})
 		}
