--- /dev/null
+++ b/process/membership/membership_test.go
@@ -0,0 +1,144 @@
+package membership_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/corianderhook/corianderhook/process/membership"
+	"github.com/corianderhook/corianderhook/version/ownership"
+)
+
+var start = time.Unix(1000, 0)
+
+// view is what e1 sees: three entries, each owning what is preferred for it,
+// and four agents in three availability zones.
+func view(at time.Duration) membership.View {
+	v := membership.View{
+		Now:   start.Add(at),
+		Self:  ownership.Entry{Instance: "e1", Cell: "main"},
+		Table: ownership.New().Snapshot(),
+		Peers: map[string]membership.Peer{},
+		Agents: []membership.Agent{
+			{Instance: "a1", Zone: "z1"},
+			{Instance: "a2", Zone: "z2"},
+			{Instance: "a3", Zone: "z3"},
+			{Instance: "a4", Zone: "z1"},
+		},
+	}
+	all := []string{"e1", "e2", "e3"}
+	for _, name := range all {
+		v.Table.Entries[name] = ownership.Entry{Instance: name, Cell: "main"}
+		if name != "e1" {
+			v.Peers[name] = membership.Peer{FirstHeard: start, LastHeard: v.Now}
+		}
+	}
+	for i := range v.Table.Slots {
+		v.Table.Slots[i] = ownership.SlotState{Owner: ownership.Prefer(uint32(i), all), Epoch: 1, Witnesses: []string{"a1", "a2", "a3"}}
+	}
+	return v
+}
+
+func silent(v membership.View, name string) membership.View {
+	v.Peers[name] = membership.Peer{FirstHeard: start, LastHeard: start}
+	return v
+}
+
+func TestNothingToDo(t *testing.T) {
+	is := is.New(t)
+	p := membership.New(start).Decide(view(10 * time.Second))
+	is.True(!p.Join)
+	is.Equal(len(p.Claim)+len(p.HandOver)+len(p.Rewitness)+len(p.Leave), 0)
+}
+
+func TestJoinsFirst(t *testing.T) {
+	is := is.New(t)
+	v := view(0)
+	delete(v.Table.Entries, "e1")
+	is.True(membership.New(start).Decide(v).Join)
+	v.Draining = true
+	is.True(!membership.New(start).Decide(v).Join)
+}
+
+func TestSlotsOfADeadEntryAreSharedOut(t *testing.T) {
+	is := is.New(t)
+	v := silent(view(10*time.Second), "e3")
+	p := membership.New(start).Decide(v)
+	is.True(len(p.Claim) > 0)
+	for _, c := range p.Claim {
+		is.Equal(v.Table.Slots[c.Slot].Owner, "e3")
+		is.Equal(ownership.Prefer(c.Slot, []string{"e1", "e2"}), "e1")
+		is.Equal(c.Expected, uint64(1))
+	}
+}
+
+func TestEntryThatAnotherHearsIsNotDead(t *testing.T) {
+	is := is.New(t)
+	v := silent(view(10*time.Second), "e3")
+	e2 := v.Peers["e2"]
+	e2.Hears = []string{"e3"}
+	v.Peers["e2"] = e2
+	is.Equal(len(membership.New(start).Decide(v).Claim), 0)
+}
+
+func TestAnyEntryStepsInLater(t *testing.T) {
+	is := is.New(t)
+	m := membership.New(start)
+	v := silent(view(10*time.Second), "e3")
+	first := len(m.Decide(v).Claim)
+	v.Now = v.Now.Add(3 * time.Second)
+	v.Peers["e2"] = membership.Peer{FirstHeard: start, LastHeard: v.Now}
+	is.True(len(m.Decide(v).Claim) > first)
+}
+
+func TestDrainHandsEverythingOver(t *testing.T) {
+	is := is.New(t)
+	v := view(10 * time.Second)
+	v.Draining = true
+	p := membership.New(start).Decide(v)
+	handed := len(p.HandOver["e2"]) + len(p.HandOver["e3"])
+	owned := 0
+	for _, s := range v.Table.Slots {
+		if s.Owner == "e1" {
+			owned++
+		}
+	}
+	is.Equal(handed, owned)
+	is.Equal(len(p.Claim), 0)
+}
+
+func TestLostWitnessIsReplacedAfterAWhile(t *testing.T) {
+	is := is.New(t)
+	v := view(10 * time.Second)
+	v.Agents[0].GoneSince = v.Now.Add(-time.Second)
+	is.Equal(len(membership.New(start).Decide(v).Rewitness), 0)
+	v.Agents[0].GoneSince = v.Now.Add(-2 * time.Second)
+	p := membership.New(start).Decide(v)
+	is.True(len(p.Rewitness) > 0)
+	for _, chosen := range p.Rewitness {
+		is.Equal(chosen, []string{"a2", "a3", "a4"})
+	}
+}
+
+func TestWitnessesStandInDifferentZones(t *testing.T) {
+	is := is.New(t)
+	agents := []membership.Agent{
+		{Instance: "a", Zone: "z1"},
+		{Instance: "b", Zone: "z1"},
+		{Instance: "c", Zone: "z1"},
+		{Instance: "d", Zone: "z2"},
+		{Instance: "e", Zone: "z3"},
+	}
+	for slot := range uint32(64) {
+		zones := map[string]bool{}
+		for _, name := range membership.Choose(agents, nil, slot) {
+			for _, a := range agents {
+				if a.Instance == name {
+					zones[a.Zone] = true
+				}
+			}
+		}
+		is.Equal(len(zones), 3)
+	}
+}
--- /dev/null
+++ b/version/slot/slot_test.go
@@ -0,0 +1,133 @@
+package slot_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/corianderhook/corianderhook/request/answer"
+	"github.com/corianderhook/corianderhook/request/job"
+	"github.com/corianderhook/corianderhook/request/outcome"
+	"github.com/corianderhook/corianderhook/request/submission"
+	"github.com/corianderhook/corianderhook/version/slot"
+	"github.com/corianderhook/corianderhook/wire"
+)
+
+// host is an owner process that admits everything and keeps what is sent.
+type host struct {
+	sent    map[string][]*wire.EntryFrame
+	offered int
+}
+
+func (h *host) Self() string   { return "e#1" }
+func (h *host) Now() time.Time { return time.Unix(1000, 0) }
+func (h *host) Clock() uint64  { return 100 }
+func (h *host) Send(agent string, f *wire.EntryFrame) bool {
+	h.sent[agent] = append(h.sent[agent], f)
+	return true
+}
+func (h *host) Buried(string) bool                                 { return false }
+func (h *host) Candidates(string) []string                         { return []string{"a#1"} }
+func (h *host) Admit(*submission.Submission) (answer.Answer, bool) { return answer.Answer{}, true }
+func (h *host) Offer(uint32, *job.Job)                             { h.offered++ }
+func (h *host) Withdraw(*job.Job)                                  {}
+func (h *host) Finished(*job.Job, answer.Answer)                   {}
+func (h *host) Refused(*submission.Submission, answer.Answer)      {}
+func (h *host) JobDeadline(string) time.Duration                   { return time.Minute }
+func (h *host) Retention() time.Duration                           { return time.Minute }
+func (h *host) MaxKeys() int                                       { return 10 }
+
+type waiter struct{ got []answer.Answer }
+
+func (w *waiter) Answer(a answer.Answer) { w.got = append(w.got, a) }
+func (w *waiter) NotOwner()              {}
+
+var witnesses = []string{"w1#1", "w2#1", "w3#1"}
+
+func body() *submission.Submission {
+	return submission.New("t", "k", "kind", 0, [][]byte{[]byte("1")})
+}
+
+func key() *wire.JobKey {
+	return &wire.JobKey{Job: "t/k", Digest: body().Digest(), Tasks: 1, Kind: "kind", Agents: []string{"w1#1"}, Epoch: 1, Sequence: 1}
+}
+
+// recovered returns a slot at epoch 3 that has read w2, and asked w1 with the
+// returned fence.
+func recovered(h *host) (*slot.Slot, uint64) {
+	s := slot.New(h, 7, 3, witnesses, time.Time{})
+	s.Fenced("w2#1", 3, &wire.Fenced{Id: fenceOf(h, "w2#1"), Keys: []*wire.JobKey{key()}})
+	return s, fenceOf(h, "w1#1")
+}
+
+func fenceOf(h *host, agent string) uint64 {
+	frames := h.sent[agent]
+	return frames[len(frames)-1].GetFence().GetId()
+}
+
+func newHost() *host { return &host{sent: map[string][]*wire.EntryFrame{}} }
+
+func TestOneWitnessIsNotEnough(t *testing.T) {
+	is := is.New(t)
+	s, _ := recovered(newHost())
+	is.Equal(s.Phase(), slot.Recovering)
+}
+
+func TestAcknowledgementOfAnEarlierOwnershipDoesNotCount(t *testing.T) {
+	is := is.New(t)
+	h := newHost()
+	s, fence := recovered(h)
+	s.Fenced("w1#1", 3, &wire.Fenced{Id: fence})
+	is.Equal(s.Phase(), slot.Active)
+	w := &waiter{}
+	s.Submit(slot.Attempt{Body: submission.New("t", "new", "kind", 0, [][]byte{[]byte("1")}), Waiter: w, Owner: "e#1", Reading: 200})
+	j, known := s.Job("t/new")
+	is.True(known)
+	for _, agent := range witnesses {
+		s.Remembered(agent, 1, &wire.Remembered{Sequence: 99}) // from epoch 1
+	}
+	is.True(!j.IsReady())
+	s.Remembered("w1#1", 3, &wire.Remembered{Sequence: 99})
+	is.True(!j.IsReady())
+	s.Remembered("w3#1", 3, &wire.Remembered{Sequence: 99})
+	is.True(j.IsReady())
+}
+
+func TestAnswerToAnEarlierFenceDoesNotCount(t *testing.T) {
+	is := is.New(t)
+	h := newHost()
+	s, old := recovered(h)
+	s.Attached("w1#1") // a new session asks again
+	s.Fenced("w1#1", 3, &wire.Fenced{Id: old})
+	is.Equal(s.Phase(), slot.Recovering)
+	s.Fenced("w1#1", 3, &wire.Fenced{Id: fenceOf(h, "w1#1")})
+	is.Equal(s.Phase(), slot.Active)
+}
+
+func TestAnswerToARecoveredJobIsToldToTheWitnessesFirst(t *testing.T) {
+	is := is.New(t)
+	h := newHost()
+	s, fence := recovered(h)
+	w := &waiter{}
+	s.Submit(slot.Attempt{Body: body(), Waiter: w})
+	s.Fenced("w1#1", 3, &wire.Fenced{Id: fence, Jobs: []*wire.JobRecord{{Job: "t/k", Tasks: []*wire.TaskRecord{
+		{State: wire.TaskState_TASK_STATE_DONE},
+	}}}})
+	is.Equal(len(w.got), 0)
+	s.Remembered("w1#1", 3, &wire.Remembered{Sequence: 1})
+	is.Equal(len(w.got), 0)
+	s.Remembered("w2#1", 3, &wire.Remembered{Sequence: 1})
+	is.Equal(len(w.got), 1)
+	is.Equal(w.got[0].Outcome(), outcome.Complete)
+}
+
+func TestNewerEpochDeposes(t *testing.T) {
+	is := is.New(t)
+	h := newHost()
+	s, fence := recovered(h)
+	s.Fenced("w1#1", 2, &wire.Fenced{Id: fence, Deposed: true}) // an old refusal
+	is.Equal(s.Phase(), slot.Recovering)
+	s.Fenced("w1#1", 4, &wire.Fenced{Id: fence, Deposed: true})
+	is.Equal(s.Phase(), slot.Deposed)
+}
