--- a/process/agent/agent.go
+++ b/process/agent/agent.go
@@ -68,9 +68,11 @@
 	endpoint *endpoint.Client
 	metrics  *metrics.Metrics
 	executor *actor.PID
-	links    *links
-	load     atomic.Pointer[wire.Load]
-	config   atomic.Pointer[config.Config]
+	// cancelTasks ends the requests to the endpoint.
+	cancelTasks context.CancelFunc
+	links       *links
+	load        atomic.Pointer[wire.Load]
+	config      atomic.Pointer[config.Config]
 	// published is the version of the published files in force here.
 	published atomic.Uint64
 	adoptMu   sync.Mutex
@@ -99,6 +101,10 @@
 	}
 	a.config.Store(c)
 	a.links = newLinks(a)
+	var tasks context.Context
+	tasks, a.cancelTasks = context.WithCancel(context.Background())
+	// The actor is there from the start, so that status can be asked for at any time.
+	a.executor = deps.System.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return newExecutorActor(tasks, a) }))
 	return a
 }
 
@@ -109,6 +115,7 @@
 func (a *Agent) Run(ctx context.Context, admin net.Listener) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer close(a.done)
+	defer a.cancelTasks()
 	defer cancel()
 	go func() {
 		select {
@@ -117,7 +124,6 @@
 		case <-ctx.Done():
 		}
 	}()
-	a.executor = a.deps.System.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return newExecutorActor(ctx, a) }))
 	defer a.deps.System.Root.Stop(a.executor)
 	server := &http.Server{Handler: a.adminHandler(), ReadHeaderTimeout: adminTime}
 	defer server.Close()
--- a/process/entry/actor.go
+++ b/process/entry/actor.go
@@ -119,19 +119,23 @@
 }
 
 func (a *ownerActor) find(m find) found {
-	j, known, owned := a.owner.Find(m.job)
-	if !known {
-		return found{owned: owned}
+	f := a.owner.Find(m.job)
+	if !f.Known {
+		return found{owned: f.Owned}
 	}
+	if f.Told {
+		return found{owned: true, known: true, job: f.Job.Status()}
+	}
+	w := newWaiter()
+	f.Job.Wait(w)
 	if m.cancel {
 		a.owner.Cancel(m.job)
 	}
-	if !j.Ended() {
-		w := newWaiter()
-		j.Wait(w)
-		return found{owned: true, known: true, job: j.Status(), wait: w}
+	running := answer.New(outcome.Pending, "running", "the job has not ended")
+	if !f.Job.Ended() {
+		running = f.Job.Status()
 	}
-	return found{owned: true, known: true, job: j.Status()}
+	return found{owned: true, known: true, job: running, wait: w}
 }
 
 func (a *ownerActor) attach(m attached) {
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -140,6 +140,8 @@
 		Local: e,
 		Clock: deps.Clock,
 	})
+	// The actor is there from the start, so that status can be asked for at any time.
+	e.owner = deps.System.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return newOwnerActor(e) }))
 	return e
 }
 
@@ -190,7 +192,6 @@
 		case <-ctx.Done():
 		}
 	}()
-	e.owner = e.deps.System.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return newOwnerActor(e) }))
 	defer e.deps.System.Root.Stop(e.owner)
 	e.grpc = grpc.NewServer(
 		grpc.InitialWindowSize(peer.WindowBytes),
--- a/process/entry/steer.go
+++ b/process/entry/steer.go
@@ -107,6 +107,9 @@
 			return err
 		}
 	}
+	if err := e.stay(ctx, p); err != nil {
+		return err
+	}
 	for target, claims := range p.HandOver {
 		if err := e.handOver(ctx, target, claims); err != nil {
 			return err
@@ -123,27 +126,29 @@
 		}
 	}
 	if p.Snapshot {
+		e.snapshotConfig(ctx)
 		return e.snapshot(ctx, m)
 	}
 	return nil
 }
 
-// claim appends one record for slots that never had an owner, which names their
-// witnesses, and one for slots whose witnesses stay.
+// claim appends a record per set of witnesses for slots that never had an owner,
+// and one for slots whose witnesses stay.
 func (e *Entry) claim(ctx context.Context, p membership.Plan) error {
-	first := ownership.Claim{Author: e.self.Instance, Owner: e.self.Instance, Witnesses: p.Witnesses}
-	later := ownership.Claim{Author: e.self.Instance, Owner: e.self.Instance}
+	bySet := map[string]*ownership.Claim{}
 	for _, c := range p.Claim {
+		var witnesses []string
 		if c.Expected == 0 {
-			first.Slots = append(first.Slots, c)
-			continue
+			witnesses = p.Witnesses[c.Slot]
 		}
-		later.Slots = append(later.Slots, c)
-	}
-	for _, c := range []*ownership.Claim{&first, &later} {
-		if len(c.Slots) == 0 {
-			continue
+		set := strings.Join(witnesses, " ")
+		if bySet[set] == nil {
+			bySet[set] = &ownership.Claim{Author: e.self.Instance, Owner: e.self.Instance, Witnesses: witnesses}
 		}
+		bySet[set].Slots = append(bySet[set].Slots, c)
+	}
+	for _, set := range slices.Sorted(maps.Keys(bySet)) {
+		c := bySet[set]
 		before := e.ownersOf(c.Slots)
 		err := e.appendRecord(ctx, ownership.Record{Claim: c})
 		e.audit("claim", fmt.Sprintf("%d slots", len(c.Slots)), before, e.ownersOf(c.Slots), err)
@@ -188,7 +193,7 @@
 	if err := e.appendRecord(ctx, ownership.Record{Snapshot: &state}); err != nil {
 		return err
 	}
-	m.Snapshotted(state.Next)
+	m.Snapshotted(state.Next, e.deps.Clock.Now())
 	return nil
 }
 
@@ -219,6 +224,30 @@
 	return nil
 }
 
+// stay takes slots back whose hand-over was begun and is no longer wanted, such
+// as to an entry that died meanwhile. The claim makes the begun one void.
+func (e *Entry) stay(ctx context.Context, p membership.Plan) error {
+	wanted := map[uint32]bool{}
+	for _, claims := range p.HandOver {
+		for _, c := range claims {
+			wanted[c.Slot] = true
+		}
+	}
+	var back []ownership.SlotClaim
+	err := e.onOwner(ctx, func(o *owner.Owner) {
+		for number, s := range o.Slots() {
+			if s.Phase() == slot.Leaving && !wanted[number] {
+				back = append(back, ownership.SlotClaim{Slot: number, Expected: s.Epoch()})
+			}
+		}
+	})
+	if err != nil || len(back) == 0 {
+		return err
+	}
+	claim := &ownership.Claim{Author: e.self.Instance, Owner: e.self.Instance, Slots: back}
+	return e.appendRecord(ctx, ownership.Record{Claim: claim})
+}
+
 // handOver passes slots directly: this entry stops deciding, tells the next
 // owner what it refused, and the log records the change.
 func (e *Entry) handOver(ctx context.Context, target string, claims []ownership.SlotClaim) error {
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -23,12 +23,17 @@
 	witnessGrace = 1500 * time.Millisecond
 	// leaveAfter is how long an entry may be unheard before it is taken out.
 	leaveAfter = 30 * time.Second
-	// firstAgents is how long the first claim waits for enough agents.
-	firstAgents = time.Second
+	// firstWait is how long the first claim waits for enough agents.
+	firstWait = time.Second
 	// stepIn is after how long an entry claims a slot that another should have.
 	stepIn = 2 * time.Second
 	// snapshotEvery is the number of records between snapshots.
 	snapshotEvery = 200
+	// snapshotPause is the longest time between snapshots. It has to be well below
+	// the time for which the log keeps records.
+	snapshotPause = time.Minute
+	// firstSets is how many sets of witnesses the first claims spread over.
+	firstSets = 8
 )
 
 // Peer is what is known of another entry.
@@ -64,8 +69,8 @@
 	Join bool
 	// Claim are the slots to claim for this entry.
 	Claim []ownership.SlotClaim
-	// Witnesses are the witnesses for slots that never had an owner.
-	Witnesses []string
+	// Witnesses are the witnesses for claimed slots that never had an owner.
+	Witnesses map[uint32][]string
 	// HandOver are slots of this entry that belong to others, by their instance.
 	HandOver map[string][]ownership.SlotClaim
 	// Rewitness are the slots of this entry whose witnesses are to be replaced.
@@ -78,15 +83,16 @@
 // Membership remembers what a decision needs of earlier ones. It is not safe
 // for concurrent use.
 type Membership struct {
-	started    time.Time
-	ownerless  map[uint32]time.Time
-	snapshotAt uint64
-	firstAgent time.Time
+	started      time.Time
+	ownerless    map[uint32]time.Time
+	snapshotAt   uint64
+	snapshotTime time.Time
+	firstAgent   time.Time
 }
 
 // New returns the membership of an entry that has just started.
 func New(now time.Time) *Membership {
-	return &Membership{started: now, ownerless: map[uint32]time.Time{}}
+	return &Membership{started: now, snapshotTime: now, ownerless: map[uint32]time.Time{}}
 }
 
 // Decide returns what has to be done in the given view.
@@ -102,12 +108,26 @@
 	m.decideHandOver(v, alive, &p)
 	m.decideWitnesses(v, &p)
 	m.decideLeaves(v, &p)
-	p.Snapshot = v.Table.Next >= m.snapshotAt+snapshotEvery
+	p.Snapshot = m.snapshotDue(v, alive)
 	return p
 }
 
+// snapshotDue lets the first living entry of the table append a snapshot after
+// some records or some time: the log keeps no record for ever.
+func (m *Membership) snapshotDue(v View, alive map[string]bool) bool {
+	for name := range v.Table.Entries {
+		if alive[name] && name < v.Self.Instance {
+			return false
+		}
+	}
+	return v.Table.Next >= m.snapshotAt+snapshotEvery || v.Now.Sub(m.snapshotTime) >= snapshotPause
+}
+
 // Snapshotted takes note that a snapshot up to the offset was appended.
-func (m *Membership) Snapshotted(next uint64) { m.snapshotAt = next }
+func (m *Membership) Snapshotted(next uint64, now time.Time) {
+	m.snapshotAt = next
+	m.snapshotTime = now
+}
 
 // alive lists the entries that are not suspected: heard here, or by an entry
 // that is heard here, or new enough not to have been heard yet.
@@ -137,7 +157,8 @@
 		return
 	}
 	candidates := m.takers(v, alive)
-	first := m.firstWitnesses(v)
+	first := m.firstAgents(v)
+	p.Witnesses = map[uint32][]string{}
 	for number, s := range v.Table.Slots {
 		_, listed := v.Table.Entries[s.Owner]
 		if s.Epoch > 0 && listed && alive[s.Owner] {
@@ -148,10 +169,12 @@
 			continue
 		}
 		if m.shouldClaim(v, uint32(number), candidates) {
+			if s.Epoch == 0 {
+				p.Witnesses[uint32(number)] = Choose(first, nil, uint32(number%firstSets))
+			}
 			p.Claim = append(p.Claim, ownership.SlotClaim{Slot: uint32(number), Expected: s.Epoch})
 		}
 	}
-	p.Witnesses = first
 }
 
 // shouldClaim lets the preferred entry go first. Any entry steps in later, and
@@ -221,9 +244,9 @@
 	slices.Sort(p.Leave)
 }
 
-// firstWitnesses chooses witnesses for slots that never had an owner, once
-// enough agents are attached or the time to wait for them is over.
-func (m *Membership) firstWitnesses(v View) []string {
+// firstAgents lists the agents that may become witnesses of slots that never had
+// an owner, once enough are attached or the time to wait for them is over.
+func (m *Membership) firstAgents(v View) []Agent {
 	attached := attachedAgents(v)
 	if len(attached) == 0 {
 		m.firstAgent = time.Time{}
@@ -232,10 +255,10 @@
 	if m.firstAgent.IsZero() {
 		m.firstAgent = v.Now
 	}
-	if len(attached) < Witnesses && v.Now.Sub(m.firstAgent) < firstAgents {
+	if len(attached) < Witnesses && v.Now.Sub(m.firstAgent) < firstWait {
 		return nil
 	}
-	return Choose(attached, nil, 0)
+	return attached
 }
 
 func attachedAgents(v View) []Agent {
--- a/process/membership/membership_test.go
+++ b/process/membership/membership_test.go
@@ -142,3 +142,34 @@
 		is.Equal(len(zones), 3)
 	}
 }
+
+func TestFirstLivingEntrySnapshotsAQuietStream(t *testing.T) {
+	is := is.New(t)
+	m := membership.New(start)
+	is.True(!m.Decide(view(59 * time.Second)).Snapshot)
+	is.True(m.Decide(view(61 * time.Second)).Snapshot)
+	m.Snapshotted(0, start.Add(61*time.Second))
+	is.True(!m.Decide(view(62 * time.Second)).Snapshot)
+	v := view(10 * time.Minute)
+	v.Self.Instance = "e2"
+	v.Peers["e1"] = v.Peers["e3"]
+	is.True(!membership.New(start).Decide(v).Snapshot)
+}
+
+func TestFirstClaimsSpreadTheWitnesses(t *testing.T) {
+	is := is.New(t)
+	v := view(10 * time.Second)
+	for i := range v.Table.Slots {
+		v.Table.Slots[i] = ownership.SlotState{}
+	}
+	p := membership.New(start).Decide(v)
+	is.True(len(p.Claim) > 0)
+	held := map[string]int{}
+	for _, c := range p.Claim {
+		is.Equal(len(p.Witnesses[c.Slot]), membership.Witnesses)
+		for _, w := range p.Witnesses[c.Slot] {
+			held[w]++
+		}
+	}
+	is.Equal(len(held), len(v.Agents))
+}
--- a/process/owner/owner.go
+++ b/process/owner/owner.go
@@ -158,15 +158,24 @@
 	s.Submit(a)
 }
 
-// Find returns a job of a slot that this entry owns. Owned is false where the
-// slot is another entry's or not yet recovered.
-func (o *Owner) Find(name string) (j *job.Job, known, owned bool) {
+// Found is what an owner knows of a job.
+type Found struct {
+	// Owned is false where the slot is another entry's or not yet recovered.
+	Owned bool
+	Known bool
+	Job   *job.Job
+	// Told is true where the job has a final answer that may be shown.
+	Told bool
+}
+
+// Find returns a job of a slot that this entry owns.
+func (o *Owner) Find(name string) Found {
 	s, held := o.slots[ownership.Slot(name)]
 	if !held || s.Phase() == slot.Recovering || s.Phase() == slot.Deposed {
-		return nil, false, false
+		return Found{}
 	}
-	j, known = s.Job(name)
-	return j, known, true
+	j, known := s.Job(name)
+	return Found{Owned: true, Known: known, Job: j, Told: known && s.Told(j)}
 }
 
 // Cancel gives a job up for its caller.
--- a/version/slot/slot.go
+++ b/version/slot/slot.go
@@ -222,7 +222,7 @@
 			"the Idempotency-Key belongs to a job with another body; nothing of this body ran"))
 		return
 	}
-	if j.Ended() && !s.undecided(j) {
+	if s.Told(j) {
 		a.Waiter.Answer(j.Status())
 		return
 	}
@@ -364,6 +364,10 @@
 	s.Settle(j)
 }
 
+// Told reports whether the final answer of a job may be shown: one that still
+// waits for the witnesses may not.
+func (s *Slot) Told(j *job.Job) bool { return j.Ended() && !s.undecided(j) }
+
 // Job returns the job with the given name.
 func (s *Slot) Job(name string) (*job.Job, bool) {
 	j, ok := s.jobs[name]
