Tell one agent per leftover task

Change: of tasks without a free slot one agent per task hears, and at least two, instead of one in four.

--- a/process/dispatch/dispatch.go
+++ b/process/dispatch/dispatch.go
@@ -22,8 +22,6 @@
 	parkTime = 50 * time.Millisecond
 	// leastTold is how many agents without room hear of waiting tasks.
 	leastTold = 2
-	// toldShare is how many waiting tasks there are to each agent that hears of them.
-	toldShare = 4
 	// scanJobs bounds how many jobs of a flow a pull looks at.
 	scanJobs = 16
 	// maxCandidates is how many agents a job is registered with at first.
--- a/process/dispatch/promise.go
+++ b/process/dispatch/promise.go
@@ -31,8 +31,8 @@
 }
 
 // tellSome makes waiting tasks known to agents without room. The next free slot
-// of any of them pulls: two agents for few
-// tasks, more for many.
+// of any of them pulls: two agents, or one
+// per task where there are more.
 func (d *Dispatch) tellSome(f *flow, count int) {
 	told := 0
 	for _, a := range d.list {
@@ -40,7 +40,7 @@
 			told++
 		}
 	}
-	wanted := max(leastTold, count/toldShare)
+	wanted := max(leastTold, count)
 	if told >= wanted {
 		return
 	}
