--- a/commands/publish.go
+++ b/commands/publish.go
@@ -59,6 +59,20 @@
 	}
 }
 
+// compare reads a local file and the published one of the same name.
+func (o *Operator) compare(file string) (name, text string, published publication.File, err error) {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return "", "", published, usageError{err}
+	}
+	folded, _, err := o.read()
+	if err != nil {
+		return "", "", published, err
+	}
+	name = filepath.Base(file)
+	return name, string(raw), folded.State().Files[name], nil
+}
+
 // publish appends a change until the log has it, and says what it led to.
 func (o *Operator) publish(s *Streams, c publication.Change) error {
 	c.ID = uuid.NewString()
@@ -100,20 +114,15 @@
 
 // Run publishes one change of one file.
 func (c *ConfigPublishCommand) Run(s *Streams) error {
-	text, err := os.ReadFile(c.File)
-	if err != nil {
-		return usageError{err}
-	}
-	folded, _, err := c.read()
+	name, text, published, err := c.compare(c.File)
 	if err != nil {
 		return err
 	}
-	name := filepath.Base(c.File)
-	base := folded.State().Files[name].Version
+	base := published.Version
 	if c.Base >= 0 {
 		base = uint64(c.Base)
 	}
-	return c.publish(s, publication.Change{File: name, Base: base, Author: c.Author, Text: string(text)})
+	return c.publish(s, publication.Change{File: name, Base: base, Author: c.Author, Text: text})
 }
 
 // ConfigHistoryCommand lists the changes.
@@ -171,17 +180,11 @@
 
 // Run prints the lines that differ; it fails where there are any.
 func (c *ConfigDiffCommand) Run(s *Streams) error {
-	text, err := os.ReadFile(c.File)
-	if err != nil {
-		return usageError{err}
-	}
-	folded, _, err := c.read()
+	name, text, published, err := c.compare(c.File)
 	if err != nil {
 		return err
 	}
-	name := filepath.Base(c.File)
-	published := folded.State().Files[name]
-	old, mine := strings.Split(published.Text, "\n"), strings.Split(string(text), "\n")
+	old, mine := strings.Split(published.Text, "\n"), strings.Split(text, "\n")
 	differs := printMissing(s, "-", old, mine)
 	differs = printMissing(s, "+", mine, old) || differs
 	if differs {
--- /dev/null
+++ b/common/stopper/stopper_test.go
@@ -0,0 +1,44 @@
+package stopper_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/corianderhook/corianderhook/common/stopper"
+)
+
+func TestKillEndsTheContextAndWaits(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	is := is.New(t)
+	s := stopper.New()
+	ctx, cancel := s.Context(context.Background())
+	defer cancel()
+	over := false
+	go func() {
+		<-ctx.Done()
+		over = true
+		s.Over()
+	}()
+	s.Kill()
+	is.True(over)
+	s.Kill() // again
+}
+
+func TestParentEndsTheContext(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	parent, end := context.WithCancel(context.Background())
+	ctx, cancel := stopper.New().Context(parent)
+	defer cancel()
+	end()
+	<-ctx.Done()
+}
+
+func TestAskTwice(t *testing.T) {
+	s := stopper.New()
+	s.Ask()
+	s.Ask()
+	<-s.Asked()
+}
--- a/process/agent/agent.go
+++ b/process/agent/agent.go
@@ -21,6 +21,7 @@
 
 	"github.com/corianderhook/corianderhook/common/instance"
 	"github.com/corianderhook/corianderhook/common/loopback"
+	"github.com/corianderhook/corianderhook/common/stopper"
 	"github.com/corianderhook/corianderhook/connection/endpoint"
 	"github.com/corianderhook/corianderhook/process/executor"
 	"github.com/corianderhook/corianderhook/process/metrics"
@@ -77,13 +78,9 @@
 	published atomic.Uint64
 	adoptMu   sync.Mutex
 	// idle tells that the executor needs no ticks but for expiry; wake ends that.
-	idle     atomic.Bool
-	wake     chan struct{}
-	asked    chan struct{}
-	askOnce  sync.Once
-	quit     chan struct{}
-	quitOnce sync.Once
-	done     chan struct{}
+	idle    atomic.Bool
+	wake    chan struct{}
+	stopper *stopper.Stopper
 }
 
 // New returns an agent that has not started.
@@ -94,10 +91,8 @@
 		id:       instance.New(c.Process().Name, deps.Clock.Now()).String(),
 		endpoint: endpoint.New(c.Agent().Endpoint, c.Agent().Connections, deps.Clock),
 		metrics:  metrics.New(),
-		asked:    make(chan struct{}),
 		wake:     make(chan struct{}, 1),
-		quit:     make(chan struct{}),
-		done:     make(chan struct{}),
+		stopper:  stopper.New(),
 	}
 	a.config.Store(c)
 	a.links = newLinks(a)
@@ -113,17 +108,10 @@
 
 // Run serves until the context ends or Drain has finished.
 func (a *Agent) Run(ctx context.Context, admin net.Listener) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer close(a.done)
+	ctx, cancel := a.stopper.Context(ctx)
+	defer a.stopper.Over()
 	defer a.cancelTasks()
 	defer cancel()
-	go func() {
-		select {
-		case <-a.quit:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
 	defer a.deps.System.Root.Stop(a.executor)
 	server := &http.Server{Handler: a.adminHandler(), ReadHeaderTimeout: adminTime}
 	defer server.Close()
@@ -142,13 +130,10 @@
 }
 
 // DrainAsked is closed when an operator asks the agent to drain.
-func (a *Agent) DrainAsked() <-chan struct{} { return a.asked }
+func (a *Agent) DrainAsked() <-chan struct{} { return a.stopper.Asked() }
 
 // Kill ends the agent at once, as a failure of its VM would.
-func (a *Agent) Kill() {
-	a.quitOnce.Do(func() { close(a.quit) })
-	<-a.done
-}
+func (a *Agent) Kill() { a.stopper.Kill() }
 
 // Drain takes no new work, lets the tasks that run end, and stops. It gives up
 // at the end of the context.
@@ -235,7 +220,7 @@
 		}
 	})
 	mux.HandleFunc("POST /v1/drain", loopback.Only(func(w http.ResponseWriter, _ *http.Request) {
-		a.askOnce.Do(func() { close(a.asked) })
+		a.stopper.Ask()
 		w.WriteHeader(http.StatusAccepted)
 	}))
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, r *http.Request) {
--- a/process/entry/admin.go
+++ b/process/entry/admin.go
@@ -43,7 +43,7 @@
 	mux.HandleFunc("GET /readyz", e.readyz)
 	mux.HandleFunc("GET /v1/status", e.status)
 	mux.HandleFunc("POST /v1/drain", loopback.Only(func(w http.ResponseWriter, _ *http.Request) {
-		e.askOnce.Do(func() { close(e.asked) })
+		e.stopper.Ask()
 		w.WriteHeader(http.StatusAccepted)
 	}))
 	return mux
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -18,6 +18,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/corianderhook/corianderhook/common/instance"
+	"github.com/corianderhook/corianderhook/common/stopper"
 	"github.com/corianderhook/corianderhook/connection/peer"
 	"github.com/corianderhook/corianderhook/process/audit"
 	"github.com/corianderhook/corianderhook/process/dispatch"
@@ -79,15 +80,11 @@
 	sessions  *sessions
 	draining  atomic.Bool
 	// idle tells that the dispatcher needs no ticks.
-	idle     atomic.Bool
-	grpc     *grpc.Server
-	callers  *http.Server
-	admin    *http.Server
-	asked    chan struct{}
-	askOnce  sync.Once
-	quit     chan struct{}
-	quitOnce sync.Once
-	done     chan struct{}
+	idle    atomic.Bool
+	grpc    *grpc.Server
+	callers *http.Server
+	admin   *http.Server
+	stopper *stopper.Stopper
 }
 
 // New returns an entry that has not started.
@@ -104,9 +101,7 @@
 		metrics:  metrics.New(),
 		trail:    audit.New(deps.Log, deps.Clock),
 		sessions: newSessions(),
-		asked:    make(chan struct{}),
-		quit:     make(chan struct{}),
-		done:     make(chan struct{}),
+		stopper:  stopper.New(),
 		self: ownership.Entry{
 			Instance: id.String(),
 			Name:     id.Name(),
@@ -182,16 +177,9 @@
 
 // Run serves until the context ends or Drain has finished.
 func (e *Entry) Run(ctx context.Context, l Listeners) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer close(e.done)
+	ctx, cancel := e.stopper.Context(ctx)
+	defer e.stopper.Over()
 	defer cancel()
-	go func() {
-		select {
-		case <-e.quit:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
 	defer e.deps.System.Root.Stop(e.owner)
 	e.grpc = grpc.NewServer(
 		grpc.InitialWindowSize(peer.WindowBytes),
@@ -233,16 +221,11 @@
 	e.grpc.Stop()
 }
 
-func (e *Entry) stop() { e.quitOnce.Do(func() { close(e.quit) }) }
-
 // DrainAsked is closed when an operator asks the entry to drain.
-func (e *Entry) DrainAsked() <-chan struct{} { return e.asked }
+func (e *Entry) DrainAsked() <-chan struct{} { return e.stopper.Asked() }
 
 // Kill ends the entry at once, as a failure of its VM would.
-func (e *Entry) Kill() {
-	e.stop()
-	<-e.done
-}
+func (e *Entry) Kill() { e.stopper.Kill() }
 
 // Drain hands every slot over, lets requests in progress end, and stops. It
 // gives up at the end of the context.
@@ -259,8 +242,7 @@
 	if err == nil {
 		err = e.appendRecord(ctx, ownership.Record{Leave: e.self.Instance})
 	}
-	e.stop()
-	<-e.done
+	e.stopper.Kill()
 	if err != nil {
 		return errors.Wrap(err, "the planned stop was cut short")
 	}
--- a/version/slot/slot_test.go
+++ b/version/slot/slot_test.go
@@ -131,3 +131,21 @@
 	s.Fenced("w1#1", 4, &wire.Fenced{Id: fence, Deposed: true})
 	is.Equal(s.Phase(), slot.Deposed)
 }
+
+// TestAttemptDoesNotJoinARecoveredJobWithoutAStart: perhaps an owner in between,
+// which did not know the key, has refused it after this attempt came in.
+func TestAttemptDoesNotJoinARecoveredJobWithoutAStart(t *testing.T) {
+	is := is.New(t)
+	h := newHost()
+	s, fence := recovered(h)
+	w := &waiter{}
+	s.Submit(slot.Attempt{Body: body(), Waiter: w, Owner: "former#1", Reading: 1 << 40})
+	s.Fenced("w1#1", 3, &wire.Fenced{Id: fence}) // the only agent that could have started it
+	is.Equal(h.offered, 0)
+	s.Remembered("w1#1", 3, &wire.Remembered{Sequence: 1})
+	s.Remembered("w2#1", 3, &wire.Remembered{Sequence: 1})
+	is.Equal(len(w.got), 1)
+	is.Equal(w.got[0].Outcome(), outcome.NotRun)
+	s.Submit(slot.Attempt{Body: body(), Waiter: w, Owner: "e#1", Reading: 200})
+	is.Equal(h.offered, 1) // an honest retry runs
+}
