--- a/process/bench/bench.go
+++ b/process/bench/bench.go
@@ -84,6 +84,10 @@
 	// FaultAt is when the first fault was done.
 	FaultAt time.Duration
 	Length  time.Duration
+	// CPU is the processor time of all parts, the load driver and the endpoints
+	// included. Bytes is what went over the entries' connections to processes.
+	CPU   time.Duration
+	Bytes int64
 }
 
 // Settings are what an experiment works with.
@@ -145,7 +149,9 @@
 	defer cancel()
 	failed := make(chan error, 1)
 	go func() { failed <- r.faults(ctx, s.Faults) }()
+	cpu, bytes := processorTime(), carried(l)
 	results := r.Driver.Run(ctx, plan)
+	cpu, bytes = processorTime()-cpu, carried(l)-bytes
 	length := set.Clock.Since(r.began)
 	select {
 	case err := <-failed:
@@ -154,7 +160,9 @@
 		}
 	default:
 	}
-	return r.outcome(s, plan, results, length), nil
+	o := r.outcome(s, plan, results, length)
+	o.CPU, o.Bytes = cpu, bytes
+	return o, nil
 }
 
 const zones = 3
--- a/process/bench/table.go
+++ b/process/bench/table.go
@@ -204,8 +204,12 @@
 		o.Name, v.Twice, v.Lost, v.FalseNotRun, v.Partial, v.Outcomes["unknown"], o.Recovered().Seconds(), o.Kept())
 }
 
+// reportThroughput gives starts per core as starts a second over the cores that
+// all parts kept busy: a lower bound for an entry, which is one part of them.
 func reportThroughput(o, _ Outcome) string {
-	return fmt.Sprintf("bench throughput: starts_per_s=%.0f jobs=%d complete=%d not_run=%d started_twice=%d lost=%d",
-		float64(o.Verdict.Tasks)/o.Length.Seconds(), o.Verdict.Jobs, o.Verdict.Outcomes["complete"],
-		o.Verdict.Outcomes["not_run"], o.Verdict.Twice, o.Verdict.Lost)
+	starts := float64(max(1, o.Verdict.Tasks))
+	cores := o.CPU.Seconds() / o.Length.Seconds()
+	return fmt.Sprintf("bench throughput: starts_per_s=%.0f starts_per_s_per_core=%.0f cpu_us_per_start=%.1f bytes_per_start=%.0f jobs=%d complete=%d not_run=%d started_twice=%d lost=%d",
+		starts/o.Length.Seconds(), starts/o.Length.Seconds()/cores, float64(o.CPU.Microseconds())/starts, float64(o.Bytes)/starts,
+		o.Verdict.Jobs, o.Verdict.Outcomes["complete"], o.Verdict.Outcomes["not_run"], o.Verdict.Twice, o.Verdict.Lost)
 }
