Mend what reading the whole change showed

Cause: at a planned stop the owner passed its own map of refusals to the sender, and went on to drop old ones from it while the message was encoded: a concurrent read and write of a map, which ends the process.

Change: the hand-over carries a copy; turnAway serves both places; the ranking is computed once, its order does not depend on which agents are left; the unused functions are gone.

Conclusion: one fault mended, the rest behaves as before.

--- a/common/instance/instance.go
+++ b/common/instance/instance.go
@@ -45,12 +45,6 @@
 // Name returns the name from the settings.
 func (id ID) Name() string { return id.name }
 
-// Incarnation returns the number that is new at each start.
-func (id ID) Incarnation() uint64 { return id.incarnation }
-
-// IsZero reports whether the ID names nothing.
-func (id ID) IsZero() bool { return id == ID{} }
-
 // String returns name#incarnation, the incarnation in hexadecimal.
 func (id ID) String() string {
 	return id.name + separator + strconv.FormatUint(id.incarnation, 16)
--- a/process/agent/links.go
+++ b/process/agent/links.go
@@ -149,15 +149,15 @@
 	}
 	own := &link{out: outbox.New()}
 	heard := make(chan struct{}, 1)
-	opened := make(chan struct{})
-	go l.receive(parent, cancel, stream, own, at, heard, opened)
+	ready := make(chan struct{})
+	go l.receive(parent, cancel, stream, own, at, heard, ready)
 	go l.watch(ctx, cancel, own, heard)
 	go func() {
 		<-ctx.Done()
 		own.out.Close()
 	}()
 	select {
-	case <-opened:
+	case <-ready:
 	case <-ctx.Done():
 		return ctx.Err()
 	}
@@ -181,7 +181,7 @@
 	}
 }
 
-func (l *links) receive(parent context.Context, cancel context.CancelFunc, stream wire.Entry_AttachClient, own *link, at string, heard chan<- struct{}, opened chan<- struct{}) {
+func (l *links) receive(parent context.Context, cancel context.CancelFunc, stream wire.Entry_AttachClient, own *link, at string, heard chan<- struct{}, ready chan<- struct{}) {
 	defer cancel()
 	for {
 		batch, err := stream.Recv()
@@ -201,8 +201,8 @@
 			own.entry = welcome.GetEntry()
 			l.setEntry(at, own.entry)
 			l.learn(parent, welcome.GetEntries())
-			l.agent.deps.System.Root.Send(l.agent.executor, openedMessage(own))
-			close(opened)
+			l.agent.deps.System.Root.Send(l.agent.executor, opened{link: own})
+			close(ready)
 		}
 		for _, f := range batch.GetFrames() {
 			if pong := f.GetPong(); pong != nil {
@@ -216,8 +216,6 @@
 	}
 }
 
-func openedMessage(own *link) opened { return opened{link: own} }
-
 func firstWelcome(batch *wire.EntryBatch) *wire.Welcome {
 	if len(batch.GetFrames()) == 0 {
 		return nil
--- a/process/dispatch/promise.go
+++ b/process/dispatch/promise.go
@@ -7,7 +7,7 @@
 )
 
 // promise tells agents with room about tasks that nobody was told of yet. What
-// finds no room is made known to all, so that the next free slot pulls it.
+// finds no room is made known to some more, so that their next free slot pulls it.
 func (d *Dispatch) promise(f *flow) {
 	need := f.count - f.promised
 	if need <= 0 {
@@ -31,8 +31,7 @@
 }
 
 // tellSome makes waiting tasks known to agents without room. The next free slot
-// of any of them pulls: two agents, or one
-// per task where there are more.
+// of any of them pulls: two agents, or one per task where there are more.
 func (d *Dispatch) tellSome(f *flow, count int) {
 	told := 0
 	for _, a := range d.list {
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -8,7 +8,6 @@
 	"slices"
 	"time"
 
-	"github.com/corianderhook/corianderhook/common/instance"
 	"github.com/corianderhook/corianderhook/version/ownership"
 )
 
@@ -323,12 +322,12 @@
 		}
 	}
 	rest := slices.DeleteFunc(slices.Clone(attached), func(a Agent) bool { return slices.Contains(kept, a.Instance) })
+	names := make([]string, 0, len(rest))
+	for _, a := range rest {
+		names = append(names, a.Instance)
+	}
+	order := rank(names, slot)
 	for len(chosen) < Witnesses && len(rest) > 0 {
-		names := make([]string, 0, len(rest))
-		for _, a := range rest {
-			names = append(names, a.Instance)
-		}
-		order := rank(names, slot)
 		slices.SortFunc(rest, func(a, b Agent) int {
 			if c := cmp.Compare(zones[a.Zone], zones[b.Zone]); c != 0 {
 				return c
@@ -353,13 +352,3 @@
 	}
 	return order
 }
-
-// Restarted reports whether the table has an older run of the same name.
-func Restarted(t ownership.State, self string) bool {
-	for name := range t.Entries {
-		if name != self && instance.Name(name) == instance.Name(self) {
-			return true
-		}
-	}
-	return false
-}
--- a/version/slot/retention.go
+++ b/version/slot/retention.go
@@ -1,6 +1,7 @@
 package slot
 
 import (
+	"maps"
 	"time"
 
 	"github.com/corianderhook/corianderhook/request/job"
@@ -21,15 +22,22 @@
 	for _, a := range s.held {
 		a.Waiter.NotOwner()
 	}
+	s.turnAway()
+	s.jobs, s.active, s.held, s.proofs, s.doubtful = nil, nil, nil, nil, nil
+}
+
+// turnAway sends the attempts whose refusal is not proved to the next owner.
+func (s *Slot) turnAway() {
 	for _, r := range s.refusals {
 		r.attempt.Waiter.NotOwner()
 	}
-	for _, p := range s.proofs {
-		for _, r := range p.refused {
+	s.refusals = nil
+	for i := range s.proofs {
+		for _, r := range s.proofs[i].refused {
 			r.attempt.Waiter.NotOwner()
 		}
+		s.proofs[i].refused = nil
 	}
-	s.jobs, s.active, s.held, s.refusals, s.proofs, s.doubtful = nil, nil, nil, nil, nil, nil
 }
 
 func (s *Slot) release(waiters []job.Waiter) {
@@ -44,17 +52,9 @@
 // take attempts that are under way.
 func (s *Slot) Leave() (refused map[string]uint64, floor, clock uint64) {
 	s.phase = Leaving
-	for _, r := range s.refusals {
-		r.attempt.Waiter.NotOwner()
-	}
-	s.refusals = nil
-	for i := range s.proofs {
-		for _, r := range s.proofs[i].refused {
-			r.attempt.Waiter.NotOwner()
-		}
-		s.proofs[i].refused = nil
-	}
-	return s.tombstones, s.floor, s.host.Clock()
+	s.turnAway()
+	// The copy is sent while this slot goes on to forget old refusals.
+	return maps.Clone(s.tombstones), s.floor, s.host.Clock()
 }
 
 // Stay takes a slot back that was not handed over after all.
@@ -66,11 +66,6 @@
 	s.epoch = epoch
 }
 
-// Bodies returns the submissions of running jobs, for the next owner.
-func (s *Slot) Bodies() []*job.Job {
-	return snapshot(s.active)
-}
-
 // Tick gives up what is past its time and forgets what is past its retention.
 func (s *Slot) Tick(now time.Time) {
 	if s.phase != Active && s.phase != Leaving {
