Show slots that stand idle while a task waits

Cause: work conservation (no slot idle for more than 5 ms while eligible work waits anywhere) was promised and not shown. Nor was it known whether the tail of bench idle comes from idle slots or from the order of the tasks.

Change: the sample endpoints record each run with its start and end; the bench works out from them, per task, the longest stretch of its wait in which one endpoint had a slot free all the time. bench idle prints its 99th percentile as idle_waiting_p99_ms, with 5 ms as the target.

--- a/process/bench/bench.go
+++ b/process/bench/bench.go
@@ -17,6 +17,7 @@
 
 	"github.com/corianderhook/corianderhook/process/load"
 	"github.com/corianderhook/corianderhook/process/local"
+	"github.com/corianderhook/corianderhook/process/sample"
 	"github.com/corianderhook/corianderhook/version/config"
 )
 
@@ -88,6 +89,11 @@
 	// included. Bytes is what went over the entries' connections to processes.
 	CPU   time.Duration
 	Bytes int64
+	// runs are what the endpoints saw.
+	runs      []sample.Run
+	endpoints int
+	slots     int
+	began     time.Time
 }
 
 // Settings are what an experiment works with.
@@ -208,10 +214,13 @@
 		Ideal:   Ideal(plan, s.Agents*s.Slots),
 		Sent:    r.Driver.Attempts(),
 		Length:  length,
+		slots:   s.Slots,
+		began:   r.began,
 	}
 	if len(s.Faults) > 0 {
 		o.FaultAt = s.Faults[0].At
 	}
+	o.runs, o.endpoints = r.Local.Starts().Runs()
 	o.Wasted = map[string]float64{}
 	started := max(1, r.Local.Starts().Total())
 	for _, n := range r.Local.Entries() {
--- a/process/bench/table.go
+++ b/process/bench/table.go
@@ -30,6 +30,7 @@
 				{Figure: "ratio_p50", Most: bound(1.05)},
 				{Figure: "ratio_p99", Most: bound(1.25)},
 				{Figure: "wasted_per_task", Most: bound(0.2)},
+				{Figure: "idle_waiting_p99_ms", Most: bound(5)},
 			},
 		},
 		{
@@ -194,8 +195,9 @@
 		overheads = append(overheads, float64(r.Took-o.Ideal[i])/float64(time.Millisecond))
 	}
 	sortFloats(overheads)
-	return fmt.Sprintf("bench %s: overhead_p50_ms=%.2f overhead_p99_ms=%.2f ratio_p50=%.3f ratio_p99=%.3f wasted_per_task=%.3f",
-		o.Name, Quantile(overheads, 0.5), Quantile(overheads, 0.99), Quantile(ratios, 0.5), Quantile(ratios, 0.99), o.WastedPerTask())
+	return fmt.Sprintf("bench %s: overhead_p50_ms=%.2f overhead_p99_ms=%.2f ratio_p50=%.3f ratio_p99=%.3f wasted_per_task=%.3f idle_waiting_p99_ms=%.1f",
+		o.Name, Quantile(overheads, 0.5), Quantile(overheads, 0.99), Quantile(ratios, 0.5), Quantile(ratios, 0.99), o.WastedPerTask(),
+		Quantile(o.IdleWhileWaiting(), 0.99))
 }
 
 func reportFault(o, _ Outcome) string {
--- a/process/sample/sample.go
+++ b/process/sample/sample.go
@@ -43,61 +43,18 @@
 	Slowdown float64
 }
 
-// Starts is a record of starts that several endpoints share.
-type Starts struct {
-	mu     sync.Mutex
-	counts map[string]int
-	total  int
-}
-
-// NewStarts returns an empty record.
-func NewStarts() *Starts { return &Starts{counts: map[string]int{}} }
-
-func (s *Starts) add(task string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.counts[task]++
-	s.total++
-}
-
-// Count returns how often a task, named team/key/index, was started.
-func (s *Starts) Count(task string) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.counts[task]
-}
-
-// Total returns the number of starts.
-func (s *Starts) Total() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.total
-}
-
-// Twice returns the number of tasks that were started more than once.
-func (s *Starts) Twice() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	twice := 0
-	for _, n := range s.counts {
-		if n > 1 {
-			twice++
-		}
-	}
-	return twice
-}
-
 // Endpoint is one sample endpoint. It is safe for concurrent use.
 type Endpoint struct {
 	clock     clockwork.Clock
 	starts    *Starts
+	number    int
 	mu        sync.Mutex
 	behaviour Behaviour
 }
 
 // New returns an endpoint that records its starts in the given record.
 func New(clock clockwork.Clock, starts *Starts) *Endpoint {
-	return &Endpoint{clock: clock, starts: starts}
+	return &Endpoint{clock: clock, starts: starts, number: starts.enrol()}
 }
 
 // SetBehaviour replaces what the endpoint does wrong.
@@ -122,7 +79,9 @@
 		http.Error(w, "the request has no whole body or no Idempotency-Key", http.StatusBadRequest)
 		return
 	}
+	began := e.clock.Now()
 	e.starts.add(task)
+	defer func() { e.starts.end(Run{Endpoint: e.number, Task: task, From: began, To: e.clock.Now()}) }()
 	var p Payload
 	if err := json.Unmarshal(raw, &p); err != nil {
 		http.Error(w, "the payload is not of the form {\"work_ms\": 50}: "+err.Error(), http.StatusUnprocessableEntity)
