Serve teams in the order of arrival while nobody waits for long

Change: Reserve and Start say for how long the oldest task of a flow has waited. Within a kind, agents serve the teams by arrival while that is below 100 ms, and by share beyond it; a team gets at most 0.5 s of service ahead. Kinds and teams are ordered by virtual finish times instead of start times.

--- a/process/dispatch/dispatch.go
+++ b/process/dispatch/dispatch.go
@@ -72,6 +72,14 @@
 	parked   []parked
 }
 
+// oldest returns for how long the oldest waiting task has waited, in microseconds.
+func (f *flow) oldest(now time.Time) uint64 {
+	if len(f.items) == 0 {
+		return 0
+	}
+	return uint64(max(0, now.Sub(f.items[0].offered).Microseconds()))
+}
+
 // Option changes how a dispatcher decides.
 type Option func(*Dispatch)
 
@@ -268,6 +276,7 @@
 		Pull:      p.GetId(),
 		Remaining: uint32(remaining),
 		Tasks:     tasks,
+		OldestUs:  f.oldest(d.host.Now()),
 	}}})
 }
 
--- a/process/dispatch/promise.go
+++ b/process/dispatch/promise.go
@@ -108,10 +108,11 @@
 func (d *Dispatch) tell(a *agent, f *flow, count int, now bool) {
 	a.believed[f.name] = count
 	d.host.Send(a.name, &wire.EntryFrame{Body: &wire.EntryFrame_Reserve{Reserve: &wire.Reserve{
-		Kind:  f.name.Kind,
-		Team:  f.name.Team,
-		Count: uint32(count),
-		Now:   now,
+		Kind:     f.name.Kind,
+		Team:     f.name.Team,
+		Count:    uint32(count),
+		Now:      now,
+		OldestUs: f.oldest(d.host.Now()),
 	}}})
 }
 
--- a/process/executor/executor.go
+++ b/process/executor/executor.go
@@ -5,6 +5,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -18,6 +19,8 @@
 	pullPatience = 100 * time.Millisecond
 	// pullLife is how long an unanswered pull can be answered at all.
 	pullLife = 10 * time.Second
+	// longestWait bounds what an entry can say of the wait of its tasks.
+	longestWait = time.Hour
 )
 
 // Host is what the executor needs of the process around it.
@@ -134,13 +137,18 @@
 }
 
 func (e *Executor) reserve(entry string, r *wire.Reserve) {
-	e.queue.Set(entry, r.GetKind(), r.GetTeam(), int(r.GetCount()))
+	e.queue.Set(entry, r.GetKind(), r.GetTeam(), int(r.GetCount()), e.since(r.GetOldestUs()))
 	e.fill()
 	if r.GetNow() && e.running+e.reserved >= e.slots && e.queue.Waiting() > 0 {
 		e.host.Send(entry, &wire.AgentFrame{Load: e.Load()})
 	}
 }
 
+// since turns an entry's statement of a wait into this agent's own time.
+func (e *Executor) since(waitUS uint64) time.Time {
+	return e.host.Now().Add(-min(time.Duration(min(waitUS, math.MaxInt64/1000))*time.Microsecond, longestWait))
+}
+
 // fill pulls for every free slot. Choices of the same flow at the same entry
 // that follow each other go out as one pull.
 func (e *Executor) fill() {
@@ -150,7 +158,7 @@
 	var last queue.Choice
 	count := 0
 	for e.running+e.reserved < e.slots {
-		choice, ok := e.queue.Next()
+		choice, ok := e.queue.Next(e.host.Now())
 		if !ok {
 			break
 		}
@@ -190,7 +198,7 @@
 		return
 	}
 	e.closePull(s.GetPull(), p)
-	e.queue.Set(entry, p.kind, p.team, int(s.GetRemaining()))
+	e.queue.Set(entry, p.kind, p.team, int(s.GetRemaining()), e.since(s.GetOldestUs()))
 	for _, t := range s.GetTasks() {
 		e.startTask(entry, s.GetPull(), t)
 	}
--- a/process/queue/queue_test.go
+++ b/process/queue/queue_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -10,6 +11,12 @@
 	"github.com/corianderhook/corianderhook/process/queue"
 )
 
+// noon is when the tests choose. What waits since longAgo is a backlog.
+var (
+	noon    = time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+	longAgo = noon.Add(-time.Minute)
+)
+
 type weights map[string]float64
 
 func (w weights) KindWeight(kind string) float64 { return max(w[kind], 1) }
@@ -18,7 +25,7 @@
 func take(q *queue.Queue, count int) map[string]int {
 	got := map[string]int{}
 	for range count {
-		c, ok := q.Next()
+		c, ok := q.Next(noon)
 		if !ok {
 			break
 		}
@@ -32,9 +39,9 @@
 func TestSharesFollowWeights(t *testing.T) {
 	is := is.New(t)
 	q := queue.New(weights{"urgent": 3})
-	q.Set("e1", "urgent", "a", 1000)
-	q.Set("e1", "bulk", "a", 1000)
-	q.Set("e2", "bulk", "b", 1000)
+	q.Set("e1", "urgent", "a", 1000, longAgo)
+	q.Set("e1", "bulk", "a", 1000, longAgo)
+	q.Set("e2", "bulk", "b", 1000, longAgo)
 	got := take(q, 400)
 	is.Equal(got["urgent"], 300)
 	is.Equal(got["bulk/a"], 50)
@@ -44,19 +51,19 @@
 func TestUnusedShareGoesToTheOthers(t *testing.T) {
 	is := is.New(t)
 	q := queue.New(weights{"urgent": 3})
-	q.Set("e1", "bulk", "a", 10)
+	q.Set("e1", "bulk", "a", 10, longAgo)
 	is.Equal(take(q, 10)["bulk"], 10)
 	is.Equal(q.Waiting(), 0)
-	_, ok := q.Next()
+	_, ok := q.Next(noon)
 	is.True(!ok)
 }
 
 func TestAbsentKindDoesNotSaveUp(t *testing.T) {
 	is := is.New(t)
 	q := queue.New(weights{})
-	q.Set("e1", "bulk", "a", 10_000)
+	q.Set("e1", "bulk", "a", 10_000, longAgo)
 	take(q, 1000)
-	q.Set("e1", "late", "a", 1000)
+	q.Set("e1", "late", "a", 1000, longAgo)
 	got := take(q, 100)
 	is.True(got["late"] >= 49 && got["late"] <= 51)
 }
@@ -66,8 +73,8 @@
 	q := queue.New(weights{})
 	q.Measured("long", 1)
 	q.Measured("short", 0.1)
-	q.Set("e1", "long", "a", 1000)
-	q.Set("e1", "short", "a", 1000)
+	q.Set("e1", "long", "a", 1000, longAgo)
+	q.Set("e1", "short", "a", 1000, longAgo)
 	got := take(q, 110)
 	is.True(got["short"] >= 99 && got["short"] <= 101)
 }
@@ -75,14 +82,55 @@
 func TestSourcesTakeTurns(t *testing.T) {
 	is := is.New(t)
 	q := queue.New(weights{})
-	q.Set("e1", "k", "a", 100)
-	q.Set("e2", "k", "a", 100)
-	got := take(q, 100)
-	is.Equal(got["e1"], 50)
+	q.Set("e1", "k", "a", 100, longAgo)
+	q.Set("e2", "k", "a", 100, longAgo.Add(time.Second))
+	is.Equal(take(q, 100)["e1"], 50)
+}
+
+func TestDroppedSourceIsNotChosen(t *testing.T) {
+	is := is.New(t)
+	q := queue.New(weights{})
+	q.Set("e1", "k", "a", 100, longAgo)
+	q.Set("e2", "k", "a", 50, longAgo.Add(time.Second))
 	q.Drop("e1")
 	is.Equal(take(q, 100)["e2"], 50)
 }
 
+func TestCalmTeamsAreServedInTheOrderOfArrival(t *testing.T) {
+	is := is.New(t)
+	q := queue.New(weights{})
+	q.Set("e1", "k", "a", 4, noon.Add(-60*time.Millisecond))
+	q.Set("e1", "k", "b", 4, noon.Add(-50*time.Millisecond))
+	is.Equal(take(q, 4)["k/a"], 4)
+	is.Equal(take(q, 4)["k/b"], 4)
+}
+
+// TestCalmLeavesNoLongDebt lets a team run ahead of its share while all is calm,
+// for as long as it likes, and then compares it in a backlog.
+func TestCalmLeavesNoLongDebt(t *testing.T) {
+	is := is.New(t)
+	q := queue.New(weights{})
+	for range 1000 {
+		q.Set("e1", "k", "a", 2, noon.Add(-60*time.Millisecond))
+		q.Set("e1", "k", "b", 1, noon.Add(-50*time.Millisecond))
+		is.Equal(take(q, 1)["k/a"], 1)
+	}
+	q.Set("e1", "k", "a", 1000, longAgo)
+	q.Set("e1", "k", "b", 1000, longAgo)
+	is.True(take(q, 100)["k/a"] >= 45)
+}
+
+func TestNewUrgentTaskGoesBeforeANewLesserOne(t *testing.T) {
+	is := is.New(t)
+	q := queue.New(weights{"urgent": 8, "plain": 4})
+	q.Set("e1", "bulk", "a", 1000, longAgo)
+	take(q, 100)
+	q.Set("e1", "plain", "a", 1, noon)
+	q.Set("e1", "urgent", "a", 1, noon)
+	is.Equal(take(q, 1)["urgent"], 1)
+	is.Equal(take(q, 1)["plain"], 1)
+}
+
 // TestNothingIsLostOrMadeUp compares the queue with a plain count.
 func TestNothingIsLostOrMadeUp(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -97,7 +145,7 @@
 			switch rapid.IntRange(0, 3).Draw(t, "action") {
 			case 0:
 				n := rapid.IntRange(0, 5).Draw(t, "count")
-				q.Set(c.Source, c.Kind, c.Team, n)
+				q.Set(c.Source, c.Kind, c.Team, n, longAgo)
 				counts[c] = n
 			case 1:
 				q.Drop(c.Source)
@@ -107,7 +155,7 @@
 					}
 				}
 			default:
-				if got, ok := q.Next(); ok {
+				if got, ok := q.Next(noon); ok {
 					counts[got]--
 				}
 			}
@@ -131,12 +179,12 @@
 		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
 			q := queue.New(weights{"k0": 8})
 			for i := range teams {
-				q.Set("e", fmt.Sprint("k", i%4), fmt.Sprint("t", i), max(1, 10_000/teams))
+				q.Set("e", fmt.Sprint("k", i%4), fmt.Sprint("t", i), max(1, 10_000/teams), longAgo)
 			}
 			b.ReportAllocs()
 			for b.Loop() {
-				c, _ := q.Next()
-				q.Set(c.Source, c.Kind, c.Team, max(1, 10_000/teams))
+				c, _ := q.Next(noon)
+				q.Set(c.Source, c.Kind, c.Team, max(1, 10_000/teams), longAgo)
 			}
 		})
 	}
