Let teams and operators in by token, and publish through an entry

Cause: any caller could read, join and cancel the jobs of every team, the administration interface had no credentials beyond a loopback check of drain, and changes of configuration were not on the audit trail.

Operators have the roles read, operate or configure; without operators the interface takes the machine itself only, and an admin address that is not loopback is an error. POST /v1/config lets an entry publish for an operator; a conflict shows both texts.

Conclusion: isolation of teams and roles of operators hold on every listener that takes requests; transport security is the next step.

--- /dev/null
+++ b/commands/admin.go
@@ -0,0 +1,68 @@
+package commands
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// maxAnswerBytes bounds what a process may answer to an operator.
+const maxAnswerBytes = 64 << 20
+
+// statusError is an answer other than success.
+type statusError struct {
+	address string
+	status  string
+	body    []byte
+}
+
+// Error names the process and what it said.
+func (e statusError) Error() string {
+	return "process at " + e.address + " answered " + e.status + ": " + strings.TrimSpace(string(e.body))
+}
+
+// administer calls the administration interface of a process. It decodes the
+// answer into the given value, unless that is nil.
+func (c *Credentials) administer(method, address, path string, body, into any) error {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return usageError{errors.Errorf("address %q is not an IP number and a port", address)}
+	}
+	var sent []byte
+	if body != nil {
+		var err error
+		if sent, err = json.Marshal(body); err != nil {
+			return err
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), adminTime)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(sent))
+	if err != nil {
+		return err
+	}
+	if err := c.sign(request); err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return errors.Wrapf(err, "process at %s", address)
+	}
+	defer response.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return errors.Wrapf(err, "process at %s", address)
+	}
+	if response.StatusCode >= http.StatusBadRequest {
+		return statusError{address: address, status: response.Status, body: raw}
+	}
+	if into == nil {
+		return nil
+	}
+	return errors.Wrapf(json.Unmarshal(raw, into), "process at %s", address)
+}
--- a/commands/publish.go
+++ b/commands/publish.go
@@ -4,22 +4,29 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	"github.com/corianderhook/corianderhook/connection/logclient"
+	"github.com/corianderhook/corianderhook/process/audit"
+	"github.com/corianderhook/corianderhook/process/entry"
 	"github.com/corianderhook/corianderhook/version/publication"
 )
 
-// Operator is how configuration commands reach the log.
+// Operator is how configuration commands reach the log: by its address, or
+// through an entry, which then checks who it is.
 type Operator struct {
-	Log string `required:"" placeholder:"IP:PORT" help:"Address of the platform's log."`
+	Credentials
+	Log   string `xor:"way" required:"" placeholder:"IP:PORT" help:"Address of the platform's log."`
+	Admin string `xor:"way" required:"" placeholder:"IP:PORT" help:"Admin address of an entry that does it for an operator with the role configure."`
 }
 
 // change is one change of the stream with what it led to.
@@ -31,6 +38,9 @@
 
 // read folds the whole stream.
 func (o *Operator) read() (*publication.Publication, []change, error) {
+	if o.Log == "" {
+		return nil, nil, usageError{errors.New("the command reads all changes from the log and needs --log")}
+	}
 	if _, err := netip.ParseAddrPort(o.Log); err != nil {
 		return nil, nil, usageError{errors.Errorf("--log is %q; it must be an IP number and a port", o.Log)}
 	}
@@ -65,16 +75,58 @@
 	if err != nil {
 		return "", "", published, usageError{err}
 	}
-	folded, _, err := o.read()
+	state, err := o.inForce()
 	if err != nil {
 		return "", "", published, err
 	}
 	name = filepath.Base(file)
-	return name, string(raw), folded.State().Files[name], nil
+	return name, string(raw), state.Files[name], nil
+}
+
+// inForce returns the published files.
+func (o *Operator) inForce() (publication.State, error) {
+	if o.Admin != "" {
+		var state publication.State
+		err := o.administer(http.MethodGet, o.Admin, "/v1/config", nil, &state)
+		return state, err
+	}
+	folded, _, err := o.read()
+	if err != nil {
+		return publication.State{}, err
+	}
+	return folded.State(), nil
+}
+
+// publishThrough lets an entry publish a change.
+func (o *Operator) publishThrough(s *Streams, c publication.Change) error {
+	var answer entry.PublishAnswer
+	err := o.administer(http.MethodPost, o.Admin, "/v1/config", entry.PublishRequest{File: c.File, Base: &c.Base, Text: c.Text}, &answer)
+	var refused statusError
+	if errors.As(err, &refused) && json.Unmarshal(refused.body, &answer) == nil && answer.InForce != nil {
+		return conflict(s, c, answer)
+	}
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(s.Out, "published: file=%s version=%d change=%s\n", c.File, answer.Version, answer.Change)
+	return nil
+}
+
+// conflict shows both texts.
+func conflict(s *Streams, c publication.Change, answer entry.PublishAnswer) error {
+	fmt.Fprintf(s.Err, "in force: version %d by %s\n%s\nnot published: replaces version %d\n%s\n",
+		answer.InForce.Version, answer.InForce.Author, answer.InForce.Text, c.Base, c.Text)
+	return errors.Errorf("file %q was not published: %s", c.File, answer.Reason)
 }
 
 // publish appends a change until the log has it, and says what it led to.
 func (o *Operator) publish(s *Streams, c publication.Change) error {
+	if o.Admin != "" {
+		return o.publishThrough(s, c)
+	}
+	if c.Author == "" {
+		return usageError{errors.New("a change needs --author")}
+	}
 	c.ID = uuid.NewString()
 	host, err := os.Hostname()
 	if err == nil {
@@ -95,6 +147,7 @@
 		if one.ID != c.ID {
 			continue
 		}
+		o.trace(s, one)
 		if !one.verdict.Accepted {
 			return errors.Errorf("file %q was not published: %s", c.File, one.verdict.Reason)
 		}
@@ -104,10 +157,31 @@
 	return errors.Wrapf(appendErr, "file %q was not published", c.File)
 }
 
+// trace puts a change on the audit trail. The change itself is on the log with
+// its author, so that a failure here loses nothing and is only shown.
+func (o *Operator) trace(s *Streams, c change) {
+	outcome := "done"
+	if !c.verdict.Accepted {
+		outcome = c.verdict.Reason
+	}
+	raw, err := json.Marshal(audit.Record{
+		ID: uuid.NewString(), Time: time.Now().UTC(), Who: c.Author, From: c.From, What: "config", Subject: c.File,
+		Before: fmt.Sprintf("version %d", c.Base), After: fmt.Sprintf("version %d", c.verdict.Version), Outcome: outcome,
+	})
+	if err == nil {
+		ctx, cancel := context.WithTimeout(context.Background(), adminTime)
+		defer cancel()
+		_, err = logclient.New(o.Log).Append(ctx, audit.Stream, raw)
+	}
+	if err != nil {
+		fmt.Fprintln(s.Err, "the audit trail has no record of this change:", err)
+	}
+}
+
 // ConfigPublishCommand publishes a file.
 type ConfigPublishCommand struct {
 	Operator
-	Author string `required:"" help:"Who publishes it."`
+	Author string `help:"Who publishes it; with --admin it is the operator of the token."`
 	Base   int64  `default:"-1" help:"Version of the file that it replaces; -1 takes the one in force now."`
 	File   string `arg:"" help:"INI file with kinds, teams or limits."`
 }
@@ -151,7 +225,7 @@
 // ConfigRollbackCommand restores an old text of a file by a new change.
 type ConfigRollbackCommand struct {
 	Operator
-	Author string `required:"" help:"Who publishes it."`
+	Author string `help:"Who publishes it; with --admin it is the operator of the token."`
 	To     uint64 `required:"" help:"Version of the file whose text is to be in force again."`
 	File   string `arg:"" help:"Name of the published file."`
 }
--- a/commands/status.go
+++ b/commands/status.go
@@ -1,11 +1,9 @@
 package commands
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"net/netip"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -15,6 +13,7 @@
 
 // StatusCommand shows processes.
 type StatusCommand struct {
+	Credentials
 	Admin  []string `arg:"" placeholder:"IP:PORT" help:"Admin addresses of entries and agents."`
 	Output string   `enum:"table,json" default:"table" help:"Form of the output: table or json."`
 }
@@ -46,8 +45,8 @@
 	var list []processStatus
 	var failed []string
 	for _, address := range c.Admin {
-		p, err := askStatus(address)
-		if err != nil {
+		var p processStatus
+		if err := c.administer(http.MethodGet, address, "/v1/status", nil, &p); err != nil {
 			failed = append(failed, err.Error())
 			continue
 		}
@@ -87,52 +86,17 @@
 	}
 }
 
-func askStatus(address string) (processStatus, error) {
-	var p processStatus
-	if _, err := netip.ParseAddrPort(address); err != nil {
-		return p, usageError{errors.Errorf("address %q is not an IP number and a port", address)}
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), adminTime)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/status", nil)
-	if err != nil {
-		return p, err
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return p, errors.Wrapf(err, "process at %s", address)
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return p, errors.Errorf("process at %s answered %s", address, response.Status)
-	}
-	return p, errors.Wrapf(json.NewDecoder(response.Body).Decode(&p), "process at %s", address)
-}
-
 // DrainCommand stops a process as planned.
 type DrainCommand struct {
+	Credentials
 	Admin string `arg:"" placeholder:"IP:PORT" help:"Admin address of the entry or agent."`
 }
 
 // Run asks the process to drain; it goes on in the process.
 func (c *DrainCommand) Run(s *Streams) error {
-	if _, err := netip.ParseAddrPort(c.Admin); err != nil {
-		return usageError{errors.Errorf("address %q is not an IP number and a port", c.Admin)}
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), adminTime)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.Admin+"/v1/drain", nil)
-	if err != nil {
+	if err := c.administer(http.MethodPost, c.Admin, "/v1/drain", nil, nil); err != nil {
 		return err
 	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return errors.Wrapf(err, "process at %s", c.Admin)
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusAccepted {
-		return errors.Errorf("process at %s answered %s", c.Admin, response.Status)
-	}
 	fmt.Fprintf(s.Out, "process at %s drains\n", c.Admin)
 	return nil
 }
--- a/commands/submit.go
+++ b/commands/submit.go
@@ -22,6 +22,7 @@
 
 // Caller is how commands reach the callers' interface of an entry.
 type Caller struct {
+	Credentials
 	Entry string        `required:"" placeholder:"IP:PORT" help:"Callers' address of any entry."`
 	Team  string        `required:"" help:"Team that the job belongs to."`
 	Wait  time.Duration `default:"30s" help:"How long to wait for the answer."`
@@ -94,6 +95,9 @@
 	}
 	request.Header.Set(gateway.HeaderKey, key)
 	request.Header.Set(gateway.HeaderTeam, c.Team)
+	if err := c.sign(request); err != nil {
+		return err
+	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return errors.Wrap(err, "the entry did not answer; whether the job ran is not known, send the same key again")
--- /dev/null
+++ b/commands/token.go
@@ -0,0 +1,66 @@
+package commands
+
+import (
+	"crypto/rand"
+	"encoding/base64"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/corianderhook/corianderhook/version/access"
+)
+
+// tokenBytes is the length of a new token before its encoding.
+const tokenBytes = 32
+
+// TokenCommand makes a token.
+type TokenCommand struct {
+	File string `arg:"" help:"File for the new token; it must not exist. Only its owner may read it."`
+}
+
+// Run writes the token to the file and prints its digest for the settings.
+func (c *TokenCommand) Run(s *Streams) error {
+	raw := make([]byte, tokenBytes)
+	if _, err := rand.Read(raw); err != nil {
+		return errors.Wrap(err, "new token")
+	}
+	token := base64.RawURLEncoding.EncodeToString(raw)
+	file, err := os.OpenFile(c.File, os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o600)
+	if err != nil {
+		return usageError{errors.Wrap(err, "token file")}
+	}
+	if _, err := fmt.Fprintln(file, token); err != nil {
+		file.Close()
+		return errors.Wrapf(err, "token file %q", c.File)
+	}
+	if err := file.Close(); err != nil {
+		return errors.Wrapf(err, "token file %q", c.File)
+	}
+	fmt.Fprintf(s.Out, "token_sha256 = %s\n", access.DigestOf(token))
+	return nil
+}
+
+// Credentials are how commands prove who runs them.
+type Credentials struct {
+	TokenFile string `placeholder:"FILE" env:"CORIANDERHOOK_TOKEN_FILE" help:"File with the bearer token of the team or operator."`
+}
+
+// sign adds the token to a request.
+func (c *Credentials) sign(r *http.Request) error {
+	if c.TokenFile == "" {
+		return nil
+	}
+	raw, err := os.ReadFile(c.TokenFile)
+	if err != nil {
+		return usageError{errors.Wrap(err, "--token-file")}
+	}
+	token := strings.TrimSpace(string(raw))
+	if token == "" || strings.ContainsAny(token, " \r\n") {
+		return usageError{errors.Errorf("--token-file %q does not hold one token", c.TokenFile)}
+	}
+	r.Header.Set("Authorization", "Bearer "+token)
+	return nil
+}
--- a/process/agent/agent.go
+++ b/process/agent/agent.go
@@ -20,12 +20,13 @@
 	"k8s.io/klog/v2"
 
 	"github.com/corianderhook/corianderhook/common/instance"
-	"github.com/corianderhook/corianderhook/common/loopback"
 	"github.com/corianderhook/corianderhook/common/stopper"
 	"github.com/corianderhook/corianderhook/connection/endpoint"
+	"github.com/corianderhook/corianderhook/connection/guard"
 	"github.com/corianderhook/corianderhook/process/executor"
 	"github.com/corianderhook/corianderhook/process/metrics"
 	"github.com/corianderhook/corianderhook/request/submission"
+	"github.com/corianderhook/corianderhook/version/access"
 	"github.com/corianderhook/corianderhook/version/config"
 	"github.com/corianderhook/corianderhook/wire"
 )
@@ -212,18 +213,20 @@
 
 func (a *Agent) adminHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", a.metrics.Handler())
+	need := guard.New(func() *access.Access { return a.config.Load().Access() }).Need
+	mux.HandleFunc("GET /metrics", need(access.Read, a.metrics.Handler().ServeHTTP))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
 		if len(a.links.connected()) == 0 {
 			http.Error(w, "no entry is connected", http.StatusServiceUnavailable)
 		}
 	})
-	mux.HandleFunc("POST /v1/drain", loopback.Only(func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("POST /v1/drain", need(access.Operate, func(w http.ResponseWriter, r *http.Request) {
+		klog.InfoS("CH0602 operator asks to drain", "process", a.id, "operator", guard.Operator(r.Context()), "from", r.RemoteAddr)
 		a.stopper.Ask()
 		w.WriteHeader(http.StatusAccepted)
 	}))
-	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("GET /v1/status", need(access.Read, func(w http.ResponseWriter, r *http.Request) {
 		s, err := a.Status(r.Context())
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
@@ -232,7 +235,7 @@
 		w.Header().Set("Content-Type", "application/json")
 		// A failed write means that the reader is gone.
 		_ = json.NewEncoder(w).Encode(s)
-	})
+	}))
 	return mux
 }
 
--- a/process/entry/admin.go
+++ b/process/entry/admin.go
@@ -7,8 +7,10 @@
 	"sort"
 	"time"
 
-	"github.com/corianderhook/corianderhook/common/loopback"
+	"github.com/corianderhook/corianderhook/connection/guard"
+	"github.com/corianderhook/corianderhook/process/audit"
 	"github.com/corianderhook/corianderhook/process/owner"
+	"github.com/corianderhook/corianderhook/version/access"
 	"github.com/corianderhook/corianderhook/version/slot"
 )
 
@@ -38,11 +40,16 @@
 
 func (e *Entry) adminHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", e.metrics.Handler())
+	mux.HandleFunc("GET /metrics", e.guard.Need(access.Read, e.metrics.Handler().ServeHTTP))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", e.readyz)
-	mux.HandleFunc("GET /v1/status", e.status)
-	mux.HandleFunc("POST /v1/drain", loopback.Only(func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET /v1/status", e.guard.Need(access.Read, e.status))
+	mux.HandleFunc("GET /v1/config", e.guard.Need(access.Read, e.showConfig))
+	mux.HandleFunc("POST /v1/config", e.guard.Need(access.Configure, e.publish))
+	mux.HandleFunc("POST /v1/drain", e.guard.Need(access.Operate, func(w http.ResponseWriter, r *http.Request) {
+		e.trail.Add(audit.Record{
+			Who: guard.Operator(r.Context()), From: r.RemoteAddr, What: "drain-request", Subject: e.self.Instance, Outcome: "done",
+		})
 		e.stopper.Ask()
 		w.WriteHeader(http.StatusAccepted)
 	}))
--- a/process/entry/config.go
+++ b/process/entry/config.go
@@ -40,6 +40,10 @@
 		klog.InfoS("CH0503 configuration change is void", "entry", e.self.Instance, "change", verdict.ID, "reason", verdict.Reason)
 	}
 	e.enforce()
+	if waiter := e.verdicts[verdict.ID]; waiter != nil {
+		waiter <- verdict
+		delete(e.verdicts, verdict.ID)
+	}
 	if offset%configSnapshotEvery == configSnapshotEvery-1 {
 		go e.snapshotConfig(ctx)
 	}
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -19,6 +19,7 @@
 
 	"github.com/corianderhook/corianderhook/common/instance"
 	"github.com/corianderhook/corianderhook/common/stopper"
+	"github.com/corianderhook/corianderhook/connection/guard"
 	"github.com/corianderhook/corianderhook/connection/peer"
 	"github.com/corianderhook/corianderhook/process/audit"
 	"github.com/corianderhook/corianderhook/process/dispatch"
@@ -27,6 +28,7 @@
 	"github.com/corianderhook/corianderhook/process/metrics"
 	"github.com/corianderhook/corianderhook/process/router"
 	"github.com/corianderhook/corianderhook/request/gateway"
+	"github.com/corianderhook/corianderhook/version/access"
 	"github.com/corianderhook/corianderhook/version/config"
 	"github.com/corianderhook/corianderhook/version/ownership"
 	"github.com/corianderhook/corianderhook/version/publication"
@@ -75,10 +77,13 @@
 	published atomic.Pointer[publication.State]
 	adoptMu   sync.Mutex
 	adopted   *publication.Publication
-	table     atomic.Pointer[ownership.State]
-	owner     *actor.PID
-	sessions  *sessions
-	draining  atomic.Bool
+	// verdicts are for operators who wait for what became of their change.
+	verdicts map[string]chan publication.Verdict
+	guard    *guard.Guard
+	table    atomic.Pointer[ownership.State]
+	owner    *actor.PID
+	sessions *sessions
+	draining atomic.Bool
 	// idle tells that the dispatcher needs no ticks.
 	idle    atomic.Bool
 	grpc    *grpc.Server
@@ -111,6 +116,8 @@
 		},
 	}
 	e.config.Store(c)
+	e.verdicts = map[string]chan publication.Verdict{}
+	e.guard = guard.New(func() *access.Access { return e.config.Load().Access() })
 	e.adopted = publication.New()
 	none := e.adopted.State()
 	e.published.Store(&none)
@@ -152,6 +159,9 @@
 	return s.Owner, s.Epoch
 }
 
+// Caller checks that a caller may act for a team, by the configuration in force.
+func (e *Entry) Caller(team, token string) error { return e.config.Load().Access().Caller(team, token) }
+
 // Listeners are the open sockets of an entry.
 type Listeners struct {
 	Processes net.Listener
@@ -189,7 +199,7 @@
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: e.deps.Config.Silence(), Timeout: e.deps.Config.Silence()}),
 	)
 	wire.RegisterEntryServer(e.grpc, &service{entry: e})
-	e.callers = gateway.New(e.router, e.deps.Clock).Server()
+	e.callers = gateway.New(e.router, e, e.deps.Clock).Server()
 	e.admin = &http.Server{Handler: e.adminHandler(), ReadHeaderTimeout: adminHeaderTime}
 	failed := make(chan error, 3)
 	go func() { failed <- e.grpc.Serve(l.Processes) }()
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
+	"github.com/corianderhook/corianderhook/common/bearer"
 	"github.com/corianderhook/corianderhook/process/router"
 	"github.com/corianderhook/corianderhook/request/answer"
 	"github.com/corianderhook/corianderhook/request/outcome"
@@ -42,15 +43,21 @@
 	Find(ctx context.Context, job string, cancel bool, until time.Time) answer.Answer
 }
 
+// Access tells whether a caller may act for a team.
+type Access interface {
+	Caller(team, token string) error
+}
+
 // Gateway serves callers.
 type Gateway struct {
+	access Access
 	routes Routes
 	clock  clockwork.Clock
 }
 
 // New returns a gateway.
-func New(routes Routes, clock clockwork.Clock) *Gateway {
-	return &Gateway{routes: routes, clock: clock}
+func New(routes Routes, access Access, clock clockwork.Clock) *Gateway {
+	return &Gateway{routes: routes, access: access, clock: clock}
 }
 
 // Server returns an HTTP server with the gateway's limits.
@@ -80,6 +87,10 @@
 	team, key := r.Header.Get(HeaderTeam), r.Header.Get(HeaderKey)
 	// The receipt is taken first: a refusal bars every attempt received before it.
 	at := g.routes.Receipt(team + "/" + key)
+	if err := g.access.Caller(team, bearer.Token(r)); err != nil {
+		unauthenticated(w, outcome.NotRun, err)
+		return
+	}
 	wait, err := waitTime(r)
 	if err != nil {
 		invalid(w, err)
@@ -101,6 +112,13 @@
 	write(w, "", answer.New(outcome.NotRun, "invalid", err.Error()))
 }
 
+// unauthenticated refuses a caller without the team's token. The answer is the
+// same whether or not there is such a job.
+func unauthenticated(w http.ResponseWriter, o outcome.Outcome, err error) {
+	w.Header().Set("WWW-Authenticate", "Bearer")
+	write(w, "", answer.New(o, "unauthenticated", err.Error()))
+}
+
 // waitTime reads the parameter "wait", a time such as 500ms or 2s.
 func waitTime(r *http.Request) (time.Duration, error) {
 	text := r.URL.Query().Get("wait")
@@ -120,6 +138,10 @@
 
 func (g *Gateway) find(w http.ResponseWriter, r *http.Request, cancel bool) {
 	team, key := r.Header.Get(HeaderTeam), r.PathValue("key")
+	if err := g.access.Caller(team, bearer.Token(r)); err != nil {
+		unauthenticated(w, outcome.Unknown, err)
+		return
+	}
 	if err := submission.CheckNames(team, key); err != nil {
 		invalid(w, err)
 		return
@@ -165,6 +187,7 @@
 }
 
 var statusOfReason = map[string]int{
+	"unauthenticated":  http.StatusUnauthorized,
 	"invalid":          http.StatusBadRequest,
 	"key-conflict":     http.StatusUnprocessableEntity,
 	"key-expired":      http.StatusUnprocessableEntity,
--- a/request/gateway/gateway_test.go
+++ b/request/gateway/gateway_test.go
@@ -17,6 +17,7 @@
 	"github.com/corianderhook/corianderhook/request/gateway"
 	"github.com/corianderhook/corianderhook/request/outcome"
 	"github.com/corianderhook/corianderhook/request/submission"
+	"github.com/corianderhook/corianderhook/version/access"
 	"github.com/corianderhook/corianderhook/wire"
 )
 
@@ -24,6 +25,16 @@
 type routes struct {
 	answer answer.Answer
 	sent   int
+	found  int
+	// token, where set, is what callers of the team must carry.
+	token string
+}
+
+func (r *routes) Caller(_, token string) error {
+	if token != r.token {
+		return access.ErrRefused
+	}
+	return nil
 }
 
 func (r *routes) Receipt(string) router.Receipt { return router.Receipt{} }
@@ -33,14 +44,17 @@
 	return r.answer
 }
 
-func (r *routes) Find(context.Context, string, bool, time.Time) answer.Answer { return r.answer }
+func (r *routes) Find(context.Context, string, bool, time.Time) answer.Answer {
+	r.found++
+	return r.answer
+}
 
 func post(r *routes, target, key, body string) (*httptest.ResponseRecorder, gateway.Document) {
 	request := httptest.NewRequest(http.MethodPost, target, strings.NewReader(body))
 	request.Header.Set(gateway.HeaderKey, key)
 	request.Header.Set(gateway.HeaderTeam, "team")
 	w := httptest.NewRecorder()
-	gateway.New(r, clockwork.NewFakeClock()).Handler().ServeHTTP(w, request)
+	gateway.New(r, r, clockwork.NewFakeClock()).Handler().ServeHTTP(w, request)
 	var doc gateway.Document
 	_ = json.Unmarshal(w.Body.Bytes(), &doc)
 	return w, doc
@@ -105,3 +119,32 @@
 	is.Equal(string(doc.Tasks[0].Result), `{"seat":4}`)
 	is.Equal(string(doc.Tasks[1].Result), `"four \"seats\""`)
 }
+
+func TestCallerWithoutTheTokenGetsNothing(t *testing.T) {
+	for _, method := range []string{http.MethodPost, http.MethodGet, http.MethodDelete} {
+		for _, authorization := range []string{"", "Bearer other", "Bearer secret"} {
+			t.Run(method+" "+authorization, func(t *testing.T) {
+				is := is.New(t)
+				r := &routes{answer: answer.New(outcome.Complete, "complete", ""), token: "secret"}
+				target := "/v1/jobs/key"
+				if method == http.MethodPost {
+					target = "/v1/jobs"
+				}
+				request := httptest.NewRequest(method, target, strings.NewReader(good))
+				request.Header.Set(gateway.HeaderKey, "key")
+				request.Header.Set(gateway.HeaderTeam, "team")
+				request.Header.Set("Authorization", authorization)
+				w := httptest.NewRecorder()
+				gateway.New(r, r, clockwork.NewFakeClock()).Handler().ServeHTTP(w, request)
+				if authorization == "Bearer secret" {
+					is.Equal(w.Code, http.StatusOK)
+					return
+				}
+				is.Equal(w.Code, http.StatusUnauthorized)
+				is.Equal(r.sent, 0)
+				is.Equal(r.found, 0)
+				is.True(!strings.Contains(w.Body.String(), "secret"))
+			})
+		}
+	}
+}
--- /dev/null
+++ b/version/access/access_test.go
@@ -0,0 +1,93 @@
+package access_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/corianderhook/corianderhook/version/access"
+)
+
+func digests(tokens ...string) []access.Digest {
+	var list []access.Digest
+	for _, t := range tokens {
+		list = append(list, access.DigestOf(t))
+	}
+	return list
+}
+
+func TestCallerNeedsTheTokenOfItsTeam(t *testing.T) {
+	for _, closed := range []bool{false, true} {
+		a := access.New(closed)
+		a.AddTeam("a", digests("old-a", "new-a"))
+		a.AddTeam("b", digests("token-b"))
+		a.AddTeam("open", nil)
+		for _, tt := range []struct {
+			team, token string
+			taken       bool
+		}{
+			{"a", "old-a", true},
+			{"a", "new-a", true},
+			{"a", "token-b", false},
+			{"a", "", false},
+			{"b", "token-b", true},
+			{"b", "new-a", false},
+			{"open", "", !closed},
+			{"open", "token-b", !closed},
+			{"absent", "token-b", !closed},
+		} {
+			t.Run(fmt.Sprintf("closed=%v/%s/%s", closed, tt.team, tt.token), func(t *testing.T) {
+				is := is.New(t)
+				is.Equal(a.Caller(tt.team, tt.token) == nil, tt.taken)
+			})
+		}
+	}
+}
+
+func TestOperatorIsFoundByToken(t *testing.T) {
+	is := is.New(t)
+	a := access.New(false)
+	a.AddOperator("idle", access.Configure, nil)
+	is.True(!a.Guarded())
+	a.AddOperator("ada", access.Configure, digests("token-ada"))
+	a.AddOperator("bo", access.Read, digests("token-bo"))
+	is.True(a.Guarded())
+	name, role := a.Operator("token-bo")
+	is.Equal(name, "bo")
+	is.Equal(role, access.Read)
+	name, role = a.Operator("token-b")
+	is.Equal(name, "")
+	is.Equal(role, access.Nobody)
+	_, role = a.Operator("")
+	is.Equal(role, access.Nobody)
+}
+
+func TestBadDigestsAndRolesAreNamed(t *testing.T) {
+	is := is.New(t)
+	for _, text := range []string{"abc", strings.Repeat("0", 63), strings.Repeat("g", 64), "secret"} {
+		_, err := access.ParseDigests(text)
+		is.True(err != nil)
+		is.True(!strings.Contains(err.Error(), text)) // a token given by mistake is not shown
+	}
+	list, err := access.ParseDigests(access.DigestOf("x").String() + ", " + access.DigestOf("y").String())
+	is.NoErr(err)
+	is.Equal(list, digests("x", "y"))
+	_, err = access.ParseRole("nobody")
+	is.True(err != nil)
+}
+
+// BenchmarkCaller measures the check that every request pays.
+func BenchmarkCaller(b *testing.B) {
+	a := access.New(true)
+	for i := range 640 {
+		a.AddTeam(fmt.Sprint("team", i), digests(fmt.Sprint("token", i)))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if a.Caller("team7", "token7") != nil {
+			b.Fatal("refused")
+		}
+	}
+}
--- a/version/config/config.go
+++ b/version/config/config.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/corianderhook/corianderhook/process/admission"
+	"github.com/corianderhook/corianderhook/version/access"
 )
 
 // Kind is a kind of work.
@@ -27,6 +28,14 @@
 	// Rate is in tasks a second, Concurrent in tasks; zero means no limit.
 	Rate       float64
 	Concurrent int
+	// Tokens are the digests of the tokens that its callers may carry.
+	Tokens []access.Digest
+}
+
+// Operator is someone who may use the administration interface.
+type Operator struct {
+	Role   access.Role
+	Tokens []access.Digest
 }
 
 // Process is what a process is told about itself.
@@ -67,6 +76,10 @@
 	kinds     map[string]Kind
 	teams     map[string]Team
 	values    []Value
+	operators map[string]Operator
+	// closed refuses callers of teams without a token.
+	closed bool
+	access *access.Access
 }
 
 // Value is one merged value with the file that it came from; the file is empty
@@ -90,6 +103,9 @@
 // Values returns every value in force, in the order of section and key.
 func (c *Config) Values() []Value { return c.values }
 
+// Access returns who may do what.
+func (c *Config) Access() *access.Access { return c.access }
+
 // Silence returns after how long a silent connection is replaced.
 func (c *Config) Silence() time.Duration { return c.silence }
 
--- a/version/config/fields.go
+++ b/version/config/fields.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/corianderhook/corianderhook/version/access"
 )
 
 // Field describes one key of a section.
@@ -15,7 +17,9 @@
 	Default string
 	Unit    string
 	Doc     string
-	set     func(b *builder, name, value string) error
+	// Secret keeps a value that does not fit out of the error.
+	Secret bool
+	set    func(b *builder, name, value string) error
 }
 
 // Section describes one section; a named section is written [section name].
@@ -55,6 +59,13 @@
 			{Key: "entries", Unit: "ip:port, ...", Doc: "Some entries to find the others by.", set: setEntries},
 			{Key: "admin", Unit: "ip:port", Doc: "Address for metrics and health.", set: setAddress(func(b *builder) *string { return &b.c.agent.Admin })},
 		}},
+		{Name: "access", Fields: []Field{
+			{Key: "callers", Default: "open", Unit: "open or token", Doc: "Whether callers of a team without a token are taken.", set: setCallers},
+		}},
+		{Name: "operator", Named: true, Fields: []Field{
+			{Key: "role", Default: "read", Unit: "read, operate or configure", Doc: "What the operator may do; each includes the ones before it.", set: setOperator(parseRole)},
+			{Key: "token_sha256", Unit: "digest, ...", Doc: "Digests of the operator's tokens.", Secret: true, set: setOperator(parseTokens(func(o *Operator) *[]access.Digest { return &o.Tokens }))},
+		}},
 		{Name: "limits", Fields: []Field{
 			{Key: "retention", Default: "2m", Unit: "time", Doc: "How long job keys and answers are kept.", set: setTime(time.Second, 24*time.Hour, func(b *builder) *time.Duration { return &b.c.retention })},
 			{Key: "keys_per_slot", Default: "20000", Unit: "keys", Doc: "Job keys that one of the 256 slots keeps.", set: setInt(1, maxKeysLimit, func(b *builder) *int { return &b.c.maxKeys })},
@@ -71,6 +82,7 @@
 			{Key: "weight", Default: "1", Unit: "share", Doc: "Share of a kind's slots where teams compete.", set: setTeam(parseWeight(func(t *Team) *float64 { return &t.Weight }))},
 			{Key: "rate", Default: "0", Unit: "tasks/s", Doc: "Tasks a second over all entries; 0 is no limit.", set: setTeam(parseRate)},
 			{Key: "concurrent", Default: "0", Unit: "tasks", Doc: "Tasks that wait or run over all entries; 0 is no limit.", set: setTeam(parseConcurrent)},
+			{Key: "token_sha256", Unit: "digest, ...", Doc: "Digests of the tokens that callers of the team carry.", Secret: true, set: setTeam(parseTokens(func(t *Team) *[]access.Digest { return &t.Tokens }))},
 		}},
 	}
 }
@@ -181,6 +193,37 @@
 	}
 }
 
+func setOperator(parse func(o *Operator, value string) error) setter {
+	return func(b *builder, name, value string) error {
+		o := b.c.operators[name]
+		err := parse(&o, value)
+		b.c.operators[name] = o
+		return err
+	}
+}
+
+func parseRole(o *Operator, value string) error {
+	role, err := access.ParseRole(value)
+	o.Role = role
+	return err
+}
+
+func parseTokens[T any](at func(*T) *[]access.Digest) func(*T, string) error {
+	return func(t *T, value string) error {
+		digests, err := access.ParseDigests(value)
+		*at(t) = digests
+		return err
+	}
+}
+
+func setCallers(b *builder, _, value string) error {
+	if value != "open" && value != "token" {
+		return fmt.Errorf("must be open or token")
+	}
+	b.c.closed = value == "token"
+	return nil
+}
+
 const maxWeight = 1e6
 
 func parseWeight[T any](at func(*T) *float64) func(*T, string) error {
--- a/version/config/read.go
+++ b/version/config/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"sort"
@@ -9,6 +10,8 @@
 
 	"github.com/pkg/errors"
 	"gopkg.in/ini.v1"
+
+	"github.com/corianderhook/corianderhook/version/access"
 )
 
 // File is one INI file by name.
@@ -78,7 +81,7 @@
 // faults are returned at once.
 func Merge(files []File) (*Config, error) {
 	b := &builder{
-		c:        &Config{kinds: map[string]Kind{}, teams: map[string]Team{}},
+		c:        &Config{kinds: map[string]Kind{}, teams: map[string]Team{}, operators: map[string]Operator{}},
 		merged:   map[string]map[string]Value{},
 		sections: map[string]Section{},
 	}
@@ -94,6 +97,7 @@
 		b.read(f)
 	}
 	b.decode()
+	b.compileAccess()
 	if len(b.faults) > 0 {
 		return nil, b.faults
 	}
@@ -183,13 +187,29 @@
 	}
 }
 
+// compileAccess makes the tokens ready for use.
+func (b *builder) compileAccess() {
+	b.c.access = access.New(b.c.closed)
+	for name, t := range b.c.teams {
+		b.c.access.AddTeam(name, t.Tokens)
+	}
+	for _, name := range sortedKeys(b.c.operators) {
+		o := b.c.operators[name]
+		b.c.access.AddOperator(name, o.Role, o.Tokens)
+	}
+}
+
 func (b *builder) decodeField(section, name string, field Field) {
 	v, given := b.merged[section][field.Key]
 	if !given {
 		v = Value{Section: section, Key: field.Key, Value: field.Default}
 	}
 	if err := field.set(b, name, v.Value); err != nil {
-		b.faults = append(b.faults, Fault{File: v.File, Section: section, Key: v.Key, Value: v.Value, Reason: err.Error()})
+		shown := v.Value
+		if field.Secret {
+			shown = "(not shown)"
+		}
+		b.faults = append(b.faults, Fault{File: v.File, Section: section, Key: v.Key, Value: shown, Reason: err.Error()})
 	}
 	b.c.values = append(b.c.values, v)
 }
@@ -240,8 +260,23 @@
 			faults = append(faults, Fault{File: "settings", Section: n.section, Key: n.key, Reason: "the " + string(r) + " cannot do without this key"})
 		}
 	}
+	faults = append(faults, c.checkAdmin(string(r), needs[len(needs)-1].value)...)
 	if len(faults) > 0 {
 		return faults
 	}
 	return nil
 }
+
+// checkAdmin keeps the administration interface on the machine itself until an
+// operator has a token. The admin address is the last that each role needs.
+func (c *Config) checkAdmin(section, address string) Faults {
+	// An address that cannot be read was reported before.
+	parsed, _ := netip.ParseAddrPort(address)
+	if !parsed.IsValid() || parsed.Addr().Unmap().IsLoopback() || c.access.Guarded() {
+		return nil
+	}
+	return Faults{{
+		File: "settings", Section: section, Key: "admin", Value: address,
+		Reason: "must be a loopback address as long as no [operator NAME] has a token_sha256",
+	}}
+}
