Secure every listener by TLS, mutual between processes

Cause: tokens and jobs went over plain connections, and any process that reached an entry's port could attach as an agent.

Change: [tls] certificate, key and authority, all three or none.

What TLS costs per start was not measured.

--- a/commands/admin.go
+++ b/commands/admin.go
@@ -40,16 +40,20 @@
 			return err
 		}
 	}
+	scheme, client, err := c.client()
+	if err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), adminTime)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(sent))
+	request, err := http.NewRequestWithContext(ctx, method, scheme+address+path, bytes.NewReader(sent))
 	if err != nil {
 		return err
 	}
 	if err := c.sign(request); err != nil {
 		return err
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return errors.Wrapf(err, "process at %s", address)
 	}
--- a/commands/agent.go
+++ b/commands/agent.go
@@ -21,11 +21,15 @@
 	if err != nil {
 		return err
 	}
+	secured, err := newSecurity(settings)
+	if err != nil {
+		return err
+	}
 	admin, err := net.Listen("tcp", settings.Agent().Admin)
 	if err != nil {
 		return usageError{errors.Wrap(err, "setting [agent] admin")}
 	}
-	a := agent.New(agent.Dependencies{Config: settings, Files: files, Clock: realClock(), System: newSystem()})
+	a := agent.New(agent.Dependencies{Config: settings, Files: files, Clock: realClock(), System: newSystem(), Security: secured})
 	return runUntilSignal(lifecycle{
 		drainTime: settings.DrainTime(),
 		run:       func(ctx context.Context) error { return a.Run(ctx, admin) },
--- a/commands/entry.go
+++ b/commands/entry.go
@@ -6,7 +6,9 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/corianderhook/corianderhook/connection/certificate"
 	"github.com/corianderhook/corianderhook/connection/logclient"
+	"github.com/corianderhook/corianderhook/connection/security"
 	"github.com/corianderhook/corianderhook/process/entry"
 	"github.com/corianderhook/corianderhook/version/config"
 )
@@ -23,17 +25,22 @@
 	if err != nil {
 		return err
 	}
+	secured, err := newSecurity(settings)
+	if err != nil {
+		return err
+	}
 	listeners, err := entry.Listen(settings)
 	if err != nil {
 		return usageError{err}
 	}
 	e := entry.New(entry.Dependencies{
-		Config: settings,
-		Files:  files,
-		Log:    logclient.New(settings.Process().Log),
-		Clock:  realClock(),
-		System: newSystem(),
-		Seed:   seedOrTime(c.Seed),
+		Config:   settings,
+		Files:    files,
+		Log:      logclient.New(settings.Process().Log),
+		Clock:    realClock(),
+		System:   newSystem(),
+		Security: secured,
+		Seed:     seedOrTime(c.Seed),
 	})
 	return runUntilSignal(lifecycle{
 		drainTime: settings.DrainTime(),
@@ -43,6 +50,19 @@
 	})
 }
 
+// newSecurity reads the certificate that the settings name, if any.
+func newSecurity(settings *config.Config) (security.Security, error) {
+	files := settings.TLS()
+	if files == (config.TLS{}) {
+		return security.Security{}, nil
+	}
+	c, err := certificate.New(certificate.Files(files), realClock())
+	if err != nil {
+		return security.Security{}, usageError{err}
+	}
+	return security.New(c), nil
+}
+
 func seedOrTime(seed uint64) uint64 {
 	if seed != 0 {
 		return seed
--- a/commands/submit.go
+++ b/commands/submit.go
@@ -86,9 +86,13 @@
 	if _, err := netip.ParseAddrPort(c.Entry); err != nil {
 		return usageError{errors.Errorf("--entry is %q; it must be an IP number and a port", c.Entry)}
 	}
+	scheme, client, err := c.client()
+	if err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), c.Wait+callSlack)
 	defer cancel()
-	target := "http://" + c.Entry + path + "?wait=" + url.QueryEscape(c.Wait.String())
+	target := scheme + c.Entry + path + "?wait=" + url.QueryEscape(c.Wait.String())
 	request, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
 	if err != nil {
 		return err
@@ -98,7 +102,7 @@
 	if err := c.sign(request); err != nil {
 		return err
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return errors.Wrap(err, "the entry did not answer; whether the job ran is not known, send the same key again")
 	}
--- a/commands/token.go
+++ b/commands/token.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/base64"
 	"fmt"
 	"net/http"
@@ -10,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/corianderhook/corianderhook/connection/certificate"
 	"github.com/corianderhook/corianderhook/version/access"
 )
 
@@ -45,9 +47,23 @@
 
 // Credentials are how commands prove who runs them.
 type Credentials struct {
+	CA        string `placeholder:"FILE" env:"CORIANDERHOOK_CA" help:"PEM file with the authority of the processes; the connection is then by TLS."`
 	TokenFile string `placeholder:"FILE" env:"CORIANDERHOOK_TOKEN_FILE" help:"File with the bearer token of the team or operator."`
 }
 
+// client returns the scheme and the client for a request to a process.
+func (c *Credentials) client() (scheme string, client *http.Client, err error) {
+	if c.CA == "" {
+		return "http://", http.DefaultClient, nil
+	}
+	pool, err := certificate.Pool(c.CA)
+	if err != nil {
+		return "", nil, usageError{errors.Wrap(err, "--ca")}
+	}
+	settings := &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: pool}
+	return "https://", &http.Client{Transport: &http.Transport{TLSClientConfig: settings}}, nil
+}
+
 // sign adds the token to a request.
 func (c *Credentials) sign(r *http.Request) error {
 	if c.TokenFile == "" {
--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -11,7 +11,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/credentials"
 	"k8s.io/klog/v2"
 
 	"github.com/corianderhook/corianderhook/process/membership"
@@ -41,6 +41,8 @@
 	Silence time.Duration
 	// Config is the configuration in force, which peers bring each other up to.
 	Config Config
+	// Credentials secure the connections.
+	Credentials credentials.TransportCredentials
 	// Pass, where set, may hold messages back in experiments.
 	Pass func()
 }
@@ -110,7 +112,7 @@
 }
 
 func (p *Peers) connect(ctx context.Context, name string, l *link) error {
-	conn, err := Dial(l.address)
+	conn, err := Dial(l.address, p.settings.Credentials)
 	if err != nil {
 		return err
 	}
@@ -129,12 +131,13 @@
 	return p.exchange(ctx, l, stream, heard, failed)
 }
 
-// Dial opens a connection to another process of the system.
-func Dial(address string) (*grpc.ClientConn, error) {
+// Dial opens a connection to another process of the system, with credentials
+// that secure it.
+func Dial(address string, secured credentials.TransportCredentials) (*grpc.ClientConn, error) {
 	conn, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithInitialWindowSize(WindowBytes),
 		grpc.WithInitialConnWindowSize(WindowBytes),
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithTransportCredentials(secured),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes), grpc.MaxCallSendMsgSize(MaxMessageBytes)),
 	)
 	return conn, errors.Wrapf(err, "connect to %s", address)
--- a/main_test.go
+++ b/main_test.go
@@ -1,11 +1,13 @@
 package main
 
 import (
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -14,6 +16,8 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/corianderhook/corianderhook/commands"
+	"github.com/corianderhook/corianderhook/common/testcert"
+	"github.com/corianderhook/corianderhook/connection/certificate"
 )
 
 // ports is how many free loopback ports a script gets, as $P0, $P1 and so on.
@@ -33,9 +37,10 @@
 		Dir:   "testscripts",
 		Setup: setUpPorts,
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"expand": expand,
-			"await":  await,
-			"signal": send,
+			"expand":       expand,
+			"await":        await,
+			"signal":       send,
+			"certificates": certificates,
 		},
 	})
 }
@@ -60,13 +65,34 @@
 	}
 }
 
+// certificates AUTHORITY FOLDER... makes an authority, and writes a certificate
+// of it to process.pem and process.key in each folder.
+func certificates(ts *testscript.TestScript, _ bool, args []string) {
+	file := ts.MkAbs(args[0])
+	a, err := testcert.New(file)
+	ts.Check(err)
+	for _, folder := range args[1:] {
+		folder = ts.MkAbs(folder)
+		_, err := a.Issue(filepath.Join(folder, "process.pem"), filepath.Join(folder, "process.key"))
+		ts.Check(err)
+	}
+}
+
 // await URL TEXT waits until a GET answers 200 with the text in it; with a
-// leading ! until it no longer does.
+// leading ! until it no longer does. An address that begins with https:// is checked
+// against the authority in ca.pem.
 func await(ts *testscript.TestScript, neg bool, args []string) {
 	text := strings.Join(args[1:], " ")
 	last := ""
+	client, address := http.Client{Timeout: time.Second}, "http://"+args[0]
+	if strings.HasPrefix(args[0], "https://") {
+		pool, err := certificate.Pool(ts.MkAbs("ca.pem"))
+		ts.Check(err)
+		client.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}}
+		address = args[0]
+	}
 	for deadline := time.Now().Add(awaitTime); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
-		body, ok := get("http://" + args[0])
+		body, ok := get(client, address)
 		last = body
 		if (ok && strings.Contains(body, text)) != neg {
 			return
@@ -75,8 +101,7 @@
 	ts.Fatalf("%s did not change to what was awaited: %s", args[0], last)
 }
 
-func get(url string) (string, bool) {
-	client := http.Client{Timeout: time.Second}
+func get(client http.Client, url string) (string, bool) {
 	response, err := client.Get(url)
 	if err != nil {
 		return err.Error(), false
--- a/process/agent/agent.go
+++ b/process/agent/agent.go
@@ -23,6 +23,7 @@
 	"github.com/corianderhook/corianderhook/common/stopper"
 	"github.com/corianderhook/corianderhook/connection/endpoint"
 	"github.com/corianderhook/corianderhook/connection/guard"
+	"github.com/corianderhook/corianderhook/connection/security"
 	"github.com/corianderhook/corianderhook/process/executor"
 	"github.com/corianderhook/corianderhook/process/metrics"
 	"github.com/corianderhook/corianderhook/request/submission"
@@ -53,6 +54,8 @@
 	Files  []config.File
 	Clock  clockwork.Clock
 	System *actor.ActorSystem
+	// Security secures listeners and connections.
+	Security security.Security
 	// Gate, where set, may hold messages back.
 	Gate Gate
 }
@@ -117,7 +120,7 @@
 	server := &http.Server{Handler: a.adminHandler(), ReadHeaderTimeout: adminTime}
 	defer server.Close()
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(admin) }()
+	go func() { failed <- server.Serve(a.deps.Security.Listen(admin)) }()
 	go a.tick(ctx)
 	a.links.seed(ctx, a.deps.Config.Agent().Entries)
 	klog.InfoS("CH0011 agent started", "agent", a.id, "endpoint", a.deps.Config.Agent().Endpoint, "admin", admin.Addr())
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/corianderhook/corianderhook/common/stopper"
 	"github.com/corianderhook/corianderhook/connection/guard"
 	"github.com/corianderhook/corianderhook/connection/peer"
+	"github.com/corianderhook/corianderhook/connection/security"
 	"github.com/corianderhook/corianderhook/process/audit"
 	"github.com/corianderhook/corianderhook/process/dispatch"
 	"github.com/corianderhook/corianderhook/process/logstore"
@@ -47,6 +48,8 @@
 	Log    Log
 	Clock  clockwork.Clock
 	System *actor.ActorSystem
+	// Security secures listeners and connections.
+	Security security.Security
 	// Seed breaks ties and spreads Retry-After.
 	Seed uint64
 	// Files are the files that Config was merged from; published ones join them.
@@ -128,12 +131,13 @@
 		pass = deps.Gate.Pass
 	}
 	e.peers = peer.New(peer.Settings{
-		Pass:    pass,
-		Self:    e.self.Instance,
-		Clock:   deps.Clock,
-		Started: e.started,
-		Silence: c.Silence(),
-		Config:  e,
+		Pass:        pass,
+		Self:        e.self.Instance,
+		Clock:       deps.Clock,
+		Started:     e.started,
+		Silence:     c.Silence(),
+		Credentials: deps.Security.Client(),
+		Config:      e,
 	})
 	e.router = router.New(router.Dependencies{
 		Self:  e.self.Instance,
@@ -192,6 +196,7 @@
 	defer cancel()
 	defer e.deps.System.Root.Stop(e.owner)
 	e.grpc = grpc.NewServer(
+		grpc.Creds(e.deps.Security.Processes()),
 		grpc.InitialWindowSize(peer.WindowBytes),
 		grpc.InitialConnWindowSize(peer.WindowBytes),
 		grpc.MaxRecvMsgSize(peer.MaxMessageBytes),
@@ -203,8 +208,8 @@
 	e.admin = &http.Server{Handler: e.adminHandler(), ReadHeaderTimeout: adminHeaderTime}
 	failed := make(chan error, 3)
 	go func() { failed <- e.grpc.Serve(l.Processes) }()
-	go func() { failed <- e.callers.Serve(l.Callers) }()
-	go func() { failed <- e.admin.Serve(l.Admin) }()
+	go func() { failed <- e.callers.Serve(e.deps.Security.Listen(l.Callers)) }()
+	go func() { failed <- e.admin.Serve(e.deps.Security.Listen(l.Admin)) }()
 	go e.trail.Run(ctx)
 	go e.followConfig(ctx)
 	go e.follow(ctx)
--- a/version/config/config.go
+++ b/version/config/config.go
@@ -64,11 +64,19 @@
 	Admin       string
 }
 
+// TLS names PEM files; all are empty where connections are plain.
+type TLS struct {
+	Certificate string
+	Key         string
+	Authority   string
+}
+
 // Config is a merged, checked set of settings. It is read-only.
 type Config struct {
 	process   Process
 	entry     Entry
 	agent     Agent
+	tls       TLS
 	retention time.Duration
 	maxKeys   int
 	silence   time.Duration
@@ -103,6 +111,9 @@
 // Values returns every value in force, in the order of section and key.
 func (c *Config) Values() []Value { return c.values }
 
+// TLS returns the files of the process's certificate.
+func (c *Config) TLS() TLS { return c.tls }
+
 // Access returns who may do what.
 func (c *Config) Access() *access.Access { return c.access }
 
--- a/version/config/fields.go
+++ b/version/config/fields.go
@@ -59,6 +59,11 @@
 			{Key: "entries", Unit: "ip:port, ...", Doc: "Some entries to find the others by.", set: setEntries},
 			{Key: "admin", Unit: "ip:port", Doc: "Address for metrics and health.", set: setAddress(func(b *builder) *string { return &b.c.agent.Admin })},
 		}},
+		{Name: "tls", Fields: []Field{
+			{Key: "certificate", Unit: "file", Doc: "PEM file with the process's certificate; empty leaves all connections plain.", set: setFile(func(b *builder) *string { return &b.c.tls.Certificate })},
+			{Key: "key", Unit: "file", Doc: "PEM file with the key of the certificate.", set: setFile(func(b *builder) *string { return &b.c.tls.Key })},
+			{Key: "authority", Unit: "file", Doc: "PEM file with the authority that signs the certificates of all processes.", set: setFile(func(b *builder) *string { return &b.c.tls.Authority })},
+		}},
 		{Name: "access", Fields: []Field{
 			{Key: "callers", Default: "open", Unit: "open or token", Doc: "Whether callers of a team without a token are taken.", set: setCallers},
 		}},
@@ -99,6 +104,13 @@
 	}
 }
 
+func setFile(at func(*builder) *string) setter {
+	return func(b *builder, _, value string) error {
+		*at(b) = value
+		return nil
+	}
+}
+
 func setAddress(at func(*builder) *string) setter {
 	return func(b *builder, _, value string) error {
 		if value != "" {
--- a/version/config/read.go
+++ b/version/config/read.go
@@ -260,6 +260,7 @@
 			faults = append(faults, Fault{File: "settings", Section: n.section, Key: n.key, Reason: "the " + string(r) + " cannot do without this key"})
 		}
 	}
+	faults = append(faults, c.checkTLS()...)
 	faults = append(faults, c.checkAdmin(string(r), needs[len(needs)-1].value)...)
 	if len(faults) > 0 {
 		return faults
@@ -267,6 +268,22 @@
 	return nil
 }
 
+// checkTLS takes all three files or none.
+func (c *Config) checkTLS() Faults {
+	if c.tls == (TLS{}) {
+		return nil
+	}
+	var faults Faults
+	for _, n := range []struct{ key, value string }{
+		{"certificate", c.tls.Certificate}, {"key", c.tls.Key}, {"authority", c.tls.Authority},
+	} {
+		if n.value == "" {
+			faults = append(faults, Fault{File: "settings", Section: "tls", Key: n.key, Reason: "TLS needs certificate, key and authority"})
+		}
+	}
+	return faults
+}
+
 // checkAdmin keeps the administration interface on the machine itself until an
 // operator has a token. The admin address is the last that each role needs.
 func (c *Config) checkAdmin(section, address string) Faults {
