Add the scenarios cancel-wave and misdeclared

Change: jobs of a plan can be given up at a time; the verdict of the load tool is a file of its own. cancel-wave cancels 200 jobs that hold most slots beside 1.3 times the capacity of other work, and reports after how long the slots do useful work again, and cancelled tasks that start late. misdeclared lets one team send tasks of 50 to 500 ms in a kind of 5 ms tasks, at 1.5 times the capacity.

Admission judges the delay of a kind by all teams together, so that one team's long tasks get the others refused.

--- a/process/bench/table.go
+++ b/process/bench/table.go
@@ -15,7 +15,7 @@
 
 // Table returns every scenario.
 func Table() []Scenario {
-	return slices.Concat(loads(), faults(), floods())
+	return slices.Concat(loads(), faults(), floods(), waves())
 }
 
 // loads are the scenarios without faults.
--- a/process/load/load.go
+++ b/process/load/load.go
@@ -33,6 +33,9 @@
 	Fail   bool
 	// Entry is the entry that the balancer would choose.
 	Entry int
+	// CancelAt is when the caller gives the job up, from the start of the run; zero
+	// is never.
+	CancelAt time.Duration
 	// Flood marks the jobs that the others are to be kept from.
 	Flood bool
 }
@@ -111,6 +114,14 @@
 			}
 		}
 		group.Add(1)
+		if j.CancelAt > 0 {
+			group.Add(1)
+			go func() {
+				defer group.Done()
+				d.pause(ctx, j.CancelAt-d.settings.Clock.Since(began))
+				d.cancel(ctx, j, keyOf(d.settings.Seed, i))
+			}()
+		}
 		go func() {
 			defer group.Done()
 			results[i] = d.Do(ctx, j, keyOf(d.settings.Seed, i))
@@ -158,6 +169,22 @@
 	return r
 }
 
+// cancel gives a job up through another entry than the one that took it, as a
+// balancer would choose.
+func (d *Driver) cancel(ctx context.Context, j Job, key string) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+d.choose(j.Entry+1)+"/v1/jobs/"+key+"?wait=0s", nil)
+	if err != nil {
+		return
+	}
+	request.Header.Set(gateway.HeaderTeam, j.Team)
+	response, err := d.client.Do(request)
+	if err != nil {
+		// The result of the job shows that it was not cancelled.
+		return
+	}
+	response.Body.Close()
+}
+
 func (d *Driver) pause(ctx context.Context, wait time.Duration) {
 	select {
 	case <-ctx.Done():
@@ -241,61 +268,3 @@
 	}
 	return true
 }
-
-// Verdict is the check of results against the endpoints' record of starts.
-type Verdict struct {
-	Jobs     int
-	Outcomes map[string]int
-	Tasks    int
-	Twice    int
-	// Lost are jobs without a final answer in the whole time that a job may take,
-	// or complete ones with a task that no endpoint started.
-	Lost int
-	// GivenUp are jobs that their caller gave up before that time.
-	GivenUp     int
-	FalseNotRun int
-	Partial     int
-}
-
-// Judge checks the results of a run that has ended. The callers kept at each job
-// for the given time.
-func Judge(results []Result, starts *sample.Starts, kept time.Duration) Verdict {
-	v := Verdict{Jobs: len(results), Outcomes: map[string]int{}, Twice: starts.Twice()}
-	for _, r := range results {
-		v.Outcomes[r.Outcome]++
-		v.Tasks += r.Job.Tasks
-		judge(&v, r, starts, kept >= longestJob)
-	}
-	return v
-}
-
-// longestJob is how long a job may take until it is answered or given up.
-const longestJob = 20 * time.Second
-
-func judge(v *Verdict, r Result, starts *sample.Starts, patient bool) {
-	began := 0
-	for i := range r.Job.Tasks {
-		if starts.Count(r.Job.Team+"/"+r.Key+"/"+strconv.Itoa(i)) > 0 {
-			began++
-		}
-	}
-	switch r.Outcome {
-	case "complete":
-		if began < r.Job.Tasks {
-			v.Lost++
-		}
-		if !r.Whole {
-			v.Partial++
-		}
-	case "not_run":
-		if began > 0 {
-			v.FalseNotRun++
-		}
-	case "none", "pending":
-		if !patient {
-			v.GivenUp++
-			return
-		}
-		v.Lost++
-	}
-}
--- /dev/null
+++ b/process/load/verdict.go
@@ -0,0 +1,66 @@
+package load
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/corianderhook/corianderhook/process/sample"
+)
+
+// Verdict is the check of results against the endpoints' record of starts.
+type Verdict struct {
+	Jobs     int
+	Outcomes map[string]int
+	Tasks    int
+	Twice    int
+	// Lost are jobs without a final answer in the whole time that a job may take,
+	// or complete ones with a task that no endpoint started.
+	Lost int
+	// GivenUp are jobs that their caller gave up before that time.
+	GivenUp     int
+	FalseNotRun int
+	Partial     int
+}
+
+// Judge checks the results of a run that has ended. The callers kept at each job
+// for the given time.
+func Judge(results []Result, starts *sample.Starts, kept time.Duration) Verdict {
+	v := Verdict{Jobs: len(results), Outcomes: map[string]int{}, Twice: starts.Twice()}
+	for _, r := range results {
+		v.Outcomes[r.Outcome]++
+		v.Tasks += r.Job.Tasks
+		judge(&v, r, starts, kept >= longestJob)
+	}
+	return v
+}
+
+// longestJob is how long a job may take until it is answered or given up.
+const longestJob = 20 * time.Second
+
+func judge(v *Verdict, r Result, starts *sample.Starts, patient bool) {
+	began := 0
+	for i := range r.Job.Tasks {
+		if starts.Count(r.Job.Team+"/"+r.Key+"/"+strconv.Itoa(i)) > 0 {
+			began++
+		}
+	}
+	switch r.Outcome {
+	case "complete":
+		if began < r.Job.Tasks {
+			v.Lost++
+		}
+		if !r.Whole {
+			v.Partial++
+		}
+	case "not_run":
+		if began > 0 {
+			v.FalseNotRun++
+		}
+	case "none", "pending":
+		if !patient {
+			v.GivenUp++
+			return
+		}
+		v.Lost++
+	}
+}
