Judge the delay and charge the time of each team by itself

Change: admission takes the team's own waiting tasks, its own rate of starts and service time, and what its share of the kind's share guarantees among the teams that wait; their weights are added up at most ten times a second. Agents charge a task by what was measured for its team.

--- a/process/admission/admission.go
+++ b/process/admission/admission.go
@@ -1,5 +1,6 @@
 // Package admission decides at the owner of a job whether the job may wait. It
-// looks at the team's quota and at the delay that the kind's queue has now.
+// looks at the team's quota and at the delay that the team's queue of the kind has
+// now. What other teams have waiting does not count against it.
 package admission
 
 import (
@@ -14,18 +15,20 @@
 const (
 	// burst is the time for which a team may save up its rate.
 	burst = 2 * time.Second
-	// rateWindow is the time over which the rate of starts per kind is measured.
+	// rateWindow is the time over which the rate of starts per flow is measured.
 	rateWindow = 500 * time.Millisecond
 	// minRetry and maxRetry bound the Retry-After of refusals.
 	minRetry = time.Second
 	maxRetry = 10 * time.Second
-	// firstService is the service time in seconds of a kind that was never measured.
+	// weightWindow is how long the weights of the waiting teams are taken as current.
+	weightWindow = 100 * time.Millisecond
+	// firstService is the service time in seconds of a flow that was never measured.
 	firstService = 0.1
 	// serviceShare is the weight of a new measurement in the mean service time.
 	serviceShare = 0.02
-	// freeQueue is how many tasks of a kind may always wait, so that the rate of
+	// freeQueue is how many tasks of a flow may always wait, so that the rate of
 	// starts can be measured at all.
-	freeQueue = 64
+	freeQueue = 16
 )
 
 // Team is a team's quota. Zero means no limit.
@@ -48,10 +51,22 @@
 	held   int
 }
 
+// flow is a kind and a team.
+type flow struct{ kind, team string }
+
+// meter measures a flow.
 type meter struct {
 	started int
 	rate    float64
 	at      time.Time
+	// service is the mean service time in seconds; zero where none was measured.
+	service float64
+}
+
+// contest is the weight of all teams that wait for slots of a kind.
+type contest struct {
+	weight float64
+	at     time.Time
 }
 
 // Admission follows quotas and rates of one entry. It is not safe for
@@ -59,20 +74,19 @@
 type Admission struct {
 	random *rand.Rand
 	teams  map[string]*bucket
-	kinds  map[string]*meter
+	flows  map[flow]*meter
+	kinds  map[string]*contest
 	share  float64
-	// service is the mean service time per kind, in seconds.
-	service map[string]float64
 }
 
 // New returns an admission with nothing in use. The seed spreads Retry-After.
 func New(seed uint64) *Admission {
 	return &Admission{
-		random:  rand.New(rand.NewPCG(seed, 1)),
-		teams:   map[string]*bucket{},
-		kinds:   map[string]*meter{},
-		share:   1,
-		service: map[string]float64{},
+		random: rand.New(rand.NewPCG(seed, 1)),
+		teams:  map[string]*bucket{},
+		flows:  map[flow]*meter{},
+		kinds:  map[string]*contest{},
+		share:  1,
 	}
 }
 
@@ -86,8 +100,12 @@
 	Kind      string
 	KindRule  Kind
 	Tasks     int
-	// Waiting is the number of tasks of the kind that wait at this entry.
+	// Waiting is the number of the team's tasks of the kind that wait at this entry.
 	Waiting int
+	// Weight is the team's share within the kind, and Others the shares of all teams
+	// that have tasks of the kind waiting, this one included or not.
+	Weight float64
+	Others func() float64
 	// Slots is the number of slots at all agents, and KindShare the share of them
 	// that the kind gets even when every kind is flooded.
 	Slots     int
@@ -106,7 +124,7 @@
 		return m.refuse("quota-rate", fmt.Sprintf("team %q is over its rate of %g tasks a second", r.Team, r.TeamQuota.Rate), wait), false
 	}
 	if delay, late := m.late(r, now); late {
-		return m.refuse("overload", fmt.Sprintf("kind %q would wait for %s", r.Kind, delay.Round(time.Millisecond)), delay), false
+		return m.refuse("overload", fmt.Sprintf("kind %q of team %q would wait for %s", r.Kind, r.Team, delay.Round(time.Millisecond)), delay), false
 	}
 	b.tokens -= float64(r.Tasks)
 	b.held += r.Tasks
@@ -125,14 +143,15 @@
 	return e
 }
 
-// late estimates the wait of the job's tasks from the rate at which tasks of
-// the kind start here now, or from the kind's share where that is higher: a
+// late estimates the wait of the job's tasks from the rate at which the team's
+// tasks of the kind start here now, or from its share where that is higher: a
 // rate that was measured while nothing could start says little.
 func (m *Admission) late(r Request, now time.Time) (time.Duration, bool) {
 	if r.KindRule.MaxDelay <= 0 || r.Waiting < freeQueue {
 		return 0, false
 	}
-	rate := max(m.meter(r.Kind, now).rate, m.guaranteed(r))
+	k := m.meter(flow{kind: r.Kind, team: r.Team}, now)
+	rate := max(k.rate, m.guaranteed(r, k, now))
 	if rate <= 0 {
 		return r.KindRule.MaxDelay, true
 	}
@@ -140,31 +159,52 @@
 	return delay, delay > r.KindRule.MaxDelay
 }
 
-// guaranteed is the rate of starts that the kind's share of the slots gives this
-// entry by the measured service times, whatever the other kinds do.
-func (m *Admission) guaranteed(r Request) float64 {
-	mean := m.service[r.Kind]
+// guaranteed is the rate of starts that the team's share of the kind's share of
+// the slots gives this entry by the measured service times, whatever other kinds
+// and teams do.
+func (m *Admission) guaranteed(r Request, k *meter, now time.Time) float64 {
+	mean := k.service
 	if mean <= 0 {
 		mean = firstService
 	}
-	return float64(r.Slots) * r.KindShare * m.share / mean
+	team := r.Weight / max(r.Weight, m.contested(r, now))
+	return float64(r.Slots) * r.KindShare * team * m.share / mean
 }
 
-// Served takes the service time of a task in seconds.
-func (m *Admission) Served(kind string, seconds float64) {
-	old, known := m.service[kind]
+// contested returns the weight of the teams that wait for the kind. It is worked
+// out anew at most ten times a second, since it takes a look at each team.
+func (m *Admission) contested(r Request, now time.Time) float64 {
+	c, known := m.kinds[r.Kind]
 	if !known {
-		old = seconds
+		c = &contest{}
+		m.kinds[r.Kind] = c
+	}
+	if now.Sub(c.at) >= weightWindow {
+		c.weight, c.at = r.Others(), now
 	}
-	m.service[kind] = old + serviceShare*(seconds-old)
+	return c.weight
 }
 
-func (m *Admission) meter(kind string, now time.Time) *meter {
-	k, known := m.kinds[kind]
+// Served takes the service time of a team's task of a kind in seconds.
+func (m *Admission) Served(kind, team string, seconds float64) {
+	k := m.flow(flow{kind: kind, team: team})
+	if k.service == 0 {
+		k.service = seconds
+	}
+	k.service += serviceShare * (seconds - k.service)
+}
+
+func (m *Admission) flow(name flow) *meter {
+	k, known := m.flows[name]
 	if !known {
-		k = &meter{at: now}
-		m.kinds[kind] = k
+		k = &meter{}
+		m.flows[name] = k
 	}
+	return k
+}
+
+func (m *Admission) meter(name flow, now time.Time) *meter {
+	k := m.flow(name)
 	if age := now.Sub(k.at); age >= rateWindow {
 		k.rate = float64(k.started) / age.Seconds()
 		k.started = 0
@@ -186,9 +226,9 @@
 	}
 }
 
-// Started counts tasks of a kind that were handed out.
-func (m *Admission) Started(kind string, count int, now time.Time) {
-	m.meter(kind, now).started += count
+// Started counts a team's tasks of a kind that were handed out.
+func (m *Admission) Started(kind, team string, count int, now time.Time) {
+	m.meter(flow{kind: kind, team: team}, now).started += count
 }
 
 // Held returns the number of tasks of the team that wait or run at this entry.
--- a/process/admission/admission_test.go
+++ b/process/admission/admission_test.go
@@ -1,6 +1,7 @@
 package admission_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -10,6 +11,9 @@
 	"github.com/corianderhook/corianderhook/request/outcome"
 )
 
+// alone is where one team of weight 1 waits.
+func alone() float64 { return 1 }
+
 var now = time.Unix(1000, 0)
 
 func TestQuotasAreSharedByEntries(t *testing.T) {
@@ -51,10 +55,10 @@
 func TestPauseDoesNotRefuseForLong(t *testing.T) {
 	is := is.New(t)
 	m := admission.New(1)
-	m.Served("k", 0.05)
+	m.Served("k", "t", 0.05)
 	r := admission.Request{
 		Team: "t", Kind: "k", KindRule: admission.Kind{MaxDelay: 5 * time.Second},
-		Tasks: 1, Waiting: 200, Slots: 32, KindShare: 0.5,
+		Tasks: 1, Waiting: 200, Slots: 32, KindShare: 0.5, Weight: 1, Others: alone,
 	}
 	_, ok := m.Admit(r, now.Add(6*time.Second)) // nothing started for 6 s
 	is.True(ok)                                 // 320 a second are guaranteed
@@ -63,3 +67,49 @@
 	is.True(!ok)
 	is.Equal(refused.Reason(), "overload")
 }
+
+// TestOtherTeamsDoNotFillTheQueue: a team whose own tasks do not wait for long is
+// taken, whatever another team of the kind has waiting and however long its tasks
+// take. Judged by kind, half of its jobs were refused.
+func TestOtherTeamsDoNotFillTheQueue(t *testing.T) {
+	is := is.New(t)
+	m := admission.New(1)
+	for range 1000 {
+		m.Served("k", "long", 0.4)
+		m.Served("k", "short", 0.005)
+	}
+	r := admission.Request{
+		Kind: "k", KindRule: admission.Kind{MaxDelay: 5 * time.Second}, Tasks: 4, Slots: 32, KindShare: 0.5,
+		Weight: 1, Others: func() float64 { return 2 },
+	}
+	r.Team, r.Waiting = "long", 2000
+	refused, ok := m.Admit(r, now)
+	is.True(!ok) // 20 a second are its share
+	is.Equal(refused.Reason(), "overload")
+	r.Team, r.Waiting = "short", 2000
+	_, ok = m.Admit(r, now)
+	is.True(ok) // 1600 a second are its share
+}
+
+// BenchmarkAdmit measures one decision among 640 teams that all wait.
+func BenchmarkAdmit(b *testing.B) {
+	m := admission.New(1)
+	teams := make([]string, 640)
+	for i := range teams {
+		teams[i] = fmt.Sprint("team", i)
+		m.Served("k", teams[i], 0.05)
+	}
+	r := admission.Request{
+		Kind: "k", KindRule: admission.Kind{MaxDelay: 5 * time.Second}, Tasks: 4, Waiting: 20, Slots: 4096, KindShare: 0.5,
+		Weight: 1, Others: func() float64 { return 640 },
+	}
+	b.ReportAllocs()
+	at := now
+	for i := 0; b.Loop(); i++ {
+		r.Team = teams[i%len(teams)]
+		at = at.Add(time.Microsecond)
+		if _, ok := m.Admit(r, at); ok {
+			m.Release(r.Team, r.Tasks)
+		}
+	}
+}
--- a/process/dispatch/dispatch.go
+++ b/process/dispatch/dispatch.go
@@ -127,6 +127,25 @@
 	return Flow{Kind: j.Kind(), Team: j.Team()}
 }
 
+// WaitingIn returns the number of tasks of a kind and team that wait here.
+func (d *Dispatch) WaitingIn(kind, team string) int {
+	if f, known := d.flows[Flow{Kind: kind, Team: team}]; known {
+		return f.count
+	}
+	return 0
+}
+
+// WaitingTeams returns the teams that have tasks of a kind waiting here.
+func (d *Dispatch) WaitingTeams(kind string) []string {
+	var teams []string
+	for _, f := range d.order {
+		if f.name.Kind == kind && f.count > 0 {
+			teams = append(teams, f.name.Team)
+		}
+	}
+	return teams
+}
+
 // Waiting returns the number of tasks of a kind that wait here.
 func (d *Dispatch) Waiting(kind string) int {
 	total := 0
--- a/process/executor/executor.go
+++ b/process/executor/executor.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/corianderhook/corianderhook/process/queue"
@@ -260,7 +261,8 @@
 		delete(j.tasks, t.GetIndex())
 	} else {
 		j.tasks[t.GetIndex()] = result
-		e.queue.Measured(t.GetKind(), float64(result.GetServiceUs())/1e6)
+		team, _, _ := strings.Cut(t.GetJob(), "/")
+		e.queue.Measured(t.GetKind(), team, float64(result.GetServiceUs())/1e6)
 	}
 	e.host.Send(r.owner, &wire.AgentFrame{
 		Slot:  t.GetSlot(),
--- a/process/owner/hosts.go
+++ b/process/owner/hosts.go
@@ -44,12 +44,23 @@
 		Kind:      s.Kind(),
 		KindRule:  kind,
 		Tasks:     s.Tasks(),
-		Waiting:   h.dispatch.Waiting(s.Kind()),
+		Waiting:   h.dispatch.WaitingIn(s.Kind(), s.Team()),
+		Weight:    policy.TeamWeight(s.Team()),
+		Others:    func() float64 { return h.waitingWeight(s.Kind()) },
 		Slots:     h.dispatch.Slots(),
 		KindShare: policy.KindShare(s.Kind()),
 	}, h.env.Now())
 }
 
+// waitingWeight returns the weights of the teams that have tasks of a kind waiting.
+func (h slotHost) waitingWeight(kind string) float64 {
+	total := 0.0
+	for _, team := range h.dispatch.WaitingTeams(kind) {
+		total += h.env.Policy().TeamWeight(team)
+	}
+	return total
+}
+
 func (h slotHost) Offer(number uint32, j *job.Job) { h.dispatch.Offer(number, j) }
 
 func (h slotHost) Withdraw(j *job.Job) { h.dispatch.Withdraw(j) }
@@ -88,6 +99,6 @@
 func (h dispatchHost) TaskTimeout(kind string) time.Duration { return h.env.Policy().TaskTimeout(kind) }
 
 func (h dispatchHost) Started(j *job.Job, count int) {
-	h.admission.Started(j.Kind(), count, h.env.Now())
+	h.admission.Started(j.Kind(), j.Team(), count, h.env.Now())
 	h.env.Started(j, count)
 }
--- a/process/owner/owner.go
+++ b/process/owner/owner.go
@@ -48,6 +48,8 @@
 	Team(name string) (admission.Team, bool)
 	// KindShare returns the kind's weight over the weights of all kinds.
 	KindShare(kind string) float64
+	// TeamWeight returns the team's share within a kind.
+	TeamWeight(team string) float64
 	JobDeadline(kind string) time.Duration
 	TaskTimeout(kind string) time.Duration
 	Retention() time.Duration
@@ -283,7 +285,7 @@
 		Seconds: seconds,
 	})
 	if seconds > 0 {
-		o.admission.Served(j.Kind(), seconds)
+		o.admission.Served(j.Kind(), j.Team(), seconds)
 	}
 }
 
--- a/process/owner/world_test.go
+++ b/process/owner/world_test.go
@@ -448,6 +448,7 @@
 func (p policy) Kind(string) (admission.Kind, bool) { return admission.Kind{}, p.w.admit }
 func (p policy) Team(string) (admission.Team, bool) { return admission.Team{}, true }
 func (p policy) KindShare(string) float64           { return 1 }
+func (p policy) TeamWeight(string) float64          { return 1 }
 func (p policy) JobDeadline(string) time.Duration   { return 20 * time.Second }
 func (p policy) TaskTimeout(string) time.Duration   { return time.Second }
 func (p policy) Retention() time.Duration           { return 24 * time.Hour }
--- a/process/queue/queue.go
+++ b/process/queue/queue.go
@@ -31,9 +31,12 @@
 	index    int
 	count    int
 	children map[string]*node
-	active   ring
-	now      float64
-	sources  []source
+	// cost is the mean service time of the node's tasks in seconds; zero where none
+	// was measured.
+	cost    float64
+	active  ring
+	now     float64
+	sources []source
 }
 
 type source struct {
@@ -79,7 +82,6 @@
 type Queue struct {
 	weights Weights
 	root    node
-	cost    map[string]float64
 }
 
 const (
@@ -99,20 +101,25 @@
 
 // New returns an empty queue.
 func New(weights Weights) *Queue {
-	return &Queue{weights: weights, root: node{children: map[string]*node{}}, cost: map[string]float64{}}
+	return &Queue{weights: weights, root: node{children: map[string]*node{}}}
 }
 
 // Waiting returns the number of tasks that wait for this agent among others.
 func (q *Queue) Waiting() int { return q.root.count }
 
-// Measured takes the service time of a task in seconds. Declared run times are
-// not used.
-func (q *Queue) Measured(kind string, seconds float64) {
-	old, known := q.cost[kind]
-	if !known {
-		old = seconds
+// Measured takes the service time of a team's task of a kind in seconds. Declared
+// run times are not used, and a team pays for what its own tasks take.
+func (q *Queue) Measured(kind, team string, seconds float64) {
+	k := q.root.child(kind)
+	k.measured(seconds)
+	k.child(team).measured(seconds)
+}
+
+func (n *node) measured(seconds float64) {
+	if n.cost == 0 {
+		n.cost = seconds
 	}
-	q.cost[kind] = old + costShare*(seconds-old)
+	n.cost += costShare * (seconds - n.cost)
 }
 
 // Set replaces the number of tasks that wait at a source for a kind and team,
@@ -137,7 +144,7 @@
 	t.count += difference
 	k.count += difference
 	q.root.count += difference
-	cost := q.costOf(k.name)
+	cost := costOf(k, t)
 	k.place(t, cost/q.weights.TeamWeight(t.name))
 	q.root.place(k, cost/q.weights.KindWeight(k.name))
 }
@@ -192,7 +199,7 @@
 	k := q.root.active[0]
 	t, inOrder := k.eldest(now)
 	choice := Choice{Source: t.turn(), Kind: k.name, Team: t.name}
-	cost := q.costOf(k.name)
+	cost := costOf(k, t)
 	q.root.charge(k, cost/q.weights.KindWeight(k.name))
 	k.charge(t, cost/q.weights.TeamWeight(t.name))
 	if inOrder {
@@ -202,11 +209,17 @@
 	return choice, true
 }
 
-func (q *Queue) costOf(kind string) float64 {
-	if cost, measured := q.cost[kind]; measured {
-		return cost
+// costOf is what a task of a team costs: as measured for the team, or else for
+// the kind.
+func costOf(k, t *node) float64 {
+	switch {
+	case t.cost > 0:
+		return t.cost
+	case k.cost > 0:
+		return k.cost
+	default:
+		return firstCost
 	}
-	return firstCost
 }
 
 func (n *node) charge(c *node, amount float64) {
--- a/process/queue/queue_test.go
+++ b/process/queue/queue_test.go
@@ -71,8 +71,8 @@
 func TestLongTasksPayForTheirTime(t *testing.T) {
 	is := is.New(t)
 	q := queue.New(weights{})
-	q.Measured("long", 1)
-	q.Measured("short", 0.1)
+	q.Measured("long", "a", 1)
+	q.Measured("short", "a", 0.1)
 	q.Set("e1", "long", "a", 1000, longAgo)
 	q.Set("e1", "short", "a", 1000, longAgo)
 	got := take(q, 110)
@@ -131,6 +131,19 @@
 	is.Equal(take(q, 1)["plain"], 1)
 }
 
+func TestTeamPaysForItsOwnTasks(t *testing.T) {
+	is := is.New(t)
+	q := queue.New(weights{})
+	for range 100 {
+		q.Measured("k", "long", 1)
+		q.Measured("k", "short", 0.1)
+	}
+	q.Set("e1", "k", "long", 1000, longAgo)
+	q.Set("e1", "k", "short", 1000, longAgo)
+	got := take(q, 110)
+	is.True(got["k/short"] >= 99 && got["k/short"] <= 101)
+}
+
 // TestNothingIsLostOrMadeUp compares the queue with a plain count.
 func TestNothingIsLostOrMadeUp(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
