Let keys expire in the check, and answer truthfully about expired ones

Cause: the check kept keys for ever. A longer run showed a job that stayed under way for ever: an agent said that it runs a task, and ended before the slot was recovered. Reading on showed the same for an agent whose session, with the end of the task, is lost in that time.

Change: a UUIDv7 key older than the retention is unknown before anything else is decided; one more than 10 s ahead of the owner's clock is refused, and keys, answers and doubt last 10 s longer than keys are taken. A recovering owner buries agents that have ended since they were heard, and asks agents again that come back.

--- a/process/owner/invariants_test.go
+++ b/process/owner/invariants_test.go
@@ -141,7 +141,7 @@
 	case action < 75:
 		e := rapid.SampledFrom(alive(w.entries)).Draw(t, "entry")
 		if e.runs() {
-			w.submit(e, drawKey(t), payloads(rapid.SampledFrom([]int{0, 0, 0, 0, 0, 0, 0, 1}).Draw(t, "body")))
+			w.submit(e, drawKey(t, w), payloads(rapid.SampledFrom([]int{0, 0, 0, 0, 0, 0, 0, 1}).Draw(t, "body")))
 		}
 	case action < 81:
 		finishOne(t, w)
@@ -160,7 +160,7 @@
 	return rapid.IntRange(0, 99).Draw(t, label) * 37 % 100
 }
 
-func drawKey(t *rapid.T) string { return "k" + strconv.Itoa(rapid.IntRange(0, keys-1).Draw(t, "key")) }
+func drawKey(t *rapid.T, w *world) string { return w.keys[rapid.IntRange(0, keys-1).Draw(t, "key")] }
 
 func finishOne(t *rapid.T, w *world) {
 	var busy []*agentModel
@@ -183,7 +183,7 @@
 func rare(t *rapid.T, w *world, action int) {
 	e := rapid.SampledFrom(alive(w.entries)).Draw(t, "entry")
 	a := rapid.SampledFrom(alive(w.agents)).Draw(t, "agent")
-	key := drawKey(t)
+	key := drawKey(t, w)
 	number := ownership.Slot("team/" + key)
 	switch {
 	case action < 12:
@@ -219,7 +219,13 @@
 			a.paused = !a.paused
 		}
 	case action < 86:
-		w.tick(rapid.SampledFrom([]time.Duration{10 * time.Millisecond, 200 * time.Millisecond, 4 * time.Second, 21 * time.Second}).Draw(t, "time"))
+		d := rapid.SampledFrom([]time.Duration{10 * time.Millisecond, 200 * time.Millisecond, 4 * time.Second, 21 * time.Second, retention + time.Second}).Draw(t, "time")
+		w.tick(d)
+		for i := range w.keys {
+			if d > retention && rapid.Bool().Draw(t, "renew") {
+				w.renew(i)
+			}
+		}
 	case action < 92:
 		if rapid.Bool().Draw(t, "admit") {
 			w.admit = !w.admit
@@ -349,8 +355,8 @@
 			}
 		}
 	}
-	for k := range keys {
-		claimOwnerless(w, entries, agents, ownership.Slot("team/k"+strconv.Itoa(k)))
+	for _, key := range w.keys {
+		claimOwnerless(w, entries, agents, ownership.Slot("team/"+key))
 	}
 	for _, at := range w.attempts {
 		if at.under == nil {
@@ -408,8 +414,8 @@
 		}
 	}
 	first := w.entries[0]
-	for k := range keys {
-		first.claim(ownership.Slot("team/k"+strconv.Itoa(k)), first.id, []string{w.agents[0].id, w.agents[1].id, w.agents[2].id})
+	for _, key := range w.keys {
+		first.claim(ownership.Slot("team/"+key), first.id, []string{w.agents[0].id, w.agents[1].id, w.agents[2].id})
 	}
 	for _, e := range w.entries {
 		for e.fold() {
--- a/process/owner/world_test.go
+++ b/process/owner/world_test.go
@@ -1,12 +1,15 @@
 package owner_test
 
 import (
+	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"slices"
 	"strconv"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/corianderhook/corianderhook/common/instance"
 	"github.com/corianderhook/corianderhook/process/admission"
 	"github.com/corianderhook/corianderhook/process/executor"
@@ -34,6 +37,8 @@
 	admit    bool
 	history  []string
 	made     int
+	// keys are those that callers use now; each is a UUIDv7 of its time.
+	keys [keys]string
 }
 
 // entryModel is one run of an entry.
@@ -88,8 +93,17 @@
 	copies    int
 }
 
+const (
+	// retention is how long the model keeps keys and answers.
+	retention   = time.Minute
+	jobDeadline = 20 * time.Second
+)
+
 func newWorld(entries, agents int) *world {
 	w := &world{now: time.Unix(1000, 0), starts: map[string]int{}, admit: true}
+	for i := range w.keys {
+		w.renew(i)
+	}
 	for i := range entries {
 		w.addEntry(fmt.Sprintf("e%d", i))
 	}
@@ -99,6 +113,23 @@
 	return w
 }
 
+// renew makes a new key of the same slot as the one that it replaces.
+func (w *world) renew(i int) {
+	var id uuid.UUID
+	binary.BigEndian.PutUint64(id[:], uint64(w.now.UnixMilli())<<16)
+	id[6], id[8] = 0x70, 0x80
+	former := w.keys[i]
+	for {
+		w.made++
+		binary.BigEndian.PutUint32(id[12:], uint32(w.made))
+		if former == "" || ownership.Slot("team/"+id.String()) == ownership.Slot("team/"+former) {
+			w.keys[i] = id.String()
+			w.note("key %d is %s", i, w.keys[i])
+			return
+		}
+	}
+}
+
 func (w *world) fault(format string, values ...any) {
 	w.faults = append(w.faults, fmt.Sprintf(format, values...))
 }
@@ -130,7 +161,7 @@
 
 func (w *world) addAgent(name string) *agentModel {
 	a := &agentModel{w: w, id: w.incarnation(name), sessions: map[string]*session{}}
-	a.executor = executor.New(a, weights{}, 2, time.Hour)
+	a.executor = executor.New(a, weights{}, 2, retention+jobDeadline)
 	w.agents = append(w.agents, a)
 	return a
 }
@@ -449,9 +480,9 @@
 func (p policy) Team(string) (admission.Team, bool) { return admission.Team{}, true }
 func (p policy) KindShare(string) float64           { return 1 }
 func (p policy) TeamWeight(string) float64          { return 1 }
-func (p policy) JobDeadline(string) time.Duration   { return 20 * time.Second }
+func (p policy) JobDeadline(string) time.Duration   { return jobDeadline }
 func (p policy) TaskTimeout(string) time.Duration   { return time.Second }
-func (p policy) Retention() time.Duration           { return 24 * time.Hour }
+func (p policy) Retention() time.Duration           { return retention }
 func (p policy) MaxKeys() int                       { return 3 }
 
 // present drops those that are gone.
--- a/version/slot/recovery.go
+++ b/version/slot/recovery.go
@@ -32,7 +32,9 @@
 	case Deposed:
 		return
 	case Recovering:
-		if s.witnesses.has(agent) && !s.witnesses.read[agent] {
+		// What an agent says again may differ from what it said before its former
+		// session was lost, together with the end of a task.
+		if _, heard := s.records[agent]; heard || s.witnesses.has(agent) && !s.witnesses.read[agent] {
 			s.ask(agent)
 		}
 		s.Review()
@@ -131,7 +133,7 @@
 		return
 	}
 	if read+ended == len(s.witnesses.members) {
-		s.doubtUntil = s.host.Now().Add(s.host.Retention())
+		s.doubtUntil = s.host.Now().Add(s.host.Retention() + clockAllowance)
 		s.recover()
 	}
 }
@@ -185,6 +187,12 @@
 				j.Bury(a)
 			}
 		}
+		// An agent may have ended after it said that a task runs.
+		for _, a := range slices.Sorted(maps.Keys(heard)) {
+			if s.host.Buried(a) {
+				j.Bury(a)
+			}
+		}
 		s.Settle(j)
 	}
 }
--- a/version/slot/refusal.go
+++ b/version/slot/refusal.go
@@ -12,6 +12,9 @@
 // whose key may have run unseen.
 func (s *Slot) bar(a Attempt) (answer.Answer, bool) {
 	name := a.Body.Job()
+	if refused, barred := s.outOfTime(a.Body.Key()); barred {
+		return refused, true
+	}
 	if s.host.Now().Before(s.doubtUntil) {
 		return answer.New(outcome.Unknown, "witnesses-lost",
 			"the memory of this key was lost with its witnesses; it may have run").
@@ -26,9 +29,25 @@
 		return answer.New(outcome.NotRun, "keys-full",
 			"the memory for job keys is full").WithRetryAfter(s.host.Retention() / 4), true
 	}
-	if made, ok := submission.MadeAt(a.Body.Key()); ok && s.host.Now().Sub(made) > s.host.Retention() {
-		return answer.New(outcome.NotRun, "key-expired",
-			"the UUIDv7 key is older than the time for which keys are kept"), true
+	return answer.Answer{}, false
+}
+
+// outOfTime bars keys that say when they were made and are too old to be known
+// for sure, or too new to be kept for long enough. Nothing can be said of what
+// an old one did.
+func (s *Slot) outOfTime(key string) (answer.Answer, bool) {
+	made, told := submission.MadeAt(key)
+	if !told {
+		return answer.Answer{}, false
+	}
+	age := s.host.Now().Sub(made)
+	if age > s.host.Retention() {
+		return answer.New(outcome.Unknown, "key-expired",
+			"the UUIDv7 key is older than the time for which keys are kept; it may have run"), true
+	}
+	if age < -clockAllowance {
+		return answer.New(outcome.NotRun, "key-ahead",
+			"the UUIDv7 key was made in the future by this entry's clock").WithRetryAfter(-age), true
 	}
 	return answer.Answer{}, false
 }
--- a/version/slot/retention.go
+++ b/version/slot/retention.go
@@ -10,6 +10,10 @@
 	"github.com/corianderhook/corianderhook/wire"
 )
 
+// clockAllowance is how far a caller's clock may be ahead of this entry's. Keys
+// are kept for as much longer than a UUIDv7 key is taken.
+const clockAllowance = 10 * time.Second
+
 // Depose ends this entry's ownership. Those who wait are sent to the new owner.
 func (s *Slot) Depose() {
 	if s.phase == Deposed {
@@ -100,7 +104,7 @@
 func (s *Slot) expire(now time.Time) {
 	var names []string
 	agents := map[string]bool{}
-	for len(s.ended) > 0 && now.Sub(s.ended[0].EndedAt()) > s.host.Retention() {
+	for len(s.ended) > 0 && now.Sub(s.ended[0].EndedAt()) > s.host.Retention()+clockAllowance {
 		j := s.ended[0]
 		s.ended = s.ended[1:]
 		if s.jobs[j.Name()] == j {
--- a/version/slot/slot_test.go
+++ b/version/slot/slot_test.go
@@ -1,9 +1,11 @@
 package slot_test
 
 import (
+	"encoding/binary"
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/matryer/is"
 
 	"github.com/corianderhook/corianderhook/request/answer"
@@ -18,6 +20,8 @@
 type host struct {
 	sent    map[string][]*wire.EntryFrame
 	offered int
+	// buried are agents that have ended.
+	buried map[string]bool
 }
 
 func (h *host) Self() string   { return "e#1" }
@@ -27,7 +31,7 @@
 	h.sent[agent] = append(h.sent[agent], f)
 	return true
 }
-func (h *host) Buried(string) bool                                 { return false }
+func (h *host) Buried(agent string) bool                           { return h.buried[agent] }
 func (h *host) Candidates(string) []string                         { return []string{"a#1"} }
 func (h *host) Admit(*submission.Submission) (answer.Answer, bool) { return answer.Answer{}, true }
 func (h *host) Offer(uint32, *job.Job)                             { h.offered++ }
@@ -149,3 +153,94 @@
 	s.Submit(slot.Attempt{Body: body(), Waiter: w, Owner: "e#1", Reading: 200})
 	is.Equal(h.offered, 1) // an honest retry runs
 }
+
+// runs is what an agent says of a task that it runs.
+func runs(fence uint64) *wire.Fenced {
+	return &wire.Fenced{Id: fence, Jobs: []*wire.JobRecord{{Job: "t/k", Tasks: []*wire.TaskRecord{
+		{State: wire.TaskState_TASK_STATE_RUNNING},
+	}}}}
+}
+
+// TestAgentThatEndsAfterItsAnswerIsBuried: the job stayed under way for ever.
+func TestAgentThatEndsAfterItsAnswerIsBuried(t *testing.T) {
+	is := is.New(t)
+	h := newHost()
+	s, fence := recovered(h)
+	w := &waiter{}
+	s.Submit(slot.Attempt{Body: body(), Waiter: w})
+	h.buried = map[string]bool{"w1#1": true}
+	s.Fenced("w1#1", 3, runs(fence)) // its last frame
+	s.Remembered("w2#1", 3, &wire.Remembered{Sequence: 99})
+	s.Remembered("w3#1", 3, &wire.Remembered{Sequence: 99})
+	is.Equal(len(w.got), 1)
+	is.Equal(w.got[0].Outcome(), outcome.Unknown)
+}
+
+// TestAgentIsAskedAgainAfterItsSessionWasLost: the end of the task went out on
+// the session that was lost.
+func TestAgentIsAskedAgainAfterItsSessionWasLost(t *testing.T) {
+	is := is.New(t)
+	h := newHost()
+	s := slot.New(h, 7, 3, witnesses, time.Time{})
+	first := fenceOf(h, "w1#1")
+	s.Fenced("w1#1", 3, runs(first))
+	s.Attached("w1#1")
+	again := fenceOf(h, "w1#1")
+	is.True(again != first)
+	s.Fenced("w2#1", 3, &wire.Fenced{Id: fenceOf(h, "w2#1"), Keys: []*wire.JobKey{key()}})
+	is.Equal(s.Phase(), slot.Active)
+	w := &waiter{}
+	s.Submit(slot.Attempt{Body: body(), Waiter: w})
+	s.Fenced("w1#1", 3, &wire.Fenced{Id: again, Jobs: []*wire.JobRecord{{Job: "t/k", Tasks: []*wire.TaskRecord{
+		{State: wire.TaskState_TASK_STATE_DONE},
+	}}}})
+	s.Remembered("w1#1", 3, &wire.Remembered{Sequence: 99})
+	s.Remembered("w2#1", 3, &wire.Remembered{Sequence: 99})
+	is.Equal(len(w.got), 1)
+	is.Equal(w.got[0].Outcome(), outcome.Complete)
+}
+
+// madeAt returns a UUIDv7 that was made at a time.
+func madeAt(at time.Time) string {
+	id := uuid.UUID{6: 0x70, 8: 0x80}
+	binary.BigEndian.PutUint64(id[:], uint64(at.UnixMilli())<<16|0x7000)
+	return id.String()
+}
+
+// TestKeysOutOfTimeDoNotRun: the host keeps keys for a minute.
+func TestKeysOutOfTimeDoNotRun(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		age     time.Duration
+		offered int
+		reason  string
+	}{
+		{"fresh", 0, 1, ""},
+		{"just kept", 59 * time.Second, 1, ""},
+		{"too old", 61 * time.Second, 0, "key-expired"},
+		{"a little ahead", -9 * time.Second, 1, ""},
+		{"too far ahead", -11 * time.Second, 0, "key-ahead"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHost()
+			s, fence := recovered(h)
+			s.Fenced("w1#1", 3, &wire.Fenced{Id: fence})
+			former := h.offered
+			w := &waiter{}
+			s.Submit(slot.Attempt{
+				Body:   submission.New("t", madeAt(h.Now().Add(-tt.age)), "kind", 0, [][]byte{[]byte("1")}),
+				Waiter: w, Owner: "e#1", Reading: 200,
+			})
+			is.Equal(h.offered-former, tt.offered)
+			s.Remembered("w1#1", 3, &wire.Remembered{Sequence: 99})
+			s.Remembered("w2#1", 3, &wire.Remembered{Sequence: 99})
+			if tt.reason == "" {
+				is.Equal(len(w.got), 0)
+				return
+			}
+			is.Equal(w.got[0].Reason(), tt.reason)
+			is.Equal(w.got[0].Outcome() == outcome.Unknown, tt.reason == "key-expired") // it may have run
+		})
+	}
+}
