Let operators eject and readmit agents by a published change

Cause: a worker that an operator does not trust could only be drained for good; ejection was by evidence alone and per entry.

Entries look at it with every health tick and at once when a change comes into force; what an ejected agent was promised goes to others, and its pulls are answered empty. Status lists ejected agents.

--- a/commands/status.go
+++ b/commands/status.go
@@ -1,6 +1,7 @@
 package commands
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -29,6 +30,7 @@
 	Draining bool           `json:"draining"`
 	Ready    bool           `json:"ready"`
 	Agents   []string       `json:"agents,omitempty"`
+	Ejected  []string       `json:"ejected,omitempty"`
 	Jobs     int            `json:"jobs"`
 	Keys     int            `json:"keys"`
 	Running  int            `json:"running"`
@@ -68,9 +70,9 @@
 		return encoder.Encode(list)
 	}
 	table := tabwriter.NewWriter(s.Out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "PROCESS\tZONE\tSTATE\tJOBS\tKEYS\tRUNNING\tPEERS\tCONFIG")
+	fmt.Fprintln(table, "PROCESS\tZONE\tSTATE\tJOBS\tKEYS\tRUNNING\tPEERS\tCONFIG\tEJECTED")
 	for _, p := range list {
-		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\n", p.Entry+p.Agent, p.Zone, p.state(), p.Jobs, p.Keys, p.Running, len(p.Entries)+len(p.Agents), p.Config)
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%s\n", p.Entry+p.Agent, p.Zone, p.state(), p.Jobs, p.Keys, p.Running, len(p.Entries)+len(p.Agents), p.Config, cmp.Or(strings.Join(p.Ejected, " "), "-"))
 	}
 	return table.Flush()
 }
--- a/process/dispatch/agents.go
+++ b/process/dispatch/agents.go
@@ -16,6 +16,8 @@
 	free     int
 	waiting  int
 	promised map[Flow]int
+	// barred is true for an agent that an operator has taken out.
+	barred   bool
 	believed map[Flow]int
 	total    int
 	draining bool
@@ -49,6 +51,7 @@
 		running:  map[taskKey]taskRun{},
 	}
 	a.ejected = d.health.Ejected(name)
+	a.barred = d.host.Barred(name)
 	d.agents[name] = a
 	d.list = append(d.list, a)
 	for _, f := range d.order {
@@ -104,9 +107,27 @@
 	}
 }
 
-// TickHealth looks for agents whose tasks take far too long.
+// obey takes it that an operator has taken an agent out, or put it back.
+func (d *Dispatch) obey(a *agent) {
+	barred := d.host.Barred(a.name)
+	if barred == a.barred {
+		return
+	}
+	a.barred = barred
+	if barred {
+		d.release(a)
+		return
+	}
+	for _, f := range d.order {
+		d.spread(f)
+	}
+}
+
+// TickHealth looks for agents whose tasks take far too long, and for what
+// operators have decided about agents.
 func (d *Dispatch) TickHealth(now time.Time) {
 	for _, a := range d.list {
+		d.obey(a)
 		overdue := 0
 		for _, r := range a.running {
 			if d.health.Overdue(r.kind, now.Sub(r.since)) {
@@ -134,7 +155,7 @@
 func (d *Dispatch) Ejected() []string {
 	var names []string
 	for _, a := range d.list {
-		if a.ejected {
+		if a.ejected || a.barred {
 			names = append(names, a.name)
 		}
 	}
@@ -161,7 +182,9 @@
 	return total
 }
 
-func (a *agent) usable() bool { return !a.draining && (!a.ejected || a.probing) }
+func (a *agent) usable() bool {
+	return !a.draining && !a.barred && (!a.ejected || a.probing)
+}
 
 // room is how many tasks the agent can start at once as far as is known here.
 func (a *agent) room() int {
--- a/process/dispatch/dispatch.go
+++ b/process/dispatch/dispatch.go
@@ -44,6 +44,8 @@
 	Epoch(slot uint32) uint64
 	// TaskTimeout returns how long a task of the kind may run.
 	TaskTimeout(kind string) time.Duration
+	// Barred reports whether an operator has taken an agent out.
+	Barred(agent string) bool
 	// Started hears how many tasks of a job were handed out after which wait.
 	Started(j *job.Job, count int)
 }
--- a/process/dispatch/dispatch_test.go
+++ b/process/dispatch/dispatch_test.go
@@ -19,6 +19,8 @@
 	now  time.Time
 	sent []string
 	last map[string]*wire.EntryFrame
+	// barred is the agent that an operator has taken out.
+	barred string
 }
 
 func (h *host) Now() time.Time { return h.now }
@@ -38,6 +40,7 @@
 func (h *host) Epoch(uint32) uint64              { return 1 }
 func (h *host) TaskTimeout(string) time.Duration { return time.Second }
 func (h *host) Started(*job.Job, int)            {}
+func (h *host) Barred(agent string) bool         { return agent == h.barred }
 
 func (h *host) take() []string {
 	sent := h.sent
@@ -158,3 +161,25 @@
 	pull(d, "b#1", 3, 2)
 	is.Equal(len(h.last["b#1"].GetStart().GetTasks()), 0)
 }
+
+func TestOperatorTakesAnAgentOutAndPutsItBack(t *testing.T) {
+	is := is.New(t)
+	d, h := newDispatch("a#1", "b#1")
+	h.barred = "a#1"
+	d.TickHealth(h.now)
+	is.Equal(d.Ejected(), []string{"a#1"})
+	is.Equal(d.Slots(), 2)
+	j := newJob("1", 2, "a#1", "b#1")
+	d.Offer(0, j)
+	is.Equal(h.take(), []string{"b#1 reserve 2"})
+	pull(d, "a#1", 1, 2) // it was under way
+	is.Equal(h.take(), []string{"a#1 start 0"})
+	h.barred = "b#1"
+	d.TickHealth(h.now) // what b was promised goes to a
+	is.Equal(h.take(), []string{"a#1 reserve 2"})
+	pull(d, "a#1", 2, 2)
+	is.Equal(j.Waiting(), 0)
+	d.Detach("b#1")
+	d.Attach("b#1", "z", 2) // a new session changes nothing
+	is.Equal(d.Ejected(), []string{"b#1"})
+}
--- a/process/entry/admin.go
+++ b/process/entry/admin.go
@@ -22,18 +22,20 @@
 
 // Status is what an entry shows of itself.
 type Status struct {
-	Entry    string         `json:"entry"`
-	Zone     string         `json:"zone"`
-	Cell     string         `json:"cell"`
-	Draining bool           `json:"draining"`
-	Ready    bool           `json:"ready"`
-	Entries  []string       `json:"entries"`
-	Agents   []string       `json:"agents"`
-	Slots    map[string]int `json:"slots"`
-	Jobs     int            `json:"jobs"`
-	Keys     int            `json:"keys"`
-	Waiting  map[string]int `json:"waiting"`
-	LogNext  uint64         `json:"log_next"`
+	Entry    string   `json:"entry"`
+	Zone     string   `json:"zone"`
+	Cell     string   `json:"cell"`
+	Draining bool     `json:"draining"`
+	Ready    bool     `json:"ready"`
+	Entries  []string `json:"entries"`
+	Agents   []string `json:"agents"`
+	// Ejected are agents that get no tasks, by evidence or by an operator.
+	Ejected []string       `json:"ejected,omitempty"`
+	Slots   map[string]int `json:"slots"`
+	Jobs    int            `json:"jobs"`
+	Keys    int            `json:"keys"`
+	Waiting map[string]int `json:"waiting"`
+	LogNext uint64         `json:"log_next"`
 	// Config is the number of published changes in force.
 	Config uint64 `json:"config"`
 }
@@ -109,6 +111,8 @@
 func (e *Entry) describe(o *owner.Owner, s *Status) {
 	s.Agents = o.Dispatch().Agents()
 	sort.Strings(s.Agents)
+	s.Ejected = o.Dispatch().Ejected()
+	sort.Strings(s.Ejected)
 	for _, one := range o.Slots() {
 		s.Slots[one.Phase().String()]++
 		s.Jobs += one.Running()
--- a/process/entry/config.go
+++ b/process/entry/config.go
@@ -73,6 +73,8 @@
 		}
 		e.config.Store(merged)
 		e.metrics.Config(state.Version)
+		// What it says of agents holds from the next message on.
+		e.deps.System.Root.Send(e.owner, slowTick{})
 		klog.InfoS("CH0501 configuration in force", "entry", e.self.Instance, "version", state.Version)
 	}
 	e.published.Store(&state)
--- a/process/owner/hosts.go
+++ b/process/owner/hosts.go
@@ -96,6 +96,10 @@
 	return 0
 }
 
+func (h dispatchHost) Barred(agent string) bool {
+	return h.env.Policy().Ejected(instance.Name(agent))
+}
+
 func (h dispatchHost) TaskTimeout(kind string) time.Duration { return h.env.Policy().TaskTimeout(kind) }
 
 func (h dispatchHost) Started(j *job.Job, count int) {
--- a/process/owner/owner.go
+++ b/process/owner/owner.go
@@ -50,6 +50,8 @@
 	KindShare(kind string) float64
 	// TeamWeight returns the team's share within a kind.
 	TeamWeight(team string) float64
+	// Ejected reports whether an operator has taken out the agent of a process name.
+	Ejected(name string) bool
 	JobDeadline(kind string) time.Duration
 	TaskTimeout(kind string) time.Duration
 	Retention() time.Duration
--- a/process/owner/world_test.go
+++ b/process/owner/world_test.go
@@ -480,6 +480,7 @@
 func (p policy) Team(string) (admission.Team, bool) { return admission.Team{}, true }
 func (p policy) KindShare(string) float64           { return 1 }
 func (p policy) TeamWeight(string) float64          { return 1 }
+func (p policy) Ejected(string) bool                { return false }
 func (p policy) JobDeadline(string) time.Duration   { return jobDeadline }
 func (p policy) TaskTimeout(string) time.Duration   { return time.Second }
 func (p policy) Retention() time.Duration           { return retention }
--- a/version/config/config.go
+++ b/version/config/config.go
@@ -85,6 +85,8 @@
 	teams     map[string]Team
 	values    []Value
 	operators map[string]Operator
+	// ejected are the names of agents that an operator has taken out, with the reason.
+	ejected map[string]string
 	// closed refuses callers of teams without a token.
 	closed bool
 	access *access.Access
@@ -111,6 +113,12 @@
 // Values returns every value in force, in the order of section and key.
 func (c *Config) Values() []Value { return c.values }
 
+// Ejected reports whether an operator has taken the agent of a process name out.
+func (c *Config) Ejected(name string) bool {
+	_, out := c.ejected[name]
+	return out
+}
+
 // TLS returns the files of the process's certificate.
 func (c *Config) TLS() TLS { return c.tls }
 
--- a/version/config/fields.go
+++ b/version/config/fields.go
@@ -71,6 +71,9 @@
 			{Key: "role", Default: "read", Unit: "read, operate or configure", Doc: "What the operator may do; each includes the ones before it.", set: setOperator(parseRole)},
 			{Key: "token_sha256", Unit: "digest, ...", Doc: "Digests of the operator's tokens.", Secret: true, set: setOperator(parseTokens(func(o *Operator) *[]access.Digest { return &o.Tokens }))},
 		}},
+		{Name: "eject", Named: true, Fields: []Field{
+			{Key: "reason", Unit: "text", Doc: "Why the agent of this process name gets no tasks.", set: setEjected},
+		}},
 		{Name: "limits", Fields: []Field{
 			{Key: "retention", Default: "2m", Unit: "time", Doc: "How long job keys and answers are kept.", set: setTime(time.Second, 24*time.Hour, func(b *builder) *time.Duration { return &b.c.retention })},
 			{Key: "keys_per_slot", Default: "20000", Unit: "keys", Doc: "Job keys that one of the 256 slots keeps.", set: setInt(1, maxKeysLimit, func(b *builder) *int { return &b.c.maxKeys })},
@@ -228,6 +231,14 @@
 	}
 }
 
+func setEjected(b *builder, name, value string) error {
+	if value == "" {
+		return fmt.Errorf("must say why")
+	}
+	b.c.ejected[name] = value
+	return nil
+}
+
 func setCallers(b *builder, _, value string) error {
 	if value != "open" && value != "token" {
 		return fmt.Errorf("must be open or token")
--- a/version/config/read.go
+++ b/version/config/read.go
@@ -81,7 +81,7 @@
 // faults are returned at once.
 func Merge(files []File) (*Config, error) {
 	b := &builder{
-		c:        &Config{kinds: map[string]Kind{}, teams: map[string]Team{}, operators: map[string]Operator{}},
+		c:        &Config{kinds: map[string]Kind{}, teams: map[string]Team{}, operators: map[string]Operator{}, ejected: map[string]string{}},
 		merged:   map[string]map[string]Value{},
 		sections: map[string]Section{},
 	}
--- a/version/publication/publication.go
+++ b/version/publication/publication.go
@@ -221,7 +221,7 @@
 	}
 	for _, v := range merged.Values() {
 		word, _, _ := strings.Cut(v.Section, " ")
-		if v.File != "" && !slices.Contains([]string{"limits", "kind", "team", "operator", "access"}, word) {
+		if v.File != "" && !slices.Contains([]string{"limits", "kind", "team", "operator", "access", "eject"}, word) {
 			return fmt.Errorf("%s: [%s] %s concerns one process and cannot be published", v.File, v.Section, v.Key)
 		}
 	}
