--- a/commands/bench.go
+++ b/commands/bench.go
@@ -1,6 +1,7 @@
 package commands
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -11,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/corianderhook/corianderhook/process/bench"
+	"github.com/corianderhook/corianderhook/process/report"
 )
 
 // BenchCommand runs experiments.
@@ -18,6 +20,8 @@
 	Scenario string `arg:"" help:"Scenario, all, scale, config, or list."`
 	Seed     uint64 `default:"1" help:"Seed of the arrivals: the same seed gives the same jobs at the same times."`
 	Policy   string `enum:"fair,fifo" default:"fair" help:"Policy to run: fair is the product's, fifo is the baseline."`
+	Report   string `placeholder:"DIR" help:"Folder for the results as JSON, and plots as PNG and SVG."`
+	Commit   string `help:"Commit to name in the report where the binary does not know its own, as with go run."`
 	Check    bool   `help:"Compare the figures with the stated targets; exit code 1 on a miss."`
 }
 
@@ -129,5 +133,35 @@
 	}
 	line := one.Report(outcome, baseline)
 	fmt.Fprintln(s.Out, line)
-	return bench.Misses(one, line)
+	misses, err := bench.Misses(one, line)
+	if err != nil || c.Report == "" {
+		return misses, err
+	}
+	return misses, c.report(one, line, misses, outcome, baseline)
+}
+
+// report writes a run to the folder.
+func (c *BenchCommand) report(one bench.Scenario, line string, misses []string, outcome, baseline bench.Outcome) error {
+	figures, err := bench.Figures(line)
+	if err != nil {
+		return err
+	}
+	r := &report.Report{
+		Scenario: one.Name,
+		Help:     one.Help,
+		Seed:     c.Seed,
+		Policy:   c.Policy,
+		Commit:   cmp.Or(c.Commit, report.Commit()),
+		Written:  realClock().Now().UTC(),
+		Size:     report.Size{Entries: one.Entries, Agents: one.Agents, Slots: one.Slots},
+		Line:     line,
+		Figures:  figures,
+		Misses:   misses,
+		Wasted:   outcome.Wasted,
+	}
+	r.Add(c.Policy, outcome)
+	if one.Baseline {
+		r.Add("baseline", baseline)
+	}
+	return r.Write(c.Report)
 }
--- a/process/bench/bench.go
+++ b/process/bench/bench.go
@@ -268,6 +268,9 @@
 	return ratios
 }
 
+// RatiosBesideFlood returns the ratios of the jobs beside the flood.
+func (o Outcome) RatiosBesideFlood() []float64 { return o.Ratios(beside) }
+
 // WastedPerTask returns the messages without a task per started task.
 func (o Outcome) WastedPerTask() float64 {
 	total := 0.0
--- /dev/null
+++ b/process/report/name.go
@@ -0,0 +1,35 @@
+package report
+
+import (
+	"fmt"
+	"runtime/debug"
+)
+
+// shortCommit is how many digits of the commit a plot shows.
+const shortCommit = 12
+
+func (r *Report) name() string { return fmt.Sprintf("%s-seed-%d", r.Scenario, r.Seed) }
+
+func (r *Report) title() string {
+	return fmt.Sprintf("bench %s --seed %d, %d entries, %d agents with %d slots, commit %s",
+		r.Scenario, r.Seed, r.Size.Entries, r.Size.Agents, r.Size.Slots, r.Commit[:min(len(r.Commit), shortCommit)])
+}
+
+// Commit returns the commit that the binary was built from, with "+" where files
+// had been changed since, or "unknown".
+func Commit() string {
+	info, known := debug.ReadBuildInfo()
+	if !known {
+		return "unknown"
+	}
+	commit, changed := "unknown", ""
+	for _, s := range info.Settings {
+		switch {
+		case s.Key == "vcs.revision":
+			commit = s.Value
+		case s.Key == "vcs.modified" && s.Value == "true":
+			changed = "+"
+		}
+	}
+	return commit + changed
+}
