Split the model of the property check by what its parts do

Change: the model's processes (models), callers' attempts (attempt), the checks of answers and starts (checks), what can happen (steps) and the end of a run (heal) have files of their own. No line of a check changed.

Conclusion: a reader finds the checks in one short file.

--- /dev/null
+++ b/process/owner/models_test.go
@@ -0,0 +1,213 @@
+package owner_test
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/corianderhook/corianderhook/process/admission"
+	"github.com/corianderhook/corianderhook/process/executor"
+	"github.com/corianderhook/corianderhook/process/owner"
+	"github.com/corianderhook/corianderhook/request/answer"
+	"github.com/corianderhook/corianderhook/request/job"
+	"github.com/corianderhook/corianderhook/version/ownership"
+	"github.com/corianderhook/corianderhook/version/slot"
+	"github.com/corianderhook/corianderhook/wire"
+)
+
+// entryModel is one run of an entry.
+type entryModel struct {
+	w        *world
+	id       string
+	began    time.Time
+	paused   bool
+	dead     bool
+	table    *ownership.Table
+	owner    *owner.Owner
+	sessions map[string]*session
+	readings map[string]uint64
+}
+
+// agentModel is one run of an agent.
+type agentModel struct {
+	w        *world
+	id       string
+	executor *executor.Executor
+	paused   bool
+	dead     bool
+	sessions map[string]*session
+	running  []*wire.TaskStart
+}
+
+func (e *entryModel) String() string { return e.id }
+
+func (a *agentModel) String() string { return a.id }
+
+func (e *entryModel) isDead() bool { return e.dead }
+
+func (a *agentModel) isDead() bool { return a.dead }
+
+// isGone is for a dead process that has no message under way any more.
+func (e *entryModel) isGone() bool { return e.dead && len(e.sessions) == 0 }
+
+func (a *agentModel) isGone() bool { return a.dead && len(a.sessions) == 0 }
+
+func (e *entryModel) runs() bool { return !e.dead && !e.paused }
+
+func (a *agentModel) runs() bool { return !a.dead && !a.paused }
+
+// fold lets an entry read one more record of the log.
+func (e *entryModel) fold() bool {
+	next := e.table.Next()
+	if next >= uint64(len(e.w.log)) {
+		return false
+	}
+	e.w.note("%s reads %s", e, e.w.log[next])
+	if err := e.table.Apply(next, e.w.log[next]); err != nil {
+		e.w.fault("log record %d: %v", next, err)
+	}
+	e.owner.Follow(e.table.Snapshot())
+	return true
+}
+
+func (e *entryModel) claim(number uint32, newOwner string, witnesses []string) {
+	state := e.table.Slot(number)
+	if state.Epoch > 0 {
+		witnesses = nil
+	}
+	e.w.append(ownership.Record{Claim: &ownership.Claim{
+		Author:    e.id,
+		Owner:     newOwner,
+		Slots:     []ownership.SlotClaim{{Slot: number, Expected: state.Epoch}},
+		Witnesses: witnesses,
+	}})
+}
+
+// handOver passes a slot to another entry as a planned stop does.
+func (e *entryModel) handOver(number uint32, to *entryModel) {
+	s, owned := e.owner.Slots()[number]
+	if !owned || s.Phase() != slot.Active || !to.runs() {
+		return
+	}
+	refused, floor, clock := s.Leave()
+	to.owner.Inherit(&wire.HandOverRequest{Slot: number, Epoch: s.Epoch(), Owner: e.id, Clock: clock, Refused: refused, Floor: floor})
+	e.w.append(ownership.Record{Claim: &ownership.Claim{
+		Author: e.id, Owner: to.id, Slots: []ownership.SlotClaim{{Slot: number, Expected: s.Epoch()}},
+	}})
+}
+
+// rewitness replaces the witnesses of a slot.
+func (e *entryModel) rewitness(number uint32, members []string) {
+	s, owned := e.owner.Slots()[number]
+	if !owned || s.Phase() != slot.Active {
+		return
+	}
+	var chosen []string
+	if s.Propose(members) {
+		var ready bool
+		if chosen, ready = s.Proposed(); !ready {
+			return
+		}
+	}
+	e.w.append(ownership.Record{Claim: &ownership.Claim{
+		Author:     e.id,
+		Owner:      e.id,
+		Slots:      []ownership.SlotClaim{{Slot: number, Expected: s.Epoch()}},
+		Witnesses:  chosen,
+		DoubtUntil: s.DoubtUntil().UnixMilli(),
+	}})
+}
+
+// Self, Now, Clock, Send, Finished, Refused, Started and Policy are for the owner.
+func (e *entryModel) Self() string { return e.id }
+
+func (e *entryModel) Now() time.Time { return e.w.now }
+
+func (e *entryModel) Clock() uint64 { return uint64(e.w.now.Sub(e.began)) }
+
+func (e *entryModel) Finished(*job.Job, answer.Answer) {}
+
+func (e *entryModel) Refused(string, answer.Answer) {}
+
+func (e *entryModel) Started(*job.Job, int) {}
+
+func (e *entryModel) Policy() owner.Policy { return policy{e.w} }
+
+func (e *entryModel) Send(a string, f *wire.EntryFrame) bool {
+	s := e.sessions[a]
+	if s == nil {
+		return false
+	}
+	if !s.broken {
+		s.down = append(s.down, f)
+	}
+	return true
+}
+
+// Now, Send and Run are for the executor.
+func (a *agentModel) Now() time.Time { return a.w.now }
+
+func (a *agentModel) Send(e string, f *wire.AgentFrame) {
+	if s := a.sessions[e]; s != nil && !s.broken {
+		s.up = append(s.up, f)
+	}
+}
+
+func (a *agentModel) Run(t *wire.TaskStart) {
+	name := t.GetJob() + "/" + strconv.Itoa(int(t.GetIndex()))
+	a.w.starts[name]++
+	a.w.note("%s starts %s of epoch %d", a, name, t.GetEpoch())
+	if a.w.starts[name] > 1 {
+		a.w.fault("task %s was started %d times", name, a.w.starts[name])
+	}
+	a.w.checkStart(t)
+	a.running = append(a.running, t)
+}
+
+// finish ends the oldest task of an agent.
+func (a *agentModel) finish(state wire.TaskState) {
+	if len(a.running) == 0 || !a.runs() {
+		return
+	}
+	t := a.running[0]
+	a.running = a.running[1:]
+	if state == wire.TaskState_TASK_STATE_NOT_STARTED {
+		// The endpoint says that it did not start the task after all.
+		a.w.unstart(t.GetJob() + "/" + strconv.Itoa(int(t.GetIndex())))
+	}
+	a.executor.Finished(t, &wire.TaskRecord{
+		Index: t.GetIndex(), State: state, Result: []byte(t.GetJob() + "/" + strconv.Itoa(int(t.GetIndex()))),
+	})
+}
+
+func (w *world) unstart(task string) {
+	w.starts[task]--
+	if w.starts[task] == 0 {
+		delete(w.starts, task)
+	}
+}
+
+type weights struct{}
+
+func (weights) KindWeight(string) float64 { return 1 }
+
+func (weights) TeamWeight(string) float64 { return 1 }
+
+type policy struct{ w *world }
+
+func (p policy) Kind(string) (admission.Kind, bool) { return admission.Kind{}, p.w.admit }
+
+func (p policy) Team(string) (admission.Team, bool) { return admission.Team{}, true }
+
+func (p policy) KindShare(string) float64 { return 1 }
+
+func (p policy) TeamWeight(string) float64 { return 1 }
+
+func (p policy) Ejected(string) bool { return false }
+
+func (p policy) JobDeadline(string) time.Duration { return jobDeadline }
+
+func (p policy) TaskTimeout(string) time.Duration { return time.Second }
+
+func (p policy) Retention() time.Duration { return retention }
+
+func (p policy) MaxKeys() int { return 3 }
