--- a/commands/status.go
+++ b/commands/status.go
@@ -17,6 +17,9 @@
 	Credentials
 	Admin  []string `arg:"" placeholder:"IP:PORT" help:"Admin addresses of entries and agents."`
 	Output string   `enum:"table,json" default:"table" help:"Form of the output: table or json."`
+	// Watch and Times repeat the answer.
+	Watch time.Duration `help:"Show it again and again with this pause, such as 2s."`
+	Times int           `default:"0" help:"With --watch, how often to show it; 0 goes on until it is interrupted."`
 }
 
 // adminTime bounds one question to a process.
@@ -44,6 +47,30 @@
 
 // Run prints one row per process. It fails where one did not answer.
 func (c *StatusCommand) Run(s *Streams) error {
+	if c.Watch < 0 || c.Times < 0 || c.Times > 0 && c.Watch == 0 {
+		return usageError{errors.New("--watch must be a time above 0s, and --times goes with it")}
+	}
+	if c.Watch == 0 {
+		return c.show(s)
+	}
+	clock := realClock()
+	for shown := 1; ; shown++ {
+		if isTerminal(s.Out) {
+			fmt.Fprint(s.Out, clearScreen)
+		}
+		err := c.show(s)
+		if c.Times > 0 && shown >= c.Times {
+			return err
+		}
+		if err != nil {
+			fmt.Fprintln(s.Err, err)
+		}
+		clock.Sleep(c.Watch)
+	}
+}
+
+// show asks every process once.
+func (c *StatusCommand) show(s *Streams) error {
 	var list []processStatus
 	var failed []string
 	for _, address := range c.Admin {
@@ -70,21 +97,23 @@
 		return encoder.Encode(list)
 	}
 	table := tabwriter.NewWriter(s.Out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "PROCESS\tZONE\tSTATE\tJOBS\tKEYS\tRUNNING\tPEERS\tCONFIG\tEJECTED")
+	paint := painter(s.Out)
+	fmt.Fprintln(table, "PROCESS\tZONE\t"+paint("STATE", plain)+"\tJOBS\tKEYS\tRUNNING\tPEERS\tCONFIG\tEJECTED")
 	for _, p := range list {
-		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%s\n", p.Entry+p.Agent, p.Zone, p.state(), p.Jobs, p.Keys, p.Running, len(p.Entries)+len(p.Agents), p.Config, cmp.Or(strings.Join(p.Ejected, " "), "-"))
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%s\n", p.Entry+p.Agent, p.Zone, paint(p.state()), p.Jobs, p.Keys, p.Running, len(p.Entries)+len(p.Agents), p.Config, cmp.Or(strings.Join(p.Ejected, " "), "-"))
 	}
 	return table.Flush()
 }
 
-func (p processStatus) state() string {
+// state returns the state in words and its colour.
+func (p processStatus) state() (string, colour) {
 	switch {
 	case p.Draining:
-		return "draining"
+		return "draining", yellow
 	case p.Entry != "" && !p.Ready:
-		return "not ready"
+		return "not ready", red
 	default:
-		return "ready"
+		return "ready", green
 	}
 }
 
