Say once what stood twice, and drop what nothing reads

Cause: reading the whole change again. The command line folded the log's streams in two loops, the audit record of a configuration change was made in two places, the rule which form of a key is the newer one stood at the owner and at the agent, as did the loopback check in the guard and in the settings. Every sample endpoint kept up to a million runs, which only the bench reads.

Change: readStream, audit.ConfigChange, job.Newer, common/loopback, edgesOf and jobOf in the bench, follow for the epoch rule of agents; the bench asks the endpoints to keep runs. A field of the status command that nothing read, and half a comment that was no longer true, are gone.

Conclusion: the same behaviour from one piece of code each.

--- a/commands/audit.go
+++ b/commands/audit.go
@@ -1,17 +1,14 @@
 package commands
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
-	"net/netip"
 	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/pkg/errors"
 
-	"github.com/corianderhook/corianderhook/connection/logclient"
 	"github.com/corianderhook/corianderhook/process/audit"
 )
 
@@ -26,9 +23,6 @@
 
 // Run prints the changes in the order of the log.
 func (c *AuditCommand) Run(s *Streams) error {
-	if _, err := netip.ParseAddrPort(c.Log); err != nil {
-		return usageError{errors.Errorf("--log is %q; it must be an IP number and a port", c.Log)}
-	}
 	records, err := c.read()
 	if err != nil {
 		return err
@@ -56,31 +50,20 @@
 }
 
 func (c *AuditCommand) read() ([]audit.Record, error) {
-	client := logclient.New(c.Log)
 	seen := map[string]bool{}
 	var records []audit.Record
-	for from := uint64(0); ; {
-		ctx, cancel := context.WithTimeout(context.Background(), adminTime)
-		batch, err := client.Read(ctx, audit.Stream, from, 0)
-		cancel()
-		if err != nil {
-			return nil, err
-		}
-		for i, raw := range batch.Records {
-			var r audit.Record
-			if err := json.Unmarshal(raw, &r); err != nil {
-				return nil, errors.Wrapf(err, "audit record %d", batch.From+uint64(i))
-			}
-			if !seen[r.ID] && c.matches(r) {
-				records = append(records, r)
-			}
-			seen[r.ID] = true
+	err := readStream(c.Log, audit.Stream, func(offset uint64, raw []byte) error {
+		var r audit.Record
+		if err := json.Unmarshal(raw, &r); err != nil {
+			return errors.Wrapf(err, "audit record %d", offset)
 		}
-		from = batch.From + uint64(len(batch.Records))
-		if len(batch.Records) == 0 || from >= batch.Next {
-			return records, nil
+		if !seen[r.ID] && c.matches(r) {
+			records = append(records, r)
 		}
-	}
+		seen[r.ID] = true
+		return nil
+	})
+	return records, err
 }
 
 func (c *AuditCommand) matches(r audit.Record) bool {
--- a/commands/publish.go
+++ b/commands/publish.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -41,32 +40,17 @@
 	if o.Log == "" {
 		return nil, nil, usageError{errors.New("the command reads all changes from the log and needs --log")}
 	}
-	if _, err := netip.ParseAddrPort(o.Log); err != nil {
-		return nil, nil, usageError{errors.Errorf("--log is %q; it must be an IP number and a port", o.Log)}
-	}
-	client := logclient.New(o.Log)
 	folded := publication.New()
 	var changes []change
-	for from := uint64(0); ; {
-		ctx, cancel := context.WithTimeout(context.Background(), adminTime)
-		batch, err := client.Read(ctx, publication.Stream, from, 0)
-		cancel()
-		if err != nil {
-			return nil, nil, err
-		}
-		for i, raw := range batch.Records {
-			offset := batch.From + uint64(i)
-			verdict := folded.Apply(offset, raw)
-			var r publication.Record
-			if json.Unmarshal(raw, &r) == nil && r.Change != nil {
-				changes = append(changes, change{Change: *r.Change, verdict: verdict, offset: offset})
-			}
+	err := readStream(o.Log, publication.Stream, func(offset uint64, raw []byte) error {
+		verdict := folded.Apply(offset, raw)
+		var r publication.Record
+		if json.Unmarshal(raw, &r) == nil && r.Change != nil {
+			changes = append(changes, change{Change: *r.Change, verdict: verdict, offset: offset})
 		}
-		from = batch.From + uint64(len(batch.Records))
-		if len(batch.Records) == 0 || from >= batch.Next {
-			return folded, changes, nil
-		}
-	}
+		return nil
+	})
+	return folded, changes, err
 }
 
 // compare reads a local file and the published one of the same name.
@@ -108,10 +92,15 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(s.Out, "published: file=%s version=%d change=%s\n", c.File, answer.Version, answer.Change)
+	announce(s, c.File, answer.Version, answer.Change)
 	return nil
 }
 
+// announce tells that a change is accepted.
+func announce(s *Streams, file string, version uint64, id string) {
+	fmt.Fprintf(s.Out, "published: file=%s version=%d change=%s\n", file, version, id)
+}
+
 // conflict shows both texts.
 func conflict(s *Streams, c publication.Change, answer entry.PublishAnswer) error {
 	fmt.Fprintf(s.Err, "in force: version %d by %s\n%s\nnot published: replaces version %d\n%s\n",
@@ -151,7 +140,7 @@
 		if !one.verdict.Accepted {
 			return errors.Errorf("file %q was not published: %s", c.File, one.verdict.Reason)
 		}
-		fmt.Fprintf(s.Out, "published: file=%s version=%d change=%s\n", c.File, one.verdict.Version, c.ID)
+		announce(s, c.File, one.verdict.Version, c.ID)
 		return nil
 	}
 	return errors.Wrapf(appendErr, "file %q was not published", c.File)
@@ -160,14 +149,10 @@
 // trace puts a change on the audit trail. The change itself is on the log with
 // its author, so that a failure here loses nothing and is only shown.
 func (o *Operator) trace(s *Streams, c change) {
-	outcome := "done"
-	if !c.verdict.Accepted {
-		outcome = c.verdict.Reason
-	}
-	raw, err := json.Marshal(audit.Record{
-		ID: uuid.NewString(), Time: time.Now().UTC(), Who: c.Author, From: c.From, What: "config", Subject: c.File,
-		Before: fmt.Sprintf("version %d", c.Base), After: fmt.Sprintf("version %d", c.verdict.Version), Outcome: outcome,
-	})
+	r := audit.ConfigChange(c.Change, c.verdict.Version, c.verdict.Accepted, c.verdict.Reason)
+	r.ID = uuid.NewString()
+	r.Time = time.Now().UTC()
+	raw, err := json.Marshal(r)
 	if err == nil {
 		ctx, cancel := context.WithTimeout(context.Background(), adminTime)
 		defer cancel()
--- a/commands/status.go
+++ b/commands/status.go
@@ -27,22 +27,21 @@
 
 // processStatus has the fields that entries and agents share or have alone.
 type processStatus struct {
-	Entry    string         `json:"entry,omitempty"`
-	Agent    string         `json:"agent,omitempty"`
-	Zone     string         `json:"zone"`
-	Draining bool           `json:"draining"`
-	Ready    bool           `json:"ready"`
-	Agents   []string       `json:"agents,omitempty"`
-	Ejected  []string       `json:"ejected,omitempty"`
-	Jobs     int            `json:"jobs"`
-	Keys     int            `json:"keys"`
-	Running  int            `json:"running"`
-	Slots    any            `json:"slots,omitempty"`
-	Waiting  any            `json:"waiting,omitempty"`
-	LogNext  uint64         `json:"log_next,omitempty"`
-	Entries  []string       `json:"entries,omitempty"`
-	Config   uint64         `json:"config"`
-	Extra    map[string]any `json:"-"`
+	Entry    string   `json:"entry,omitempty"`
+	Agent    string   `json:"agent,omitempty"`
+	Zone     string   `json:"zone"`
+	Draining bool     `json:"draining"`
+	Ready    bool     `json:"ready"`
+	Agents   []string `json:"agents,omitempty"`
+	Ejected  []string `json:"ejected,omitempty"`
+	Jobs     int      `json:"jobs"`
+	Keys     int      `json:"keys"`
+	Running  int      `json:"running"`
+	Slots    any      `json:"slots,omitempty"`
+	Waiting  any      `json:"waiting,omitempty"`
+	LogNext  uint64   `json:"log_next,omitempty"`
+	Entries  []string `json:"entries,omitempty"`
+	Config   uint64   `json:"config"`
 }
 
 // Run prints one row per process. It fails where one did not answer.
--- /dev/null
+++ b/commands/stream.go
@@ -0,0 +1,36 @@
+package commands
+
+import (
+	"context"
+	"net/netip"
+
+	"github.com/pkg/errors"
+
+	"github.com/corianderhook/corianderhook/connection/logclient"
+)
+
+// readStream hands over every record of a stream that the platform's log at an
+// address still has, in order.
+func readStream(address, stream string, take func(offset uint64, raw []byte) error) error {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return usageError{errors.Errorf("--log is %q; it must be an IP number and a port", address)}
+	}
+	client := logclient.New(address)
+	for from := uint64(0); ; {
+		ctx, cancel := context.WithTimeout(context.Background(), adminTime)
+		batch, err := client.Read(ctx, stream, from, 0)
+		cancel()
+		if err != nil {
+			return err
+		}
+		for i, raw := range batch.Records {
+			if err := take(batch.From+uint64(i), raw); err != nil {
+				return err
+			}
+		}
+		from = batch.From + uint64(len(batch.Records))
+		if len(batch.Records) == 0 || from >= batch.Next {
+			return nil
+		}
+	}
+}
--- a/connection/guard/guard.go
+++ b/connection/guard/guard.go
@@ -5,11 +5,11 @@
 import (
 	"context"
 	"net/http"
-	"net/netip"
 
 	"k8s.io/klog/v2"
 
 	"github.com/corianderhook/corianderhook/common/bearer"
+	"github.com/corianderhook/corianderhook/common/loopback"
 	"github.com/corianderhook/corianderhook/version/access"
 )
 
@@ -55,8 +55,7 @@
 
 // local is for processes without operators.
 func (g *Guard) local(w http.ResponseWriter, r *http.Request, next http.HandlerFunc) {
-	remote, err := netip.ParseAddrPort(r.RemoteAddr)
-	if err != nil || !remote.Addr().Unmap().IsLoopback() {
+	if !loopback.Is(r.RemoteAddr) {
 		refuse(w, r, "", http.StatusForbidden, "no operator has a token; the call is only taken from the machine itself")
 		return
 	}
--- a/process/audit/audit.go
+++ b/process/audit/audit.go
@@ -5,12 +5,15 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"sync"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
 	"k8s.io/klog/v2"
+
+	"github.com/corianderhook/corianderhook/version/publication"
 )
 
 // Stream is the name of the audit stream on the platform's log.
@@ -45,6 +48,19 @@
 	Late bool `json:"late,omitempty"`
 }
 
+// ConfigChange returns the record of a change of the configuration, without id
+// and time, and what became of it.
+func ConfigChange(c publication.Change, version uint64, accepted bool, reason string) Record {
+	outcome := "done"
+	if !accepted {
+		outcome = reason
+	}
+	return Record{
+		Who: c.Author, From: c.From, What: "config", Subject: c.File,
+		Before: fmt.Sprintf("version %d", c.Base), After: fmt.Sprintf("version %d", version), Outcome: outcome,
+	}
+}
+
 // Log is the platform's log as the trail uses it.
 type Log interface {
 	Append(ctx context.Context, stream string, record []byte) (uint64, error)
--- a/process/bench/bench.go
+++ b/process/bench/bench.go
@@ -135,6 +135,7 @@
 		return Outcome{}, err
 	}
 	defer l.Stop()
+	l.Starts().KeepRuns()
 	set.Clock.Sleep(settleTime)
 	var callers []string
 	for _, n := range l.Entries() {
--- a/process/bench/conservation.go
+++ b/process/bench/conservation.go
@@ -25,27 +25,39 @@
 // them. All endpoints have the same number of slots.
 func newConservation(runs []sample.Run, endpoints, slots int, began time.Time) *conservation {
 	c := &conservation{free: make([][]interval, endpoints)}
-	byEndpoint := make([][]edge, endpoints)
+	byEndpoint := make([][]sample.Run, endpoints)
 	for _, r := range runs {
-		byEndpoint[r.Endpoint] = append(byEndpoint[r.Endpoint],
-			edge{at: r.From.Sub(began), change: 1}, edge{at: r.To.Sub(began), change: -1})
+		byEndpoint[r.Endpoint] = append(byEndpoint[r.Endpoint], r)
 	}
-	for i, edges := range byEndpoint {
-		c.free[i] = freeStretches(edges, slots)
+	for i, runs := range byEndpoint {
+		c.free[i] = freeStretches(edgesOf(runs, began), slots)
 	}
 	return c
 }
 
+// jobOf returns the name of the job, team/key, that a run belongs to.
+func jobOf(r sample.Run) string { return r.Task[:max(0, strings.LastIndexByte(r.Task, '/'))] }
+
 // edge is the start or the end of a run.
 type edge struct {
 	at     time.Duration
 	change int
 }
 
-func freeStretches(edges []edge, slots int) []interval {
+// edgesOf returns the starts and ends of runs in order; of those at one time the
+// ends come first.
+func edgesOf(runs []sample.Run, began time.Time) []edge {
+	edges := make([]edge, 0, 2*len(runs))
+	for _, r := range runs {
+		edges = append(edges, edge{at: r.From.Sub(began), change: 1}, edge{at: r.To.Sub(began), change: -1})
+	}
 	slices.SortFunc(edges, func(a, b edge) int {
 		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.change, b.change))
 	})
+	return edges
+}
+
+func freeStretches(edges []edge, slots int) []interval {
 	var list []interval
 	busy, since := 0, time.Duration(0)
 	for _, e := range edges {
@@ -91,9 +103,7 @@
 	}
 	var idle []float64
 	for _, r := range o.runs {
-		name := r.Task[:max(0, strings.LastIndexByte(r.Task, '/'))]
-		at, known := sent[name]
-		if known {
+		if at, known := sent[jobOf(r)]; known {
 			idle = append(idle, float64(c.idleDuring(interval{from: at, to: r.From.Sub(o.began)}))/float64(time.Millisecond))
 		}
 	}
--- a/process/bench/waves.go
+++ b/process/bench/waves.go
@@ -1,15 +1,13 @@
 package bench
 
 import (
-	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/corianderhook/corianderhook/process/load"
+	"github.com/corianderhook/corianderhook/process/sample"
 )
 
 const (
@@ -113,18 +111,16 @@
 	for _, r := range o.Results {
 		cancelled[r.Job.Team+"/"+r.Key] = r.Job.Flood
 	}
-	var edges []edge
+	var useful []sample.Run
 	for _, r := range o.runs {
-		from, to := r.From.Sub(o.began), r.To.Sub(o.began)
-		if !cancelled[r.Task[:max(0, strings.LastIndexByte(r.Task, '/'))]] {
-			edges = append(edges, edge{at: from, change: 1}, edge{at: to, change: -1})
-		} else if from > waveAt+waveSettled {
+		if !cancelled[jobOf(r)] {
+			useful = append(useful, r)
+		} else if r.From.Sub(o.began) > waveAt+waveSettled {
 			lateStarts++
 		}
 	}
-	slices.SortFunc(edges, func(a, b edge) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.change, b.change)) })
 	busy, needed := 0, int(math.Ceil(waveBusy*float64(o.slots*o.endpoints)))
-	for _, e := range edges {
+	for _, e := range edgesOf(useful, o.began) {
 		busy += e.change
 		if e.at >= waveAt && busy >= needed {
 			return e.at - waveAt, lateStarts
--- a/process/entry/admin.go
+++ b/process/entry/admin.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"sort"
 	"time"
@@ -73,9 +72,7 @@
 		http.Error(w, "the owner did not answer: "+err.Error(), http.StatusServiceUnavailable)
 		return
 	}
-	w.Header().Set("Content-Type", "application/json")
-	// A failed write means that the reader is gone.
-	_ = json.NewEncoder(w).Encode(s)
+	answerJSON(w, http.StatusOK, s)
 }
 
 // Status returns what the entry shows of itself.
--- a/process/entry/publish.go
+++ b/process/entry/publish.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"time"
 
@@ -52,8 +51,7 @@
 		answerJSON(w, http.StatusBadRequest, PublishAnswer{Reason: "the body is not a change: " + err.Error()})
 		return
 	}
-	before := e.published.Load().Files[request.File]
-	base := before.Version
+	base := e.published.Load().Files[request.File].Version
 	if request.Base != nil {
 		base = *request.Base
 	}
@@ -62,14 +60,7 @@
 	}
 	code, answer := e.publishChange(r.Context(), change)
 	answerJSON(w, code, answer)
-	outcome := "done"
-	if !answer.Accepted {
-		outcome = answer.Reason
-	}
-	e.trail.Add(audit.Record{
-		Who: change.Author, From: change.From, What: "config", Subject: change.File,
-		Before: fmt.Sprintf("version %d", base), After: fmt.Sprintf("version %d", answer.Version), Outcome: outcome,
-	})
+	e.trail.Add(audit.ConfigChange(change, answer.Version, answer.Accepted, answer.Reason))
 }
 
 func (e *Entry) publishChange(ctx context.Context, c publication.Change) (int, PublishAnswer) {
--- a/process/executor/executor.go
+++ b/process/executor/executor.go
@@ -276,8 +276,7 @@
 // Idle reports whether no pull is open, so that Tick has nothing to do.
 func (e *Executor) Idle() bool { return len(e.pulls) == 0 }
 
-// Tick frees the slots of pulls that are not answered and forgets what no owner
-// has asked to forget in twice the retention.
+// Tick frees the slots of pulls that are not answered.
 func (e *Executor) Tick(now time.Time) {
 	for _, id := range slices.Sorted(maps.Keys(e.pulls)) {
 		p := e.pulls[id]
--- a/process/executor/memory.go
+++ b/process/executor/memory.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/corianderhook/corianderhook/request/job"
 	"github.com/corianderhook/corianderhook/wire"
 )
 
@@ -43,15 +44,23 @@
 	return j
 }
 
+// follow returns the record of the frame's slot, and takes the entry as its owner
+// unless the frame is of an epoch that has passed.
+func (e *Executor) follow(entry string, f *wire.EntryFrame) (r *slotRecord, current bool) {
+	r = e.record(f.GetSlot())
+	if f.GetEpoch() < r.epoch {
+		return r, false
+	}
+	r.epoch = f.GetEpoch()
+	r.owner = entry
+	return r, true
+}
+
 // remember keeps job keys for an owner. An owner whose epoch has passed hears so.
 func (e *Executor) remember(entry string, f *wire.EntryFrame, body *wire.Remember) {
-	r := e.record(f.GetSlot())
-	answer := &wire.Remembered{Sequence: body.GetSequence()}
-	if f.GetEpoch() < r.epoch {
-		answer.Deposed = true
-	} else {
-		r.epoch = f.GetEpoch()
-		r.owner = entry
+	r, current := e.follow(entry, f)
+	answer := &wire.Remembered{Sequence: body.GetSequence(), Deposed: !current}
+	if current {
 		for _, key := range body.GetKeys() {
 			r.keep(key, e.host.Now())
 		}
@@ -66,7 +75,7 @@
 
 func (r *slotRecord) keep(key *wire.JobKey, now time.Time) {
 	old, known := r.keys[key.GetJob()]
-	if known && (old.GetEpoch() > key.GetEpoch() || old.GetEpoch() == key.GetEpoch() && old.GetSequence() > key.GetSequence()) {
+	if known && job.Newer(old, key) {
 		return
 	}
 	r.keys[key.GetJob()] = key
@@ -75,13 +84,9 @@
 
 // fence raises the slot's epoch and tells the new owner all that is known here.
 func (e *Executor) fence(entry string, f *wire.EntryFrame, body *wire.Fence) {
-	r := e.record(f.GetSlot())
-	answer := &wire.Fenced{Id: body.GetId()}
-	if f.GetEpoch() < r.epoch {
-		answer.Deposed = true
-	} else {
-		r.epoch = f.GetEpoch()
-		r.owner = entry
+	r, current := e.follow(entry, f)
+	answer := &wire.Fenced{Id: body.GetId(), Deposed: !current}
+	if current {
 		r.describe(answer)
 	}
 	e.host.Send(entry, &wire.AgentFrame{
--- a/process/sample/starts.go
+++ b/process/sample/starts.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// maxRuns bounds the memory of a record that nobody reads.
+// maxRuns bounds the memory of the runs that are kept.
 const maxRuns = 1_000_000
 
 // Starts is a record of starts that several endpoints share.
@@ -14,6 +14,7 @@
 	mu     sync.Mutex
 	counts map[string]int
 	total  int
+	keep   bool
 	runs   []Run
 	// endpoints is the number of endpoints that share the record.
 	endpoints int
@@ -22,6 +23,13 @@
 // NewStarts returns an empty record.
 func NewStarts() *Starts { return &Starts{counts: map[string]int{}} }
 
+// KeepRuns makes the record keep each run from now on.
+func (s *Starts) KeepRuns() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.keep = true
+}
+
 // Run is one finished run of a task at an endpoint.
 type Run struct {
 	// Endpoint numbers the endpoints of a record from 0.
@@ -41,12 +49,12 @@
 func (s *Starts) end(r Run) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.runs) < maxRuns {
+	if s.keep && len(s.runs) < maxRuns {
 		s.runs = append(s.runs, r)
 	}
 }
 
-// Runs returns the finished runs in the order of their ends, the first million
+// Runs returns the runs finished since KeepRuns in the order of their ends, the first million
 // of them, and the number of endpoints.
 func (s *Starts) Runs() (runs []Run, endpoints int) {
 	s.mu.Lock()
--- a/request/job/evidence.go
+++ b/request/job/evidence.go
@@ -31,6 +31,11 @@
 	return j
 }
 
+// Newer reports whether a form of a key was written after the other form of it.
+func Newer(key, other *wire.JobKey) bool {
+	return key.GetEpoch() > other.GetEpoch() || key.GetEpoch() == other.GetEpoch() && key.GetSequence() > other.GetSequence()
+}
+
 // Learn adds the agents that a further witness names for a recovered job.
 func (j *Job) Learn(key *wire.JobKey) {
 	for _, a := range key.GetAgents() {
--- a/version/config/read.go
+++ b/version/config/read.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/netip"
 	"os"
 	"path/filepath"
 	"sort"
@@ -11,6 +10,7 @@
 	"github.com/pkg/errors"
 	"gopkg.in/ini.v1"
 
+	"github.com/corianderhook/corianderhook/common/loopback"
 	"github.com/corianderhook/corianderhook/version/access"
 )
 
@@ -287,9 +287,7 @@
 // checkAdmin keeps the administration interface on the machine itself until an
 // operator has a token. The admin address is the last that each role needs.
 func (c *Config) checkAdmin(section, address string) Faults {
-	// An address that cannot be read was reported before.
-	parsed, _ := netip.ParseAddrPort(address)
-	if !parsed.IsValid() || parsed.Addr().Unmap().IsLoopback() || c.access.Guarded() {
+	if address == "" || loopback.Is(address) || c.access.Guarded() {
 		return nil
 	}
 	return Faults{{
--- a/version/slot/recovery.go
+++ b/version/slot/recovery.go
@@ -102,7 +102,7 @@
 		s.found[key.GetJob()] = key
 		return
 	}
-	if key.GetEpoch() > old.GetEpoch() || key.GetEpoch() == old.GetEpoch() && key.GetSequence() > old.GetSequence() {
+	if job.Newer(key, old) {
 		old, key = key, old
 		s.found[old.GetJob()] = old
 	}
