Bury agents that have ended by one rule

Cause: two rules did the same at two depths. An attaching agent buried its own earlier runs by name, and a recovering owner buried agents that it had not heard; the mending of a job that stayed under way for ever had added a third loop for agents that it had heard.

Change: buryEnded looks at all agents of a job that hold something of it and have ended, at an attach and at a recovery. Job.EarlierRuns is gone.

Conclusion: whoever has ended is buried, however the owner came to know of it.

--- a/request/job/evidence.go
+++ b/request/job/evidence.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/corianderhook/corianderhook/common/instance"
 	"github.com/corianderhook/corianderhook/wire"
 )
 
@@ -47,18 +46,6 @@
 	}
 }
 
-// EarlierRuns lists the agents of this job that are earlier runs of the given one.
-func (j *Job) EarlierRuns(agent string) []string {
-	var list []string
-	for a := range j.agents {
-		if instance.Replaces(agent, a) {
-			list = append(list, a)
-		}
-	}
-	slices.Sort(list)
-	return list
-}
-
 // Record takes what the agent says of a task. A record for a task that this
 // agent does not hold changes nothing. It reports whether the record is news.
 func (j *Job) Record(agent string, r *wire.TaskRecord) bool {
--- a/request/job/job.go
+++ b/request/job/job.go
@@ -3,6 +3,7 @@
 package job
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -162,19 +163,17 @@
 // tasks of this job.
 func (j *Job) Knows(agent string) bool { return j.agents[agent] }
 
+// Agents returns the agents that may start tasks of the job, in order.
+func (j *Job) Agents() []string { return slices.Sorted(maps.Keys(j.agents)) }
+
 // Key returns what a witness has to remember.
 func (j *Job) Key() *wire.JobKey {
-	agents := make([]string, 0, len(j.agents))
-	for a := range j.agents {
-		agents = append(agents, a)
-	}
-	slices.Sort(agents)
 	return &wire.JobKey{
 		Job:    j.name,
 		Digest: j.digest,
 		Tasks:  uint32(len(j.tasks)),
 		Kind:   j.kind,
-		Agents: agents,
+		Agents: j.Agents(),
 	}
 }
 
--- a/version/slot/recovery.go
+++ b/version/slot/recovery.go
@@ -40,7 +40,11 @@
 		s.Review()
 		return
 	}
-	s.buryEarlier(agent)
+	for _, j := range snapshot(s.active) {
+		if s.buryEnded(j) {
+			s.Settle(j)
+		}
+	}
 	touched := false
 	for _, j := range s.active {
 		if j.Suspect(agent) {
@@ -182,21 +186,24 @@
 		}
 	}
 	for _, j := range snapshot(s.active) {
-		for _, a := range j.Unproved() {
-			if s.host.Buried(a) {
-				j.Bury(a)
-			}
-		}
-		// An agent may have ended after it said that a task runs.
-		for _, a := range slices.Sorted(maps.Keys(heard)) {
-			if s.host.Buried(a) {
-				j.Bury(a)
-			}
-		}
+		s.buryEnded(j)
 		s.Settle(j)
 	}
 }
 
+// buryEnded takes it that agents which have ended have ended with all that they
+// held of a job, whatever they said before. It reports whether they held anything.
+func (s *Slot) buryEnded(j *job.Job) bool {
+	found := false
+	for _, a := range j.Agents() {
+		if j.HeldBy(a) && s.host.Buried(a) {
+			j.Bury(a)
+			found = true
+		}
+	}
+	return found
+}
+
 func (s *Slot) resolve(agent string, records map[string][]*wire.TaskRecord) {
 	for _, j := range snapshot(s.active) {
 		if !j.Knows(agent) {
@@ -265,20 +272,6 @@
 	}
 }
 
-// buryEarlier takes it that the earlier runs of an agent have ended with all
-// that they held.
-func (s *Slot) buryEarlier(agent string) {
-	for _, j := range snapshot(s.active) {
-		earlier := j.EarlierRuns(agent)
-		for _, a := range earlier {
-			j.Bury(a)
-		}
-		if len(earlier) > 0 {
-			s.Settle(j)
-		}
-	}
-}
-
 // Forsake answers those who wait for jobs with tasks at an agent that has been
 // out of reach for too long. The jobs stay, in case the agent comes back.
 func (s *Slot) Forsake(agent string) {
