--- a/process/owner/world_test.go
+++ b/process/owner/world_test.go
@@ -141,6 +141,7 @@
 	for _, a := range w.agents {
 		if a.runs() {
 			a.executor.Tick(w.now)
+			a.executor.Expire(w.now)
 		}
 	}
 }
