--- a/commands/commands.go
+++ b/commands/commands.go
@@ -32,22 +32,24 @@
 type App struct {
 	Verbose int `short:"v" help:"Log detail: 0 for events, 1 for connections too." default:"0"`
 
-	Entry   EntryCommand   `cmd:"" help:"Run an entry process: takes callers' jobs and owns their keys."`
-	Agent   AgentCommand   `cmd:"" help:"Run the agent process beside an endpoint."`
-	Log     LogCommand     `cmd:"" help:"Run the stand-in for the platform's log, for tests and local use."`
-	Sample  SampleCommand  `cmd:"" help:"Run a sample endpoint, for tests and local use."`
-	Demo    DemoCommand    `cmd:"" help:"Run a whole system on loopback and send it jobs."`
-	Submit  SubmitCommand  `cmd:"" help:"Submit a job and wait for its answer."`
-	Job     JobCommand     `cmd:"" help:"Show or cancel a job."`
-	Config  ConfigCommand  `cmd:"" help:"Check and show a settings folder."`
-	Audit   AuditCommand   `cmd:"" help:"Show the trail of changes: who changed what, when, from where."`
-	Status  StatusCommand  `cmd:"" help:"Show what processes say of themselves."`
-	Drain   DrainCommand   `cmd:"" help:"Stop a process as planned: no new work, nothing cut."`
-	Bench   BenchCommand   `cmd:"" help:"Run an experiment on loopback."`
-	Eject   EjectCommand   `cmd:"" help:"Give an agent no more tasks until it is readmitted."`
-	Readmit ReadmitCommand `cmd:"" help:"Give an agent tasks again that an operator has ejected."`
-	Token   TokenCommand   `cmd:"" help:"Make a token for a team or an operator, and print its digest for the settings."`
-	Version VersionCommand `cmd:"" help:"Show the version."`
+	Entry      EntryCommand      `cmd:"" help:"Run an entry process: takes callers' jobs and owns their keys."`
+	Agent      AgentCommand      `cmd:"" help:"Run the agent process beside an endpoint."`
+	Dispatcher DispatcherCommand `cmd:"" help:"Run an entry process for jobs that may run again, on the users' platform."`
+	Sidecar    SidecarCommand    `cmd:"" help:"Run the agent process beside an endpoint of the users' platform."`
+	Log        LogCommand        `cmd:"" help:"Run the stand-in for the platform's log, for tests and local use."`
+	Sample     SampleCommand     `cmd:"" help:"Run a sample endpoint, for tests and local use."`
+	Demo       DemoCommand       `cmd:"" help:"Run a whole system on loopback and send it jobs."`
+	Submit     SubmitCommand     `cmd:"" help:"Submit a job and wait for its answer."`
+	Job        JobCommand        `cmd:"" help:"Show or cancel a job."`
+	Config     ConfigCommand     `cmd:"" help:"Check and show a settings folder."`
+	Audit      AuditCommand      `cmd:"" help:"Show the trail of changes: who changed what, when, from where."`
+	Status     StatusCommand     `cmd:"" help:"Show what processes say of themselves."`
+	Drain      DrainCommand      `cmd:"" help:"Stop a process as planned: no new work, nothing cut."`
+	Bench      BenchCommand      `cmd:"" help:"Run an experiment on loopback."`
+	Eject      EjectCommand      `cmd:"" help:"Give an agent no more tasks until it is readmitted."`
+	Readmit    ReadmitCommand    `cmd:"" help:"Give an agent tasks again that an operator has ejected."`
+	Token      TokenCommand      `cmd:"" help:"Make a token for a team or an operator, and print its digest for the settings."`
+	Version    VersionCommand    `cmd:"" help:"Show the version."`
 }
 
 // Streams are where a command writes.
--- /dev/null
+++ b/commands/process.go
@@ -0,0 +1,159 @@
+package commands
+
+import (
+	"context"
+	"flag"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/corianderhook/corianderhook/common/eventlog"
+	"github.com/corianderhook/corianderhook/platform"
+	"github.com/corianderhook/corianderhook/process/dispatcher"
+	"github.com/corianderhook/corianderhook/version/config"
+)
+
+const (
+	// lookEvery is the time between two looks at the settings file.
+	lookEvery = time.Second
+	// lastLines bounds the wait for log lines at the end.
+	lastLines = 200 * time.Millisecond
+	// heapShare of the VM's memory is where the collector works harder, in percent;
+	// the rest is for stacks, buffers of the kernel and the program itself.
+	heapShare = 70
+	// collectAt is the growth of the heap between collections in percent: the heap is
+	// small, so that fewer collections cost little memory.
+	collectAt = 400
+)
+
+// readSettingsFile reads one settings file and checks it for a role.
+func readSettingsFile(path string, role config.Role) (*config.Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, usageError{errors.Wrap(err, "settings")}
+	}
+	settings, err := config.Merge([]config.File{{Name: filepath.Base(path), Text: string(text)}})
+	if err != nil {
+		return nil, usageError{err}
+	}
+	if err := settings.Require(role); err != nil {
+		return nil, usageError{err}
+	}
+	return settings, nil
+}
+
+// watchSettings hands on the settings whenever their file has changed, or a hang-up
+// signal says so. A file with faults changes nothing.
+func watchSettings(ctx context.Context, path string, role config.Role, apply func(*config.Config)) {
+	hangUp := make(chan os.Signal, 1)
+	signal.Notify(hangUp, syscall.SIGHUP)
+	defer signal.Stop(hangUp)
+	ticker := time.NewTicker(lookEvery)
+	defer ticker.Stop()
+	last := changedAt(path)
+	for {
+		cause := "the file has changed"
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangUp:
+			cause = "hang-up signal"
+		case <-ticker.C:
+			if changedAt(path).Equal(last) {
+				continue
+			}
+		}
+		last = changedAt(path)
+		settings, err := readSettingsFile(path, role)
+		if err != nil {
+			klog.ErrorS(err, "CH1302 settings have faults, the former ones stay in force", "file", path, "cause", cause)
+			continue
+		}
+		klog.InfoS("CH1301 settings read again", "file", path, "cause", cause)
+		apply(settings)
+	}
+}
+
+func changedAt(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
+// startLogs sends log lines to the writer without ever waiting for it. The returned
+// function writes the last ones.
+func startLogs(out io.Writer) (stop func()) {
+	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(flags)
+	// The flags exist, so that setting them cannot fail.
+	_ = flags.Set("logtostderr", "false")
+	_ = flags.Set("alsologtostderr", "false")
+	_ = flags.Set("stderrthreshold", "FATAL")
+	_ = flags.Set("one_output", "true")
+	log := eventlog.New(out)
+	klog.SetOutput(log)
+	return func() {
+		klog.Flush()
+		log.Close(lastLines)
+	}
+}
+
+// limitMemory has the collector keep the process under its VM's memory, in MiB.
+func limitMemory(mebibytes int) {
+	debug.SetMemoryLimit(int64(mebibytes) << 20 * heapShare / 100)
+	debug.SetGCPercent(collectAt)
+}
+
+// listenAll opens sockets at ip:port.
+func listenAll(addresses ...string) ([]net.Listener, error) {
+	var listeners []net.Listener
+	for _, a := range addresses {
+		l, err := net.Listen("tcp", a)
+		if err != nil {
+			return nil, errors.Wrapf(err, "address %q", a)
+		}
+		listeners = append(listeners, l)
+	}
+	return listeners, nil
+}
+
+// serveMetrics serves metrics until the context ends; without an address there are none.
+func serveMetrics(ctx context.Context, address string, handler http.Handler) {
+	if address == "" {
+		return
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		klog.ErrorS(err, "CH1303 metrics are not served", "address", address)
+		return
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", handler)
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: callerHeaderTime}
+	stop := context.AfterFunc(ctx, func() { server.Close() })
+	defer stop()
+	if err := server.Serve(l); err != nil && ctx.Err() == nil {
+		klog.ErrorS(err, "CH1303 metrics are not served", "address", address)
+	}
+}
+
+// adopt puts a published configuration into force.
+func adopt(d *dispatcher.Dispatcher, text []byte) {
+	c, err := platform.DecodeCatalog(text)
+	if err != nil {
+		klog.ErrorS(err, "CH1205 published configuration cannot be read")
+		return
+	}
+	d.Adopt(c, "store")
+}
--- /dev/null
+++ b/process/dispatcher/actor.go
@@ -0,0 +1,123 @@
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"k8s.io/klog/v2"
+
+	"github.com/corianderhook/corianderhook/process/fleet"
+	"github.com/corianderhook/corianderhook/process/scheduler"
+	"github.com/corianderhook/corianderhook/wire"
+)
+
+// Messages to the scheduler actor.
+type (
+	tick      struct{}
+	suspended struct{ stood time.Duration }
+	submit    struct{ request scheduler.Request }
+	leave     struct{ job string }
+	// attached, detached and received come from the sessions of sidecars.
+	attached struct {
+		session *session
+		hello   *wire.SidecarHello
+	}
+	detached struct{ session *session }
+	received struct {
+		session *session
+		frame   *wire.SidecarFrame
+	}
+	// inspect runs a function on the scheduler's state.
+	inspect struct {
+		run  func(s *scheduler.Scheduler)
+		done chan<- struct{}
+	}
+)
+
+// schedulerActor owns the scheduler's state.
+type schedulerActor struct {
+	dispatcher *Dispatcher
+	scheduler  *scheduler.Scheduler
+	live       map[string]*session
+}
+
+func newSchedulerActor(d *Dispatcher) *schedulerActor {
+	a := &schedulerActor{dispatcher: d, live: map[string]*session{}}
+	a.scheduler = scheduler.New(a, fleet.New(d.deps.Zone), d.firstRun)
+	return a
+}
+
+// Receive handles one message at a time.
+func (a *schedulerActor) Receive(c actor.Context) {
+	switch m := c.Message().(type) {
+	case tick:
+		a.scheduler.Tick()
+	case submit:
+		a.scheduler.Submit(m.request)
+	case leave:
+		a.scheduler.Leave(m.job)
+	case attached:
+		a.attach(m)
+	case detached:
+		a.detach(m.session)
+	case received:
+		if a.live[m.session.sidecar] == m.session {
+			a.scheduler.Frame(m.session.sidecar, m.frame)
+		}
+	case suspended:
+		a.scheduler.Suspended("this entry stood still for " + m.stood.String())
+	case inspect:
+		m.run(a.scheduler)
+		close(m.done)
+	}
+	a.dispatcher.jobs.Store(int64(a.scheduler.Jobs()))
+	a.dispatcher.agents.Store(int64(len(a.live)))
+}
+
+func (a *schedulerActor) attach(m attached) {
+	name := m.session.sidecar
+	if former, known := a.live[name]; known {
+		former.close()
+	}
+	a.live[name] = m.session
+	held := m.hello.GetHeld()
+	if m.hello.GetDispatcher() != a.dispatcher.incarnation {
+		held = nil
+	}
+	klog.InfoS("CH1011 agent attached", "entry", a.dispatcher.deps.Name, "agent", name, "zone", m.hello.GetZone(), "incarnation", m.hello.GetIncarnation(), "held", len(held))
+	a.scheduler.Attached(name, m.hello.GetZone(), held)
+}
+
+func (a *schedulerActor) detach(s *session) {
+	if a.live[s.sidecar] != s {
+		return
+	}
+	delete(a.live, s.sidecar)
+	klog.InfoS("CH1012 agent detached", "entry", a.dispatcher.deps.Name, "agent", s.sidecar)
+	a.scheduler.Detached(s.sidecar)
+}
+
+// Now returns the steady time.
+func (a *schedulerActor) Now() time.Time { return a.dispatcher.deps.Clock.Now() }
+
+// Send queues an offer for an agent.
+func (a *schedulerActor) Send(agent string, o *wire.Offer) (uint64, bool) {
+	s, known := a.live[agent]
+	if !known {
+		return 0, false
+	}
+	s.number++
+	return s.number, s.out.Put(&wire.DispatcherFrame{Number: s.number, Offers: []*wire.Offer{o}})
+}
+
+// Cancel queues a cancellation for an agent.
+func (a *schedulerActor) Cancel(agent string, ref uint64) {
+	if s, known := a.live[agent]; known {
+		s.out.Put(&wire.DispatcherFrame{Cancels: []uint64{ref}})
+	}
+}
+
+// Decided logs a decision on a job.
+func (a *schedulerActor) Decided(what, job string, details ...any) {
+	klog.InfoS("CH1021 job "+what, append([]any{"job", job}, details...)...)
+}
--- /dev/null
+++ b/process/dispatcher/dispatcher.go
@@ -0,0 +1,236 @@
+// Package dispatcher is the entry process for jobs that may run again from the
+// start: it wires callers, the scheduler's decisions and the sessions of sidecars.
+package dispatcher
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"k8s.io/klog/v2"
+
+	"github.com/corianderhook/corianderhook/common/suspension"
+	"github.com/corianderhook/corianderhook/process/metrics"
+	"github.com/corianderhook/corianderhook/process/scheduler"
+	"github.com/corianderhook/corianderhook/request/answer"
+	"github.com/corianderhook/corianderhook/request/outcome"
+	"github.com/corianderhook/corianderhook/request/workload"
+	"github.com/corianderhook/corianderhook/version/catalog"
+	"github.com/corianderhook/corianderhook/wire"
+)
+
+const (
+	// tickEvery bounds how late a job's time is seen to be over.
+	tickEvery = 20 * time.Millisecond
+	// stoodStill is the suspension after which agents have stopped this process's
+	// tasks, or may have.
+	stoodStill = 100 * time.Millisecond
+	// runsPerSlice and runSlice number runs by the time of day: a job comes again
+	// after 1.3 s at the earliest, and runs at most a few times.
+	runSlice     = 500 * time.Millisecond
+	runsPerSlice = 8
+	// runSlices is after how many slices numbers repeat: a year, which keeps runs
+	// within 31 bits.
+	runSlices = 1 << 26
+)
+
+// Dependencies are what a dispatcher works with.
+type Dependencies struct {
+	Name string
+	Zone string
+	// Address is where sidecars and other dispatchers reach this one.
+	Address string
+	// Peers are addresses of some other dispatchers; they may be out of date.
+	Peers  []string
+	Clock  clockwork.Clock
+	System *actor.ActorSystem
+	// Decode reads a catalog that another dispatcher has passed on.
+	Decode func(text []byte) (*catalog.Catalog, error)
+}
+
+// Dispatcher is one dispatcher process.
+type Dispatcher struct {
+	deps        Dependencies
+	incarnation uint64
+	metrics     *metrics.Metrics
+	scheduler   *actor.PID
+	catalog     atomic.Pointer[catalog.Catalog]
+	peers       *peers
+	draining    atomic.Bool
+	// jobs is the number of jobs under way.
+	jobs atomic.Int64
+	// stopsAt is when a planned stop ends.
+	stopsAt atomic.Pointer[time.Time]
+	agents  atomic.Int64
+}
+
+// New returns a dispatcher that has not started.
+func New(deps Dependencies) *Dispatcher {
+	d := &Dispatcher{
+		deps:        deps,
+		incarnation: uint64(deps.Clock.Now().UnixNano()),
+		metrics:     metrics.New(),
+	}
+	d.peers = newPeers(d)
+	d.scheduler = deps.System.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return newSchedulerActor(d) }))
+	return d
+}
+
+// Metrics returns the metrics of this process.
+func (d *Dispatcher) Metrics() *metrics.Metrics { return d.metrics }
+
+// Catalog returns the configuration in force, or nil.
+func (d *Dispatcher) Catalog() *catalog.Catalog { return d.catalog.Load() }
+
+// Ready reports whether callers should be sent here, and if not why.
+func (d *Dispatcher) Ready() (bool, string) {
+	switch {
+	case d.draining.Load():
+		return false, "draining"
+	case d.catalog.Load() == nil:
+		return false, "no configuration is known"
+	}
+	return true, ""
+}
+
+// Adopt puts a configuration into force where it is newer, and passes it on.
+func (d *Dispatcher) Adopt(c *catalog.Catalog, source string) {
+	for {
+		old := d.catalog.Load()
+		if old != nil && c.Version() <= old.Version() {
+			return
+		}
+		if d.catalog.CompareAndSwap(old, c) {
+			break
+		}
+	}
+	d.metrics.Config(c.Version())
+	klog.InfoS("CH1001 configuration in force", "entry", d.deps.Name, "version", c.Version(), "queues", c.Queues(), "source", source)
+	d.peers.tell()
+}
+
+// Learn adds addresses of other dispatchers.
+func (d *Dispatcher) Learn(addresses []string) { d.peers.learn(addresses) }
+
+// Run serves sidecars and other dispatchers until the context ends.
+func (d *Dispatcher) Run(ctx context.Context, listener net.Listener) error {
+	server := grpc.NewServer(serverOptions()...)
+	wire.RegisterDispatcherServer(server, &service{dispatcher: d})
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(listener) }()
+	defer server.Stop()
+	go d.tick(ctx)
+	go d.peers.run(ctx)
+	d.peers.learn(d.deps.Peers)
+	klog.InfoS("CH1002 dispatcher started", "entry", d.deps.Name, "incarnation", d.incarnation, "address", d.deps.Address, "zone", d.deps.Zone)
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-failed:
+		return errors.Wrap(err, "dispatcher")
+	}
+}
+
+func (d *Dispatcher) tick(ctx context.Context) {
+	ticker := d.deps.Clock.NewTicker(tickEvery)
+	defer ticker.Stop()
+	stood := suspension.New()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			if s := stood.Since(); s > stoodStill {
+				klog.InfoS("CH1003 process was suspended", "entry", d.deps.Name, "for", s)
+				d.deps.System.Root.Send(d.scheduler, suspended{stood: s})
+			}
+			d.deps.System.Root.Send(d.scheduler, tick{})
+		}
+	}
+}
+
+// Submit takes a job and waits for its answer. The end of the context means that
+// the caller has left.
+func (d *Dispatcher) Submit(ctx context.Context, work *workload.Workload, queue catalog.Queue, budget time.Duration) answer.Answer {
+	began := d.deps.Clock.Now()
+	if at := d.stopsAt.Load(); at != nil {
+		budget = min(budget, at.Sub(began))
+	}
+	reply := make(chan answer.Answer, 1)
+	d.deps.System.Root.Send(d.scheduler, submit{request: scheduler.Request{
+		Work: work, Queue: queue, Budget: budget,
+		Reply: func(a answer.Answer) { reply <- a },
+	}})
+	var a answer.Answer
+	select {
+	case a = <-reply:
+	case <-ctx.Done():
+		d.deps.System.Root.Send(d.scheduler, leave{job: work.ID()})
+		a = answer.New(outcome.Unknown, "canceled", "the caller has left")
+	}
+	d.metrics.Answered(queue.Name, a.Outcome().String(), d.deps.Clock.Since(began))
+	if a.Outcome() == outcome.NotRun {
+		d.metrics.Refused(queue.Name, a.Reason())
+	}
+	return a
+}
+
+// State tells of a job whether it is under way here, whether it has begun to run,
+// and whether it has lately been completed.
+func (d *Dispatcher) State(ctx context.Context, id string) (known, begun, completed bool) {
+	d.inspect(ctx, func(s *scheduler.Scheduler) {
+		known, begun = s.State(id)
+		completed = s.Completed(id)
+	})
+	return known, begun, completed
+}
+
+// Pending returns how many jobs of a queue have not begun to run.
+func (d *Dispatcher) Pending(ctx context.Context, queue string) int {
+	count := 0
+	d.inspect(ctx, func(s *scheduler.Scheduler) { count = s.Pending(queue) })
+	return count
+}
+
+// Cancel ends a job; it reports whether the job was here.
+func (d *Dispatcher) Cancel(ctx context.Context, id string) bool {
+	known := false
+	d.inspect(ctx, func(s *scheduler.Scheduler) { known = s.Cancel(id, "canceled by the caller") })
+	return known
+}
+
+func (d *Dispatcher) inspect(ctx context.Context, run func(s *scheduler.Scheduler)) {
+	done := make(chan struct{})
+	d.deps.System.Root.Send(d.scheduler, inspect{run: run, done: done})
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// StopBy begins a planned stop: callers should go elsewhere, and no job is taken
+// that cannot end by the given steady time.
+func (d *Dispatcher) StopBy(at time.Time) {
+	d.draining.Store(true)
+	d.stopsAt.Store(&at)
+	klog.InfoS("CH1004 dispatcher drains", "entry", d.deps.Name, "jobs", d.jobs.Load(), "within", at.Sub(d.deps.Clock.Now()))
+}
+
+// Jobs returns how many jobs are under way.
+func (d *Dispatcher) Jobs() int { return int(d.jobs.Load()) }
+
+// Stopped notes the end of a planned stop.
+func (d *Dispatcher) Stopped() {
+	klog.InfoS("CH1005 dispatcher stopped", "entry", d.deps.Name, "jobs", d.jobs.Load())
+}
+
+// firstRun numbers the first run of a job that comes now.
+func (d *Dispatcher) firstRun() uint64 {
+	slice := d.deps.Clock.Now().UnixMilli() / runSlice.Milliseconds()
+	return uint64(slice%runSlices) * runsPerSlice
+}
--- /dev/null
+++ b/process/fleet/fleet.go
@@ -0,0 +1,238 @@
+// Package fleet is what a dispatcher believes of the endpoints: who is there, how
+// much room each has, and how fast each is. Beliefs are dated; what the dispatcher
+// has sent since a report was made is counted on top of it. It does no I/O.
+package fleet
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/corianderhook/corianderhook/process/backlog"
+	"github.com/corianderhook/corianderhook/process/health"
+	"github.com/corianderhook/corianderhook/process/placement"
+	"github.com/corianderhook/corianderhook/request/size"
+	"github.com/corianderhook/corianderhook/wire"
+)
+
+const (
+	// suspicion is the silence after which an agent gets no new tasks: two heartbeats
+	// of 150 ms are missing.
+	suspicion = 330 * time.Millisecond
+	// slowShare is the weight of a new run time in an agent's speed.
+	slowShare = 0.15
+	// fastest and slowest bound the speed that a few odd runs can suggest.
+	fastest, slowest = 0.3, 20.0
+)
+
+type sent struct {
+	number   uint64
+	urgency  int
+	size     size.Size
+	expected time.Duration
+}
+
+type agent struct {
+	name      string
+	zone      string
+	service   string
+	labels    []string
+	capacity  size.Size
+	accepting bool
+	reason    string
+	heard     time.Time
+	free      size.Size
+	queued    [backlog.Urgencies]float64
+	running   int
+	residual  time.Duration
+	unseen    []sent
+	slowness  float64
+}
+
+// Fleet is the belief of one dispatcher. It is not safe for concurrent use.
+type Fleet struct {
+	zone   string
+	agents map[string]*agent
+	order  []*agent
+	health *health.Health
+	// kinds holds the slowness by label, for endpoints that are new.
+	kinds map[string]float64
+	turn  int
+}
+
+// New returns the fleet as seen from an availability zone.
+func New(zone string) *Fleet {
+	return &Fleet{zone: zone, agents: map[string]*agent{}, health: health.New(), kinds: map[string]float64{}}
+}
+
+// Attach notes that an agent has opened a session.
+func (f *Fleet) Attach(name, zone string, now time.Time) {
+	a, known := f.agents[name]
+	if !known {
+		a = &agent{name: name, slowness: 1}
+		f.agents[name] = a
+		f.order = append(f.order, a)
+		sort.Slice(f.order, func(i, j int) bool { return f.order[i].name < f.order[j].name })
+	}
+	a.zone = zone
+	a.heard = now
+	a.unseen = nil
+}
+
+// Detach notes that an agent has no session. What is known of its speed is kept.
+func (f *Fleet) Detach(name string) {
+	if a, known := f.agents[name]; known {
+		a.accepting = false
+		a.reason = "no session"
+	}
+}
+
+// Forget drops an agent for good.
+func (f *Fleet) Forget(name string) {
+	delete(f.agents, name)
+	f.order = slices.DeleteFunc(f.order, func(a *agent) bool { return a.name == name })
+}
+
+// Endpoint takes what an agent says of the endpoint beside it.
+func (f *Fleet) Endpoint(name string, s *wire.EndpointState) {
+	a, known := f.agents[name]
+	if !known {
+		return
+	}
+	a.service = s.GetService()
+	a.labels = s.GetLabels()
+	a.accepting = s.GetAccepting()
+	a.reason = s.GetReason()
+	a.capacity = sizeOf(s.GetCapacity())
+	if a.slowness == 1 {
+		a.slowness = f.kind(a)
+	}
+}
+
+func (f *Fleet) kind(a *agent) float64 {
+	for _, l := range a.labels {
+		if s, known := f.kinds[l]; known {
+			return s
+		}
+	}
+	return 1
+}
+
+func sizeOf(s *wire.Size) size.Size {
+	return size.Size{CPU: int(s.GetCpu()), Memory: int(s.GetMemory()), Accelerators: int(s.GetAccelerators())}
+}
+
+// Heard notes a sign of life.
+func (f *Fleet) Heard(name string, now time.Time) {
+	if a, known := f.agents[name]; known {
+		a.heard = now
+	}
+}
+
+// Room takes an agent's report, made after it had seen the frame of the given number.
+func (f *Fleet) Room(name string, room *wire.Room, seen uint64) {
+	a, known := f.agents[name]
+	if !known {
+		return
+	}
+	a.free = sizeOf(room.GetFree())
+	a.queued = [backlog.Urgencies]float64{}
+	for i, work := range room.GetQueued() {
+		a.queued[min(i, backlog.Urgencies-1)] += float64(work)
+	}
+	a.running = int(room.GetRunning())
+	a.residual = time.Duration(room.GetResidualMs()) * time.Millisecond
+	a.unseen = slices.DeleteFunc(a.unseen, func(s sent) bool { return s.number <= seen })
+}
+
+// Sent notes a task that goes out with the frame of the given number.
+func (f *Fleet) Sent(name string, number uint64, urgency int, s size.Size, expected time.Duration) {
+	if a, known := f.agents[name]; known {
+		a.unseen = append(a.unseen, sent{number: number, urgency: urgency, size: s, expected: expected})
+	}
+}
+
+// Ran takes how a task's run time compares with what was expected of an endpoint
+// of ordinary speed.
+func (f *Fleet) Ran(name string, ratio float64) {
+	a, known := f.agents[name]
+	if !known {
+		return
+	}
+	a.slowness = clamp(a.slowness + slowShare*(ratio-a.slowness))
+	if len(a.labels) > 0 {
+		kind := a.labels[0]
+		if _, known := f.kinds[kind]; !known {
+			f.kinds[kind] = 1
+		}
+		f.kinds[kind] = clamp(f.kinds[kind] + slowShare/10*(ratio-f.kinds[kind]))
+	}
+}
+
+func clamp(s float64) float64 { return min(max(s, fastest), slowest) }
+
+// Slowness returns how long the agent's endpoint takes, 1 for ordinary.
+func (f *Fleet) Slowness(name string) float64 {
+	if a, known := f.agents[name]; known {
+		return a.slowness
+	}
+	return 1
+}
+
+// Health returns the evidence against agents.
+func (f *Fleet) Health() *health.Health { return f.health }
+
+// Usable reports whether an agent is heard and accepts tasks.
+func (f *Fleet) Usable(name string, now time.Time) bool {
+	a, known := f.agents[name]
+	return known && a.usable(now)
+}
+
+func (a *agent) usable(now time.Time) bool { return a.accepting && now.Sub(a.heard) <= suspicion }
+
+// Candidates appends the agents that may run tasks of a service to the list.
+func (f *Fleet) Candidates(service string, now time.Time, list []placement.Candidate) []placement.Candidate {
+	f.turn++
+	for i := range f.order {
+		// Each call begins with another agent, so that equals share the work.
+		a := f.order[(i+f.turn)%len(f.order)]
+		if a.service != service || !a.usable(now) || f.health.Ejected(a.name) && !f.health.Due(a.name, now) {
+			continue
+		}
+		list = append(list, a.candidate(f.zone))
+	}
+	return list
+}
+
+func (a *agent) candidate(zone string) placement.Candidate {
+	c := placement.Candidate{
+		Name: a.name, Labels: a.labels, Capacity: a.capacity, Free: a.free, Running: a.running,
+		Residual: a.residual, Slowness: a.slowness, Far: a.zone != zone, Queued: a.queued,
+	}
+	for _, s := range a.unseen {
+		c.Add(s.size, s.urgency, s.expected)
+	}
+	return c
+}
+
+// Largest returns the largest capacity among a service's endpoints, per resource.
+func (f *Fleet) Largest(service string) size.Size {
+	var largest size.Size
+	for _, a := range f.order {
+		if a.service == service {
+			largest.CPU = max(largest.CPU, a.capacity.CPU)
+			largest.Memory = max(largest.Memory, a.capacity.Memory)
+			largest.Accelerators = max(largest.Accelerators, a.capacity.Accelerators)
+		}
+	}
+	return largest
+}
+
+// Names returns the agents in order.
+func (f *Fleet) Names() []string {
+	names := make([]string, 0, len(f.order))
+	for _, a := range f.order {
+		names = append(names, a.name)
+	}
+	return names
+}
--- /dev/null
+++ b/process/placement/placement.go
@@ -0,0 +1,158 @@
+// Package placement chooses endpoints for the tasks of a job and foretells when
+// the last of them ends. It answers two loads: with room everywhere, the fastest
+// endpoints go first, since a job is as late as its slowest task; with room nowhere,
+// the tasks spread over the shortest queues, so that a wide job waits for one end
+// at each of many endpoints and not for many ends at one. It does no I/O.
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/corianderhook/corianderhook/process/backlog"
+	"github.com/corianderhook/corianderhook/request/size"
+)
+
+const (
+	// waitWeight makes a wait that is only foretold count for more than a run time.
+	waitWeight = 2
+	// farCost is the extra time to an endpoint in another availability zone, both ways.
+	farCost = 2 * time.Millisecond
+	// ordinaryRun is the run time of tasks where nothing is known.
+	ordinaryRun = 100 * time.Millisecond
+)
+
+// Candidate is an endpoint as the dispatcher believes it to be.
+type Candidate struct {
+	Name     string
+	Labels   []string
+	Capacity size.Size
+	Free     size.Size
+	// Queued is the work ahead per urgency, in millicore-milliseconds.
+	Queued   [backlog.Urgencies]float64
+	Running  int
+	Residual time.Duration
+	Slowness float64
+	Far      bool
+	// Taken is how many tasks of the step it has.
+	Taken int
+}
+
+// Add counts a task that is on its way to the candidate.
+func (c *Candidate) Add(s size.Size, urgency int, expected time.Duration) {
+	if c.ahead(urgency) == 0 && s.Fits(c.Free) {
+		c.Free = c.Free.Minus(s)
+		c.Residual = (c.Residual*time.Duration(c.Running) + expected) / time.Duration(c.Running+1)
+		c.Running++
+		return
+	}
+	c.Queued[min(urgency, backlog.Urgencies-1)] += float64(s.CPU) * float64(expected.Milliseconds())
+}
+
+func (c *Candidate) ahead(urgency int) float64 {
+	work := 0.0
+	for _, w := range c.Queued[:min(urgency, backlog.Urgencies-1)+1] {
+		work += w
+	}
+	return work
+}
+
+// Wait returns the expected time until a task of the size and urgency starts.
+func (c *Candidate) Wait(s size.Size, urgency int) time.Duration {
+	ahead := c.ahead(urgency)
+	if ahead == 0 && s.Fits(c.Free) {
+		return 0
+	}
+	residual := c.Residual
+	if residual == 0 {
+		residual = ordinaryRun
+	}
+	// Of n tasks with a mean rest of m, the first ends after about 2m/(n+1).
+	first := 2 * residual / time.Duration(c.Running+1)
+	queue := time.Duration(c.Slowness * ahead / float64(max(1, c.Capacity.CPU)) * float64(time.Millisecond))
+	return first + queue
+}
+
+// Request is one task that needs an endpoint.
+type Request struct {
+	Number   int
+	Size     size.Size
+	Urgency  int
+	Expected time.Duration
+	Label    string
+	Near     string
+	// Spread is the most tasks of the step on one endpoint; 0 is no limit.
+	Spread int
+}
+
+// Choice is where a task goes.
+type Choice struct {
+	Number int
+	Agent  string
+	Wait   time.Duration
+	// Ends is the expected time until the task has ended.
+	Ends time.Duration
+}
+
+// farFactor is how much longer a task takes away from its data; the platform's
+// pages give it.
+const farFactor = 1.5
+
+// Choose gives each request an endpoint and updates the candidates. Where some
+// request fits nowhere the result is false.
+func Choose(requests []Request, candidates []Candidate) ([]Choice, bool) {
+	choices := make([]Choice, 0, len(requests))
+	for _, r := range requests {
+		best, found := pick(r, candidates)
+		if !found {
+			return choices, false
+		}
+		c := &candidates[best]
+		wait, run := c.Wait(r.Size, r.Urgency), c.run(r)
+		choices = append(choices, Choice{Number: r.Number, Agent: c.Name, Wait: wait, Ends: wait + run})
+		c.Add(r.Size, r.Urgency, r.Expected)
+		c.Taken++
+	}
+	return choices, true
+}
+
+func (c *Candidate) run(r Request) time.Duration {
+	run := time.Duration(float64(r.Expected) * c.Slowness)
+	if r.Near != "" && !slices.Contains(c.Labels, r.Near) {
+		run = time.Duration(float64(run) * farFactor)
+	}
+	if c.Far {
+		run += farCost
+	}
+	return run
+}
+
+func pick(r Request, candidates []Candidate) (best int, found bool) {
+	var least time.Duration
+	for i := range candidates {
+		c := &candidates[i]
+		if !c.allows(r) {
+			continue
+		}
+		cost := waitWeight*c.Wait(r.Size, r.Urgency) + c.run(r)
+		if !found || cost < least {
+			best, least, found = i, cost, true
+		}
+	}
+	return best, found
+}
+
+func (c *Candidate) allows(r Request) bool {
+	return r.Size.Fits(c.Capacity) &&
+		(r.Label == "" || slices.Contains(c.Labels, r.Label)) &&
+		(r.Spread == 0 || c.Taken < r.Spread)
+}
+
+// Latest returns the time until the last of the choices has ended.
+func Latest(choices []Choice) time.Duration {
+	var latest time.Duration
+	for _, c := range choices {
+		latest = max(latest, c.Ends)
+	}
+	return latest
+}
--- /dev/null
+++ b/process/scheduler/events.go
@@ -0,0 +1,220 @@
+package scheduler
+
+import (
+	"sort"
+	"time"
+
+	"github.com/corianderhook/corianderhook/process/placement"
+	"github.com/corianderhook/corianderhook/request/answer"
+	"github.com/corianderhook/corianderhook/request/outcome"
+	"github.com/corianderhook/corianderhook/wire"
+)
+
+const (
+	// recallAfter is how much longer than foretold a task may wait at an agent before
+	// it is asked back for an endpoint that has room.
+	recallAfter = 30 * time.Millisecond
+	// overdueFactor times the expected run time, and overdueLeast, a task is left
+	// alone; a later one is stopped and tried elsewhere.
+	overdueFactor = 4
+	overdueLeast  = 200 * time.Millisecond
+	// stopTime is what a stop takes until the task is known to be gone.
+	stopTime = 80 * time.Millisecond
+)
+
+// Attached takes the hello of an agent: tasks that it does not hold are ready again.
+func (s *Scheduler) Attached(agent, zone string, held []uint64) {
+	now := s.host.Now()
+	s.fleet.Attach(agent, zone, now)
+	holds := make(map[uint64]bool, len(held))
+	for _, ref := range held {
+		holds[ref] = true
+		if _, known := s.refs[ref]; !known {
+			s.host.Cancel(agent, ref)
+		}
+	}
+	s.each(func(p *placed) {
+		if p.agent == agent && !holds[p.ref] {
+			s.host.Decided("task not held", p.job.work.ID(), "agent", agent, "task", p.number)
+			s.again(p, "the agent does not hold it")
+		}
+	})
+}
+
+// Detached notes that an agent's session has ended. Its tasks may still run.
+func (s *Scheduler) Detached(agent string) { s.fleet.Detach(agent) }
+
+// Frame takes what an agent says.
+func (s *Scheduler) Frame(agent string, f *wire.SidecarFrame) {
+	s.fleet.Heard(agent, s.host.Now())
+	if e := f.GetEndpoint(); e != nil {
+		s.fleet.Endpoint(agent, e)
+	}
+	if r := f.GetRoom(); r != nil {
+		s.fleet.Room(agent, r, f.GetSeen())
+	}
+	for _, e := range f.GetEvents() {
+		s.event(agent, e)
+	}
+}
+
+func (s *Scheduler) event(agent string, e *wire.TaskEvent) {
+	p, known := s.refs[e.GetRef()]
+	if !known || p.agent != agent {
+		return
+	}
+	ran := time.Duration(e.GetRanMs()) * time.Millisecond
+	switch e.GetKind() {
+	case wire.TaskEventKind_TASK_EVENT_KIND_STARTED:
+		p.job.progress.Start()
+		p.started = s.host.Now()
+	case wire.TaskEventKind_TASK_EVENT_KIND_DONE:
+		s.observe(p, false, ran)
+		s.doneTask(p)
+	case wire.TaskEventKind_TASK_EVENT_KIND_FAILED:
+		s.observe(p, true, ran)
+		p.job.progress.Start()
+		p.job.progress.Fail(p.number)
+		s.host.Decided("task failed", p.job.work.ID(), "agent", agent, "task", p.number, "ran", ran, "reason", e.GetReason())
+		s.again(p, e.GetReason())
+	case wire.TaskEventKind_TASK_EVENT_KIND_LOST:
+		p.job.progress.Start()
+		s.host.Decided("task lost", p.job.work.ID(), "agent", agent, "task", p.number, "ran", ran, "reason", e.GetReason())
+		s.again(p, e.GetReason())
+	case wire.TaskEventKind_TASK_EVENT_KIND_RETURNED, wire.TaskEventKind_TASK_EVENT_KIND_UNSPECIFIED:
+		s.again(p, e.GetReason())
+	}
+}
+
+func (s *Scheduler) doneTask(p *placed) {
+	j := p.job
+	delete(s.refs, p.ref)
+	delete(j.placed, p.number)
+	j.progress.Start()
+	j.progress.Done(p.number)
+	if j.progress.Complete() {
+		s.finish(j, answer.New(outcome.Complete, "complete", "every task ended well"))
+		return
+	}
+	if len(j.placed) == 0 {
+		s.next(j, "no endpoint for the next step")
+	}
+}
+
+// again takes a task back of which no run is left, and places it anew while that
+// can be of use.
+func (s *Scheduler) again(p *placed, reason string) {
+	j := p.job
+	s.takeBack(p)
+	if s.jobs[j.work.ID()] != j {
+		return
+	}
+	if j.progress.Failed() {
+		s.finish(j, answer.New(outcome.Failed, "task-failed", "a task has failed as often as it may: "+reason))
+		return
+	}
+	s.next(j, reason)
+}
+
+// next places what is ready of a job that is under way.
+func (s *Scheduler) next(j *job, reason string) {
+	now := s.host.Now()
+	choices, fits := s.choose(j)
+	switch {
+	case !fits && now.Before(s.useful(j)):
+		// Agents may be back within the caller's time.
+		j.parked = true
+	case !fits || now.Add(placement.Latest(choices)).After(s.useful(j)):
+		s.giveUp(j, "out-of-time", reason)
+	default:
+		j.parked = false
+		s.send(j, choices)
+	}
+}
+
+// each calls a function for every placed task in the order of their references.
+func (s *Scheduler) each(visit func(p *placed)) {
+	refs := make([]uint64, 0, len(s.refs))
+	for ref := range s.refs {
+		refs = append(refs, ref)
+	}
+	sort.Slice(refs, func(i, j int) bool { return refs[i] < refs[j] })
+	for _, ref := range refs {
+		if p, known := s.refs[ref]; known {
+			visit(p)
+		}
+	}
+}
+
+// Tick gives up what is out of time and moves tasks that are stuck.
+func (s *Scheduler) Tick() {
+	now := s.host.Now()
+	for _, j := range s.inOrder() {
+		switch {
+		case !now.Before(j.deadline):
+			s.giveUp(j, "out-of-time", "the caller's time is over")
+		case j.parked:
+			s.next(j, "no endpoint can take the task")
+		}
+	}
+	s.each(func(p *placed) { s.check(p, now) })
+	for id, at := range s.done {
+		if now.Sub(at) > remembered {
+			delete(s.done, id)
+		}
+	}
+}
+
+// check asks a task back that waits or runs for far longer than foretold.
+func (s *Scheduler) check(p *placed, now time.Time) {
+	if p.recalled || !now.Before(p.job.deadline) {
+		return
+	}
+	var reason string
+	switch {
+	case p.started.IsZero() && now.Sub(p.sentAt) > p.wait+recallAfter && s.room(p):
+		reason = "waits for too long"
+	case !p.started.IsZero() && now.Sub(p.started) > max(overdueFactor*p.expected, overdueLeast) &&
+		now.Add(stopTime+p.expected).Before(s.useful(p.job)):
+		reason = "runs for too long"
+	default:
+		return
+	}
+	p.recalled = true
+	if !p.started.IsZero() {
+		s.observe(p, false, now.Sub(p.started))
+	}
+	s.host.Decided("task recalled", p.job.work.ID(), "agent", p.agent, "task", p.number, "reason", reason, "since", now.Sub(p.sentAt), "expected", p.expected)
+	s.host.Cancel(p.agent, p.ref)
+}
+
+// room reports whether another endpoint could start the task at once.
+func (s *Scheduler) room(p *placed) bool {
+	step, _ := p.job.work.Task(p.number)
+	spec := p.job.work.Steps()[step]
+	s.candidates = s.fleet.Candidates(p.job.queue.Service, s.host.Now(), s.candidates[:0])
+	for i := range s.candidates {
+		c := &s.candidates[i]
+		if c.Name != p.agent && c.Wait(spec.Size, p.job.queue.Urgency) == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Scheduler) inOrder() []*job {
+	list := make([]*job, 0, len(s.jobs))
+	for _, j := range s.jobs {
+		list = append(list, j)
+	}
+	sort.Slice(list, func(i, k int) bool { return list[i].work.ID() < list[k].work.ID() })
+	return list
+}
+
+// Suspended ends every job after this process stood still: their agents have
+// stopped them.
+func (s *Scheduler) Suspended(reason string) {
+	for _, j := range s.inOrder() {
+		s.giveUp(j, "suspended", reason)
+	}
+}
--- /dev/null
+++ b/process/scheduler/scheduler.go
@@ -0,0 +1,385 @@
+// Package scheduler decides at a dispatcher what becomes of each job: taken or
+// refused, where its tasks run, when a task is moved, and when the job is given
+// up. A job lives at the one dispatcher that took it. The package does no I/O.
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/corianderhook/corianderhook/process/fleet"
+	"github.com/corianderhook/corianderhook/process/forecast"
+	"github.com/corianderhook/corianderhook/process/health"
+	"github.com/corianderhook/corianderhook/process/placement"
+	"github.com/corianderhook/corianderhook/request/answer"
+	"github.com/corianderhook/corianderhook/request/outcome"
+	"github.com/corianderhook/corianderhook/request/progress"
+	"github.com/corianderhook/corianderhook/request/workload"
+	"github.com/corianderhook/corianderhook/version/catalog"
+	"github.com/corianderhook/corianderhook/wire"
+)
+
+const (
+	// lateFactor times the objective is the time after which an answer is worth
+	// nothing to a caller.
+	lateFactor = 3
+	// remembered is how long completed jobs are known, for copies of a request that
+	// arrive after its answer.
+	remembered = 30 * time.Second
+	// answerMargin is left of a caller's time for the answer's way back.
+	answerMargin = 15 * time.Millisecond
+	// leastRetry and mostRetry bound Retry-After.
+	leastRetry, mostRetry = time.Second, 5 * time.Second
+)
+
+// Host carries out what the scheduler decides.
+type Host interface {
+	// Now returns the steady time.
+	Now() time.Time
+	// Send queues an offer for an agent and returns the number of its frame; false
+	// where there is no session.
+	Send(agent string, o *wire.Offer) (number uint64, sent bool)
+	// Cancel tells an agent to stop a task.
+	Cancel(agent string, ref uint64)
+	// Decided logs a decision on a job.
+	Decided(what, job string, details ...any)
+}
+
+// Request is a job with what its sender and its queue ask for.
+type Request struct {
+	Work *workload.Workload
+	// Queue is as of the configuration in force when the job came.
+	Queue catalog.Queue
+	// Budget is how long the caller waits.
+	Budget time.Duration
+	// Reply takes the answer; it is called once.
+	Reply func(answer.Answer)
+}
+
+type placed struct {
+	job     *job
+	number  int
+	agent   string
+	ref     uint64
+	sentAt  time.Time
+	started time.Time
+	// expected is the run time at this endpoint, wait the time to the start.
+	expected time.Duration
+	wait     time.Duration
+	// recalled: the task was asked back and no answer has come.
+	recalled bool
+}
+
+type job struct {
+	work      *workload.Workload
+	queue     catalog.Queue
+	progress  *progress.Progress
+	begun     time.Time
+	deadline  time.Time
+	objective time.Duration
+	replies   []func(answer.Answer)
+	// callers is how many still wait.
+	callers int
+	placed  map[int]*placed
+	runs    uint64
+	// parked: ready tasks fit nowhere at present.
+	parked bool
+}
+
+// Scheduler is the state of one dispatcher. It is not safe for concurrent use.
+type Scheduler struct {
+	host       Host
+	fleet      *fleet.Fleet
+	forecast   *forecast.Forecast
+	jobs       map[string]*job
+	refs       map[uint64]*placed
+	lastRef    uint64
+	done       map[string]time.Time
+	candidates []placement.Candidate
+	firstRun   func() uint64
+}
+
+// New returns a scheduler without jobs. FirstRun gives the number of the first run
+// of a job that comes now: higher than any of the same job's earlier submission.
+func New(host Host, f *fleet.Fleet, firstRun func() uint64) *Scheduler {
+	return &Scheduler{
+		host: host, fleet: f, forecast: forecast.New(), firstRun: firstRun,
+		jobs: map[string]*job{}, refs: map[uint64]*placed{}, done: map[string]time.Time{},
+	}
+}
+
+// Fleet returns what the scheduler believes of the endpoints.
+func (s *Scheduler) Fleet() *fleet.Fleet { return s.fleet }
+
+// Jobs returns how many jobs are under way.
+func (s *Scheduler) Jobs() int { return len(s.jobs) }
+
+// Pending returns how many jobs of a queue have not begun to run.
+func (s *Scheduler) Pending(queue string) int {
+	count := 0
+	for _, j := range s.jobs {
+		if j.queue.Name == queue && !j.progress.Started() {
+			count++
+		}
+	}
+	return count
+}
+
+// State returns whether a job is under way here, and whether it has begun to run.
+func (s *Scheduler) State(id string) (known, begun bool) {
+	j, known := s.jobs[id]
+	return known, known && j.progress.Started()
+}
+
+// Completed reports whether a job has lately been completed here.
+func (s *Scheduler) Completed(id string) bool {
+	_, known := s.done[id]
+	return known
+}
+
+func refusal(reason, detail string, after time.Duration) answer.Answer {
+	return answer.New(outcome.NotRun, reason, detail).WithRetryAfter(min(max(after, leastRetry), mostRetry))
+}
+
+// Submit takes a job, joins it to the one of its name that is under way, or refuses it.
+func (s *Scheduler) Submit(r Request) {
+	id := r.Work.ID()
+	if _, known := s.done[id]; known {
+		s.host.Decided("answered again", id)
+		r.Reply(answer.New(outcome.Complete, "complete", "the job was completed before"))
+		return
+	}
+	if j, known := s.jobs[id]; known {
+		s.host.Decided("joined", id)
+		j.replies = append(j.replies, r.Reply)
+		j.callers++
+		return
+	}
+	j := s.newJob(r)
+	choices, fits := s.choose(j)
+	if !fits {
+		s.refuse(r, "no-endpoint", "no endpoint can take the job", 0)
+		return
+	}
+	ends := placement.Latest(choices)
+	allowed := min(admitted(j.objective), r.Budget-answerMargin)
+	if ends > allowed {
+		s.host.Decided("refused", id, "reason", "overload", "queue", r.Queue.Name, "ends", ends, "objective", j.objective, "budget", r.Budget)
+		r.Reply(refusal("overload", "the job could not end in time", ends-allowed))
+		return
+	}
+	s.jobs[id] = j
+	s.host.Decided("accepted", id, "queue", r.Queue.Name, "tasks", r.Work.Tasks(), "ends", ends,
+		"objective", j.objective, "budget", r.Budget, "catalog", r.Queue.Name)
+	s.send(j, choices)
+}
+
+// admitted is the expected response time up to which jobs are taken.
+func admitted(objective time.Duration) time.Duration { return objective }
+
+func (s *Scheduler) refuse(r Request, reason, detail string, after time.Duration) {
+	s.host.Decided("refused", r.Work.ID(), "reason", reason, "queue", r.Queue.Name)
+	r.Reply(refusal(reason, detail, after))
+}
+
+func (s *Scheduler) newJob(r Request) *job {
+	now := s.host.Now()
+	j := &job{
+		work: r.Work, queue: r.Queue, progress: progress.New(r.Work, r.Queue.Attempts),
+		begun: now, deadline: now.Add(r.Budget - answerMargin),
+		replies: []func(answer.Answer){r.Reply}, callers: 1, placed: map[int]*placed{}, runs: s.firstRun(),
+	}
+	chain := r.Work.Chain(func(step int) time.Duration { return s.expect(j, step) })
+	j.objective = time.Duration(r.Queue.Stretch*float64(chain)) + r.Queue.Latency
+	return j
+}
+
+func (s *Scheduler) expect(j *job, step int) time.Duration {
+	return s.forecast.Expect(j.queue.Name, j.work.Steps()[step].Estimate)
+}
+
+// choose gives the job's ready tasks endpoints; false where one fits nowhere.
+func (s *Scheduler) choose(j *job) ([]placement.Choice, bool) {
+	now := s.host.Now()
+	s.candidates = s.fleet.Candidates(j.queue.Service, now, s.candidates[:0])
+	ready := j.progress.Ready()
+	requests := make([]placement.Request, 0, len(ready))
+	last := -1
+	for _, number := range ready {
+		step, _ := j.work.Task(number)
+		spec := j.work.Steps()[step]
+		if step != last {
+			last = step
+			s.countTaken(j, step, spec.Spread)
+		}
+		requests = append(requests, placement.Request{
+			Number: number, Size: spec.Size, Urgency: j.queue.Urgency, Expected: s.expect(j, step),
+			Label: spec.Label, Near: spec.Near, Spread: spec.Spread,
+		})
+	}
+	return placement.Choose(requests, s.candidates)
+}
+
+func (s *Scheduler) countTaken(j *job, step, spread int) {
+	for i := range s.candidates {
+		s.candidates[i].Taken = 0
+		if spread > 0 {
+			s.candidates[i].Taken = j.progress.On(step, s.candidates[i].Name)
+		}
+	}
+}
+
+// send offers chosen tasks to their agents, those of one agent together.
+func (s *Scheduler) send(j *job, choices []placement.Choice) {
+	now := s.host.Now()
+	slices.SortStableFunc(choices, func(a, b placement.Choice) int {
+		switch {
+		case a.Agent < b.Agent:
+			return -1
+		case a.Agent > b.Agent:
+			return 1
+		}
+		return 0
+	})
+	for len(choices) > 0 {
+		agent := choices[0].Agent
+		count := slices.IndexFunc(choices, func(c placement.Choice) bool { return c.Agent != agent })
+		if count < 0 {
+			count = len(choices)
+		}
+		s.offer(j, agent, choices[:count], now)
+		choices = choices[count:]
+	}
+}
+
+func (s *Scheduler) offer(j *job, agent string, choices []placement.Choice, now time.Time) {
+	offer := &wire.Offer{
+		Job: j.work.ID(), Payload: j.work.Payload(), Urgency: uint32(max(0, j.queue.Urgency)),
+		AgeMs: uint32(now.Sub(j.begun).Milliseconds()),
+	}
+	slowness := s.fleet.Slowness(agent)
+	for _, c := range choices {
+		step, index := j.work.Task(c.Number)
+		spec := j.work.Steps()[step]
+		expected := s.expect(j, step)
+		run := j.progress.Place(c.Number, agent)
+		s.lastRef++
+		p := &placed{
+			job: j, number: c.Number, agent: agent, ref: s.lastRef, sentAt: now, wait: c.Wait,
+			expected: time.Duration(float64(expected) * slowness),
+		}
+		s.refs[p.ref] = p
+		j.placed[c.Number] = p
+		offer.Tasks = append(offer.Tasks, &wire.OfferedTask{
+			Ref: p.ref, Step: uint32(step), Index: uint32(index), Run: j.runs + uint64(run),
+			ExpectedMs: uint32(expected.Milliseconds()),
+			Size:       &wire.Size{Cpu: uint32(spec.Size.CPU), Memory: uint32(spec.Size.Memory), Accelerators: uint32(spec.Size.Accelerators)},
+		})
+		within := s.useful(j).Sub(now) - p.expected
+		offer.StartWithinMs = uint32(max(1, within.Milliseconds()))
+	}
+	number, sent := s.host.Send(agent, offer)
+	for _, c := range choices {
+		if !sent {
+			s.takeBack(j.placed[c.Number])
+			continue
+		}
+		step, _ := j.work.Task(c.Number)
+		s.fleet.Sent(agent, number, j.queue.Urgency, j.work.Steps()[step].Size, s.expect(j, step))
+	}
+}
+
+// useful is the time until which an answer is of use to the caller.
+func (s *Scheduler) useful(j *job) time.Time {
+	late := j.begun.Add(lateFactor * j.objective)
+	if late.Before(j.deadline) {
+		return late
+	}
+	return j.deadline
+}
+
+// takeBack makes a placed task ready again.
+func (s *Scheduler) takeBack(p *placed) {
+	delete(s.refs, p.ref)
+	delete(p.job.placed, p.number)
+	p.job.progress.Return(p.number)
+}
+
+// Leave notes that a caller waits no more; a job that nobody waits for ends.
+func (s *Scheduler) Leave(id string) {
+	j, known := s.jobs[id]
+	if !known {
+		return
+	}
+	j.callers--
+	if j.callers <= 0 {
+		s.giveUp(j, "canceled", "the caller has left")
+	}
+}
+
+// Cancel ends a job that its caller has canceled; it reports whether it was here.
+func (s *Scheduler) Cancel(id, reason string) bool {
+	j, known := s.jobs[id]
+	if known {
+		s.giveUp(j, "canceled", reason)
+	}
+	return known
+}
+
+// giveUp ends a job without success: as not run where no start order can have gone
+// out, else as unknown.
+func (s *Scheduler) giveUp(j *job, reason, detail string) {
+	if j.progress.Started() || j.progress.Placed() > 0 {
+		s.finish(j, answer.New(outcome.Unknown, reason, detail))
+		return
+	}
+	s.finish(j, refusal(reason, detail, 0))
+}
+
+// finish cancels what is left of a job and answers.
+func (s *Scheduler) finish(j *job, a answer.Answer) {
+	now := s.host.Now()
+	for _, number := range sortedKeys(j.placed) {
+		p := j.placed[number]
+		s.host.Cancel(p.agent, p.ref)
+		delete(s.refs, p.ref)
+	}
+	delete(s.jobs, j.work.ID())
+	if a.Outcome() == outcome.Complete {
+		s.done[j.work.ID()] = now
+	}
+	s.host.Decided("ended", j.work.ID(), "queue", j.queue.Name, "outcome", a.Outcome(), "reason", a.Reason(), "detail", a.Detail(),
+		"took", now.Sub(j.begun), "objective", j.objective, "undone", j.progress.Undone(), "placed", len(j.placed))
+	for _, reply := range j.replies {
+		reply(a)
+	}
+}
+
+func sortedKeys(m map[int]*placed) []int {
+	keys := make([]int, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// observe learns from the end of a task.
+func (s *Scheduler) observe(p *placed, failed bool, ran time.Duration) {
+	step, _ := p.job.work.Task(p.number)
+	expected := s.expect(p.job, step)
+	ratio := float64(ran) / float64(max(expected, time.Millisecond))
+	now := s.host.Now()
+	verdict := s.fleet.Health().Observe(health.Observation{
+		Agent: p.agent, Kind: p.job.queue.Name, Job: p.job.work.ID(), Index: uint32(p.number), Failed: failed, Seconds: ratio,
+	}, now)
+	if verdict != health.Keep {
+		s.host.Decided("agent judged", p.job.work.ID(), "agent", p.agent, "verdict", verdict, "failed", failed, "ran", ran, "expected", expected)
+	}
+	if failed {
+		return
+	}
+	slowness := s.fleet.Slowness(p.agent)
+	s.forecast.Observe(p.job.queue.Name, p.job.work.Steps()[step].Estimate, time.Duration(float64(ran)/slowness))
+	s.fleet.Ran(p.agent, ratio)
+}
--- /dev/null
+++ b/process/sidecar/keeper.go
@@ -0,0 +1,148 @@
+package sidecar
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/corianderhook/corianderhook/process/runner"
+)
+
+const (
+	// listWait is how long a call to the endpoint waits for an end. It also renews
+	// the lease: well under half of it.
+	listWait = 180 * time.Millisecond
+	// listPause is the time between calls to an endpoint that does not answer.
+	listPause = 40 * time.Millisecond
+	// fenceStep raises a fence that the endpoint refuses, doubled each time: the
+	// time of day may have jumped back by any amount.
+	fenceStep = uint64(time.Hour / time.Microsecond)
+)
+
+// keeper talks to the endpoint: it takes it over, then keeps the lease and reads
+// the ends.
+type keeper struct {
+	sidecar  *Sidecar
+	fence    atomic.Uint64
+	instance atomic.Pointer[string]
+	changed  chan struct{}
+	last     uint64
+	born     time.Time
+}
+
+func newKeeper(s *Sidecar) *keeper {
+	k := &keeper{sidecar: s, changed: make(chan struct{}, 1)}
+	k.fence.Store(uint64(s.deps.Clock.Now().UnixMicro()))
+	none := ""
+	k.instance.Store(&none)
+	return k
+}
+
+func (k *keeper) life() Life { return Life{Instance: *k.instance.Load(), Fence: k.fence.Load()} }
+
+// expect has the endpoint taken over anew for an instance that announced itself.
+func (k *keeper) expect(instance string) {
+	k.instance.Store(&instance)
+	select {
+	case k.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (k *keeper) start(o runner.Order) (runner.Result, string) {
+	return k.sidecar.deps.Endpoint.Start(background(), k.life(), o)
+}
+
+// stop orders the end of a run; a name has the runner told of the result.
+func (k *keeper) stop(name string, run runner.RunName) {
+	acknowledged := k.sidecar.deps.Endpoint.Stop(background(), k.life(), run)
+	if !acknowledged {
+		k.sidecar.pause(background(), stopPause)
+	}
+	if name != "" {
+		k.sidecar.deps.System.Root.Send(k.sidecar.runner, stopped{name: name, acknowledged: acknowledged})
+	}
+}
+
+func (k *keeper) tell(m any) { k.sidecar.deps.System.Root.Send(k.sidecar.runner, m) }
+
+// run takes the endpoint over and follows it, again and again.
+func (k *keeper) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if k.takeOver(ctx) {
+			k.follow(ctx)
+		}
+	}
+}
+
+// takeOver raises the fence and stops all that runs, until the endpoint is empty.
+// Then nothing of an earlier sidecar, and no late order of it, can run any more.
+func (k *keeper) takeOver(ctx context.Context) bool {
+	k.last = 0
+	step := fenceStep
+	for ctx.Err() == nil {
+		list, err := k.sidecar.deps.Endpoint.List(ctx, k.life(), k.last, 0)
+		switch {
+		case err != nil:
+			k.sidecar.pause(ctx, listPause)
+		case list.Fenced:
+			k.fence.Add(step)
+			klog.InfoS("CH1131 fence raised", "agent", k.sidecar.deps.Name, "fence", k.fence.Load())
+			step *= 2
+		case len(list.Running) > 0:
+			k.last = list.Last
+			klog.InfoS("CH1132 endpoint still runs tasks of before", "agent", k.sidecar.deps.Name, "tasks", len(list.Running))
+			for _, run := range list.Running {
+				go k.stop("", run)
+			}
+			k.sidecar.pause(ctx, listPause)
+		default:
+			k.last = list.Last
+			k.born = list.Born
+			klog.InfoS("CH1133 endpoint taken over", "agent", k.sidecar.deps.Name, "instance", k.life().Instance, "born", list.Born, "fence", k.fence.Load())
+			k.tell(took{born: list.Born, reason: "the endpoint was taken over anew"})
+			return true
+		}
+	}
+	return false
+}
+
+// follow renews the lease and brings the ends until another life has begun.
+func (k *keeper) follow(ctx context.Context) {
+	var lost time.Time
+	for ctx.Err() == nil {
+		select {
+		case <-k.changed:
+			return
+		default:
+		}
+		list, err := k.sidecar.deps.Endpoint.List(ctx, k.life(), k.last, listWait)
+		now := k.sidecar.deps.Clock.Now()
+		switch {
+		case err != nil:
+			if lost.IsZero() {
+				lost = now
+				klog.InfoS("CH1134 endpoint does not answer", "agent", k.sidecar.deps.Name, "error", err)
+				k.tell(silent{reason: "the endpoint does not answer"})
+			}
+			if now.After(k.sidecar.deps.Endpoint.LeaseEnds().Add(runner.LapsedAfter() - runner.Lease)) {
+				k.tell(lapsed{})
+			}
+			k.sidecar.pause(ctx, listPause)
+			continue
+		case list.Fenced || !list.Born.Equal(k.born):
+			klog.InfoS("CH1135 endpoint is another or has another sidecar", "agent", k.sidecar.deps.Name, "born", list.Born, "fenced", list.Fenced)
+			k.tell(silent{reason: "the endpoint is being taken over"})
+			k.sidecar.deps.Endpoint.Reset()
+			return
+		}
+		if !lost.IsZero() {
+			klog.InfoS("CH1136 endpoint answers again", "agent", k.sidecar.deps.Name, "after", now.Sub(lost))
+			lost = time.Time{}
+		}
+		k.last = list.Last
+		k.tell(listed{report: list.Report})
+	}
+}
--- /dev/null
+++ b/process/sidecar/sidecar.go
@@ -0,0 +1,161 @@
+// Package sidecar is the agent process beside an endpoint for jobs that may run
+// again from the start: it wires the endpoint, the runner's decisions and the
+// sessions with dispatchers.
+package sidecar
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/jonboulle/clockwork"
+	"k8s.io/klog/v2"
+
+	"github.com/corianderhook/corianderhook/process/metrics"
+	"github.com/corianderhook/corianderhook/process/registration"
+	"github.com/corianderhook/corianderhook/process/runner"
+)
+
+// tickEvery is also the least time between two reports of room without a cause.
+const tickEvery = 25 * time.Millisecond
+
+// Endpoint is the endpoint beside the sidecar. Its calls return within a bound of
+// their own.
+type Endpoint interface {
+	// Start orders a run.
+	Start(ctx context.Context, at Life, o runner.Order) (runner.Result, string)
+	// Stop orders the end of a run; true means that the endpoint has taken the order.
+	Stop(ctx context.Context, at Life, run runner.RunName) bool
+	// List renews the lease, acknowledges ends up to the number last, and waits for
+	// an end.
+	List(ctx context.Context, at Life, last uint64, wait time.Duration) (List, error)
+	// Reset forgets the endpoint's clock: a new life has begun.
+	Reset()
+	// LeaseEnds is the latest local time to which a lease was asked for.
+	LeaseEnds() time.Time
+}
+
+// Life is whom orders are meant for and who gives them.
+type Life struct {
+	// Instance is empty where it is not known.
+	Instance string
+	// Fence keeps orders of an earlier sidecar out; a later one has a higher fence.
+	Fence uint64
+}
+
+// List is an endpoint's answer.
+type List struct {
+	runner.Report
+	// Born is the start of the endpoint's life.
+	Born time.Time
+	// Last is the number of the last end in the list, or the one asked with.
+	Last uint64
+	// Fenced: the endpoint knows a higher fence and has done nothing.
+	Fenced bool
+}
+
+// Dependencies are what a sidecar works with.
+type Dependencies struct {
+	Name string
+	Zone string
+	// Dispatchers are addresses of some dispatchers; they may be out of date.
+	Dispatchers []string
+	Endpoint    Endpoint
+	Clock       clockwork.Clock
+	System      *actor.ActorSystem
+}
+
+// Sidecar is one sidecar process.
+type Sidecar struct {
+	deps        Dependencies
+	incarnation uint64
+	began       time.Time
+	metrics     *metrics.Metrics
+	runner      *actor.PID
+	links       *links
+	keeper      *keeper
+	// tasks is the number of tasks that wait or may run.
+	tasks atomic.Int64
+}
+
+// New returns a sidecar that has not started.
+func New(deps Dependencies) *Sidecar {
+	s := &Sidecar{
+		deps:        deps,
+		incarnation: uint64(deps.Clock.Now().UnixNano()),
+		began:       deps.Clock.Now(),
+		metrics:     metrics.New(),
+	}
+	s.links = newLinks(s)
+	s.keeper = newKeeper(s)
+	s.runner = deps.System.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return newRunnerActor(s) }))
+	return s
+}
+
+// Metrics returns the metrics of this process.
+func (s *Sidecar) Metrics() *metrics.Metrics { return s.metrics }
+
+// Learn adds addresses of dispatchers.
+func (s *Sidecar) Learn(addresses []string) { s.links.learn(addresses) }
+
+// Announce takes what the endpoint says of itself.
+func (s *Sidecar) Announce(a registration.Announcement) {
+	s.deps.System.Root.Send(s.runner, announced{announcement: a})
+}
+
+// Leave takes the endpoint's word that it is gone.
+func (s *Sidecar) Leave(instance string) { s.deps.System.Root.Send(s.runner, left{instance: instance}) }
+
+// Run works until the context ends.
+func (s *Sidecar) Run(ctx context.Context) {
+	s.links.learn(s.deps.Dispatchers)
+	klog.InfoS("CH1101 sidecar started", "agent", s.deps.Name, "zone", s.deps.Zone, "incarnation", s.incarnation)
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() { s.links.run(ctx) })
+	group.Go(func() { s.keeper.run(ctx) })
+	ticker := s.deps.Clock.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			s.deps.System.Root.Send(s.runner, tick{})
+		}
+	}
+}
+
+// Drain takes no new tasks and returns when none is left or the context ends.
+func (s *Sidecar) Drain(ctx context.Context) {
+	klog.InfoS("CH1102 sidecar drains", "agent", s.deps.Name, "tasks", s.tasks.Load())
+	done := make(chan struct{})
+	s.deps.System.Root.Send(s.runner, drain{done: done})
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+	for ctx.Err() == nil && s.tasks.Load() > 0 {
+		s.pause(ctx, tickEvery)
+	}
+	// The last ends go out to the dispatchers.
+	s.pause(ctx, 2*tickEvery)
+	klog.InfoS("CH1103 sidecar stopped", "agent", s.deps.Name, "tasks", s.tasks.Load())
+}
+
+func (s *Sidecar) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-s.deps.Clock.After(d):
+	}
+}
+
+// stamp is the steady time of this process in microseconds.
+func (s *Sidecar) stamp() uint64 { return uint64(s.deps.Clock.Since(s.began).Microseconds()) + 1 }
+
+// stamped is the time at which a stamp was made.
+func (s *Sidecar) stamped(us uint64) time.Time {
+	return s.began.Add(time.Duration(us-1) * time.Microsecond)
+}
--- a/version/config/config.go
+++ b/version/config/config.go
@@ -64,6 +64,32 @@
 	Admin       string
 }
 
+// Dispatcher is what a dispatcher is told. Addresses are ip:port.
+type Dispatcher struct {
+	Callers string
+	Ready   string
+	Listen  string
+	Peers   []string
+}
+
+// Sidecar is what a sidecar is told. Addresses are ip:port.
+type Sidecar struct {
+	Endpoint      string
+	Announcements string
+	Dispatchers   []string
+}
+
+// Runtime is what a dispatcher or sidecar is told of the VM it runs on.
+type Runtime struct {
+	// Metrics is ip:port; empty serves none.
+	Metrics string
+	// Memory is in MiB.
+	Memory int
+	Grace  time.Duration
+	// Resubmission is when a caller without an answer sends its job again.
+	Resubmission time.Duration
+}
+
 // TLS names PEM files; all are empty where connections are plain.
 type TLS struct {
 	Certificate string
@@ -73,18 +99,23 @@
 
 // Config is a merged, checked set of settings. It is read-only.
 type Config struct {
-	process   Process
-	entry     Entry
-	agent     Agent
-	tls       TLS
-	retention time.Duration
-	maxKeys   int
-	silence   time.Duration
-	drainTime time.Duration
-	kinds     map[string]Kind
-	teams     map[string]Team
-	values    []Value
-	operators map[string]Operator
+	process Process
+	entry   Entry
+	agent   Agent
+	tls     TLS
+	// The next four are for dispatchers and sidecars.
+	dispatcher Dispatcher
+	sidecar    Sidecar
+	store      string
+	runtime    Runtime
+	retention  time.Duration
+	maxKeys    int
+	silence    time.Duration
+	drainTime  time.Duration
+	kinds      map[string]Kind
+	teams      map[string]Team
+	values     []Value
+	operators  map[string]Operator
 	// ejected are the names of agents that an operator has taken out, with the reason.
 	ejected map[string]string
 	// closed refuses callers of teams without a token.
@@ -110,6 +141,18 @@
 // Agent returns the settings of an agent.
 func (c *Config) Agent() Agent { return c.agent }
 
+// Dispatcher returns the settings of a dispatcher.
+func (c *Config) Dispatcher() Dispatcher { return c.dispatcher }
+
+// Sidecar returns the settings of a sidecar.
+func (c *Config) Sidecar() Sidecar { return c.sidecar }
+
+// Store returns ip:port of the platform's metadata store.
+func (c *Config) Store() string { return c.store }
+
+// Runtime returns what the process is told of its VM.
+func (c *Config) Runtime() Runtime { return c.runtime }
+
 // Values returns every value in force, in the order of section and key.
 func (c *Config) Values() []Value { return c.values }
 
--- a/version/config/fields.go
+++ b/version/config/fields.go
@@ -33,6 +33,9 @@
 	maxSlots       = 4096
 	maxConnections = 65536
 	maxKeysLimit   = 10_000_000
+	// minMemory and maxMemory are in MiB.
+	minMemory = 32
+	maxMemory = 1 << 20
 )
 
 // Sections returns every section and key that exists, with its default.
@@ -56,9 +59,29 @@
 			{Key: "endpoint", Unit: "URL", Doc: "Where tasks are posted to.", set: setEndpoint},
 			{Key: "slots", Default: "8", Unit: "tasks", Doc: "Tasks that run at the endpoint at once.", set: setInt(1, maxSlots, func(b *builder) *int { return &b.c.agent.Slots })},
 			{Key: "connections", Default: "60", Unit: "connections", Doc: "Open connections to the endpoint.", set: setInt(1, maxConnections, func(b *builder) *int { return &b.c.agent.Connections })},
-			{Key: "entries", Unit: "ip:port, ...", Doc: "Some entries to find the others by.", set: setEntries},
+			{Key: "entries", Unit: "ip:port, ...", Doc: "Some entries to find the others by.", set: setAddresses(func(b *builder) *[]string { return &b.c.agent.Entries })},
 			{Key: "admin", Unit: "ip:port", Doc: "Address for metrics and health.", set: setAddress(func(b *builder) *string { return &b.c.agent.Admin })},
 		}},
+		{Name: "dispatcher", Fields: []Field{
+			{Key: "callers", Unit: "ip:port", Doc: "Address for callers.", set: setAddress(func(b *builder) *string { return &b.c.dispatcher.Callers })},
+			{Key: "ready", Unit: "ip:port", Doc: "Address where the balancer asks for readiness.", set: setAddress(func(b *builder) *string { return &b.c.dispatcher.Ready })},
+			{Key: "listen", Unit: "ip:port", Doc: "Address for sidecars and other dispatchers.", set: setAddress(func(b *builder) *string { return &b.c.dispatcher.Listen })},
+			{Key: "peers", Unit: "ip:port, ...", Doc: "Some other dispatchers; they may be out of date.", set: setAddresses(func(b *builder) *[]string { return &b.c.dispatcher.Peers })},
+		}},
+		{Name: "sidecar", Fields: []Field{
+			{Key: "endpoint", Unit: "ip:port", Doc: "The endpoint on the same VM.", set: setAddress(func(b *builder) *string { return &b.c.sidecar.Endpoint })},
+			{Key: "announcements", Unit: "ip:port", Doc: "Address where the endpoint announces itself.", set: setAddress(func(b *builder) *string { return &b.c.sidecar.Announcements })},
+			{Key: "dispatchers", Unit: "ip:port, ...", Doc: "Some dispatchers; they may be out of date.", set: setAddresses(func(b *builder) *[]string { return &b.c.sidecar.Dispatchers })},
+		}},
+		{Name: "store", Fields: []Field{
+			{Key: "address", Unit: "ip:port", Doc: "The platform's metadata store.", set: setAddress(func(b *builder) *string { return &b.c.store })},
+		}},
+		{Name: "runtime", Fields: []Field{
+			{Key: "metrics", Unit: "ip:port", Doc: "Address for metrics.", set: setAddress(func(b *builder) *string { return &b.c.runtime.Metrics })},
+			{Key: "memory", Default: "256", Unit: "MiB", Doc: "Memory of the process; more ends it.", set: setInt(minMemory, maxMemory, func(b *builder) *int { return &b.c.runtime.Memory })},
+			{Key: "grace", Default: "6s", Unit: "time", Doc: "Time from the signal to stop until the process is killed.", set: setTime(time.Second, time.Hour, func(b *builder) *time.Duration { return &b.c.runtime.Grace })},
+			{Key: "resubmission", Default: "1300ms", Unit: "time", Doc: "Time after which a caller without an answer sends its job again.", set: setTime(100*time.Millisecond, time.Hour, func(b *builder) *time.Duration { return &b.c.runtime.Resubmission })},
+		}},
 		{Name: "tls", Fields: []Field{
 			{Key: "certificate", Unit: "file", Doc: "PEM file with the process's certificate; empty leaves all connections plain.", set: setFile(func(b *builder) *string { return &b.c.tls.Certificate })},
 			{Key: "key", Unit: "file", Doc: "PEM file with the key of the certificate.", set: setFile(func(b *builder) *string { return &b.c.tls.Key })},
@@ -148,19 +171,21 @@
 	return nil
 }
 
-func setEntries(b *builder, _, value string) error {
-	b.c.agent.Entries = nil
-	if value == "" {
-		return nil
-	}
-	for _, part := range strings.Split(value, ",") {
-		part = strings.TrimSpace(part)
-		if err := checkAddress(part); err != nil {
-			return fmt.Errorf("part %q %w", part, err)
+func setAddresses(at func(*builder) *[]string) setter {
+	return func(b *builder, _, value string) error {
+		*at(b) = nil
+		if value == "" {
+			return nil
+		}
+		for _, part := range strings.Split(value, ",") {
+			part = strings.TrimSpace(part)
+			if err := checkAddress(part); err != nil {
+				return fmt.Errorf("part %q %w", part, err)
+			}
+			*at(b) = append(*at(b), part)
 		}
-		b.c.agent.Entries = append(b.c.agent.Entries, part)
+		return nil
 	}
-	return nil
 }
 
 func setInt(low, high int, at func(*builder) *int) setter {
--- a/version/config/read.go
+++ b/version/config/read.go
@@ -231,37 +231,50 @@
 	RoleEntry Role = "entry"
 	// RoleAgent is an agent process.
 	RoleAgent Role = "agent"
+	// RoleDispatcher is an entry process for jobs that may run again.
+	RoleDispatcher Role = "dispatcher"
+	// RoleSidecar is an agent process for jobs that may run again.
+	RoleSidecar Role = "sidecar"
 )
 
-// Require checks that the settings that a role cannot do without are there.
-func (c *Config) Require(r Role) error {
-	needs := []struct{ section, key, value string }{
-		{"process", "name", c.process.Name},
-		{"process", "zone", c.process.Zone},
-	}
+type need struct{ section, key, value string }
+
+// needs are the settings that a role cannot do without.
+func (c *Config) needs(r Role) []need {
+	needs := []need{{"process", "name", c.process.Name}, {"process", "zone", c.process.Zone}}
 	switch r {
 	case RoleEntry:
-		needs = append(needs, []struct{ section, key, value string }{
-			{"log", "address", c.process.Log},
-			{"entry", "listen", c.entry.Listen},
-			{"entry", "callers", c.entry.Callers},
-			{"entry", "admin", c.entry.Admin},
-		}...)
+		needs = append(needs, need{"log", "address", c.process.Log}, need{"entry", "listen", c.entry.Listen},
+			need{"entry", "callers", c.entry.Callers}, need{"entry", "admin", c.entry.Admin})
 	case RoleAgent:
-		needs = append(needs, []struct{ section, key, value string }{
-			{"agent", "endpoint", c.agent.Endpoint},
-			{"agent", "entries", strings.Join(c.agent.Entries, ",")},
-			{"agent", "admin", c.agent.Admin},
-		}...)
+		needs = append(needs, need{"agent", "endpoint", c.agent.Endpoint},
+			need{"agent", "entries", strings.Join(c.agent.Entries, ",")}, need{"agent", "admin", c.agent.Admin})
+	case RoleDispatcher:
+		needs = append(needs, need{"store", "address", c.store}, need{"dispatcher", "callers", c.dispatcher.Callers},
+			need{"dispatcher", "ready", c.dispatcher.Ready}, need{"dispatcher", "listen", c.dispatcher.Listen})
+	case RoleSidecar:
+		needs = append(needs, need{"store", "address", c.store}, need{"sidecar", "endpoint", c.sidecar.Endpoint},
+			need{"sidecar", "announcements", c.sidecar.Announcements})
 	}
+	return needs
+}
+
+// Require checks that the settings that a role cannot do without are there.
+func (c *Config) Require(r Role) error {
 	var faults Faults
-	for _, n := range needs {
+	for _, n := range c.needs(r) {
 		if n.value == "" {
 			faults = append(faults, Fault{File: "settings", Section: n.section, Key: n.key, Reason: "the " + string(r) + " cannot do without this key"})
 		}
 	}
 	faults = append(faults, c.checkTLS()...)
-	faults = append(faults, c.checkAdmin(string(r), needs[len(needs)-1].value)...)
+	switch r {
+	case RoleEntry:
+		faults = append(faults, c.checkAdmin(string(r), c.entry.Admin)...)
+	case RoleAgent:
+		faults = append(faults, c.checkAdmin(string(r), c.agent.Admin)...)
+	case RoleDispatcher, RoleSidecar:
+	}
 	if len(faults) > 0 {
 		return faults
 	}
@@ -285,7 +298,7 @@
 }
 
 // checkAdmin keeps the administration interface on the machine itself until an
-// operator has a token. The admin address is the last that each role needs.
+// operator has a token.
 func (c *Config) checkAdmin(section, address string) Faults {
 	if address == "" || loopback.Is(address) || c.access.Guarded() {
 		return nil
