Take a life of the endpoint over once

Cause: after a restart the sidecar takes the endpoint over and only then hears its name. Ruled out: late orders, a fence that was too low.

Change: the keeper compares the start of the announced life with the one that it took over; each takeover raises the fence, so that orders on their way are void.

--- a/process/sidecar/actor.go
+++ b/process/sidecar/actor.go
@@ -185,7 +185,7 @@
 	case registration.Changed:
 		a.open()
 	case registration.Reborn:
-		a.sidecar.keeper.expect(n.Instance)
+		a.sidecar.keeper.expect(n.Instance, n.Born)
 		a.open()
 	}
 }
--- a/process/sidecar/keeper.go
+++ b/process/sidecar/keeper.go
@@ -27,13 +27,14 @@
 	sidecar  *Sidecar
 	fence    atomic.Uint64
 	instance atomic.Pointer[string]
-	changed  chan struct{}
-	last     uint64
-	born     time.Time
+	// announced holds the start of the life that announced itself last.
+	announced chan time.Time
+	last      uint64
+	born      time.Time
 }
 
 func newKeeper(s *Sidecar) *keeper {
-	k := &keeper{sidecar: s, changed: make(chan struct{}, 1)}
+	k := &keeper{sidecar: s, announced: make(chan time.Time, 1)}
 	k.fence.Store(uint64(s.deps.Clock.Now().UnixMicro()))
 	none := ""
 	k.instance.Store(&none)
@@ -42,13 +43,15 @@
 
 func (k *keeper) life() Life { return Life{Instance: *k.instance.Load(), Fence: k.fence.Load()} }
 
-// expect has the endpoint taken over anew for an instance that announced itself.
-func (k *keeper) expect(instance string) {
+// expect names the life that announced itself. It is taken over unless it was
+// before it had a name: a second time would end what was started since.
+func (k *keeper) expect(instance string, born time.Time) {
 	k.instance.Store(&instance)
 	select {
-	case k.changed <- struct{}{}:
+	case <-k.announced:
 	default:
 	}
+	k.announced <- born
 }
 
 func (k *keeper) start(o runner.Order) (runner.Result, string) {
@@ -81,6 +84,8 @@
 // Then nothing of an earlier sidecar, and no late order of it, can run any more.
 func (k *keeper) takeOver(ctx context.Context) bool {
 	k.last = 0
+	// Orders of before that are still on their way are void under a higher fence.
+	k.fence.Add(1)
 	step := fenceStep
 	for ctx.Err() == nil {
 		list, err := k.sidecar.deps.Endpoint.List(ctx, k.life(), k.last, 0)
@@ -114,8 +119,11 @@
 	var lost time.Time
 	for ctx.Err() == nil {
 		select {
-		case <-k.changed:
-			return
+		case born := <-k.announced:
+			if !born.Equal(k.born) {
+				k.tell(silent{reason: "the endpoint has begun a new life"})
+				return
+			}
 		default:
 		}
 		list, err := k.sidecar.deps.Endpoint.List(ctx, k.life(), k.last, listWait)
