Learn speeds from the tasks of one job, and spare running tasks

Change: process/speed sets the tasks of a job against each other, anchors the median endpoint at 1 and lets beliefs fade that nothing confirms, since an endpoint that is believed slow gets no tasks.

Change: Withdraw gives a task back only if it has not started.

--- a/process/dispatcher/actor.go
+++ b/process/dispatcher/actor.go
@@ -117,6 +117,13 @@
 	}
 }
 
+// Withdraw asks an agent for a task back that has not started.
+func (a *schedulerActor) Withdraw(agent string, ref uint64) {
+	if s, known := a.live[agent]; known {
+		s.out.Put(&wire.DispatcherFrame{Withdraws: []uint64{ref}})
+	}
+}
+
 // Decided logs a decision on a job.
 func (a *schedulerActor) Decided(what, job string, details ...any) {
 	klog.InfoS("CH1021 job "+what, append([]any{"job", job}, details...)...)
--- a/process/dispatcher/session.go
+++ b/process/dispatcher/session.go
@@ -140,6 +140,7 @@
 		f := m.(*wire.DispatcherFrame)
 		whole.Offers = append(whole.Offers, f.GetOffers()...)
 		whole.Cancels = append(whole.Cancels, f.GetCancels()...)
+		whole.Withdraws = append(whole.Withdraws, f.GetWithdraws()...)
 		whole.Number = max(whole.GetNumber(), f.GetNumber())
 		if len(f.GetDispatchers()) > 0 {
 			whole.Dispatchers = f.GetDispatchers()
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"github.com/corianderhook/corianderhook/process/backlog"
 	"github.com/corianderhook/corianderhook/process/health"
 	"github.com/corianderhook/corianderhook/process/placement"
+	"github.com/corianderhook/corianderhook/process/speed"
 	"github.com/corianderhook/corianderhook/request/size"
 	"github.com/corianderhook/corianderhook/wire"
 )
@@ -19,10 +20,6 @@
 	// suspicion is the silence after which an agent gets no new tasks: two heartbeats
 	// of 150 ms are missing.
 	suspicion = 330 * time.Millisecond
-	// slowShare is the weight of a new run time in an agent's speed.
-	slowShare = 0.15
-	// fastest and slowest bound the speed that a few odd runs can suggest.
-	fastest, slowest = 0.3, 20.0
 )
 
 type sent struct {
@@ -46,7 +43,6 @@
 	running   int
 	residual  time.Duration
 	unseen    []sent
-	slowness  float64
 }
 
 // Fleet is the belief of one dispatcher. It is not safe for concurrent use.
@@ -55,21 +51,20 @@
 	agents map[string]*agent
 	order  []*agent
 	health *health.Health
-	// kinds holds the slowness by label, for endpoints that are new.
-	kinds map[string]float64
-	turn  int
+	speeds *speed.Speeds
+	turn   int
 }
 
 // New returns the fleet as seen from an availability zone.
 func New(zone string) *Fleet {
-	return &Fleet{zone: zone, agents: map[string]*agent{}, health: health.New(), kinds: map[string]float64{}}
+	return &Fleet{zone: zone, agents: map[string]*agent{}, health: health.New(), speeds: speed.New()}
 }
 
 // Attach notes that an agent has opened a session.
 func (f *Fleet) Attach(name, zone string, now time.Time) {
 	a, known := f.agents[name]
 	if !known {
-		a = &agent{name: name, slowness: 1}
+		a = &agent{name: name}
 		f.agents[name] = a
 		f.order = append(f.order, a)
 		sort.Slice(f.order, func(i, j int) bool { return f.order[i].name < f.order[j].name })
@@ -90,6 +85,7 @@
 // Forget drops an agent for good.
 func (f *Fleet) Forget(name string) {
 	delete(f.agents, name)
+	f.speeds.Forget(name)
 	f.order = slices.DeleteFunc(f.order, func(a *agent) bool { return a.name == name })
 }
 
@@ -104,18 +100,11 @@
 	a.accepting = s.GetAccepting()
 	a.reason = s.GetReason()
 	a.capacity = sizeOf(s.GetCapacity())
-	if a.slowness == 1 {
-		a.slowness = f.kind(a)
-	}
-}
-
-func (f *Fleet) kind(a *agent) float64 {
-	for _, l := range a.labels {
-		if s, known := f.kinds[l]; known {
-			return s
-		}
+	kind := ""
+	if len(a.labels) > 0 {
+		kind = a.labels[0]
 	}
-	return 1
+	f.speeds.Set(name, kind)
 }
 
 func sizeOf(s *wire.Size) size.Size {
@@ -152,32 +141,8 @@
 	}
 }
 
-// Ran takes how a task's run time compares with what was expected of an endpoint
-// of ordinary speed.
-func (f *Fleet) Ran(name string, ratio float64) {
-	a, known := f.agents[name]
-	if !known {
-		return
-	}
-	a.slowness = clamp(a.slowness + slowShare*(ratio-a.slowness))
-	if len(a.labels) > 0 {
-		kind := a.labels[0]
-		if _, known := f.kinds[kind]; !known {
-			f.kinds[kind] = 1
-		}
-		f.kinds[kind] = clamp(f.kinds[kind] + slowShare/10*(ratio-f.kinds[kind]))
-	}
-}
-
-func clamp(s float64) float64 { return min(max(s, fastest), slowest) }
-
-// Slowness returns how long the agent's endpoint takes, 1 for ordinary.
-func (f *Fleet) Slowness(name string) float64 {
-	if a, known := f.agents[name]; known {
-		return a.slowness
-	}
-	return 1
-}
+// Speeds returns how fast the endpoints are.
+func (f *Fleet) Speeds() *speed.Speeds { return f.speeds }
 
 // Health returns the evidence against agents.
 func (f *Fleet) Health() *health.Health { return f.health }
@@ -199,15 +164,15 @@
 		if a.service != service || !a.usable(now) || f.health.Ejected(a.name) && !f.health.Due(a.name, now) {
 			continue
 		}
-		list = append(list, a.candidate(f.zone))
+		list = append(list, a.candidate(f.zone, f.speeds.Slowness(a.name, now)))
 	}
 	return list
 }
 
-func (a *agent) candidate(zone string) placement.Candidate {
+func (a *agent) candidate(zone string, slowness float64) placement.Candidate {
 	c := placement.Candidate{
 		Name: a.name, Labels: a.labels, Capacity: a.capacity, Free: a.free, Running: a.running,
-		Residual: a.residual, Slowness: a.slowness, Far: a.zone != zone, Queued: a.queued,
+		Residual: a.residual, Slowness: slowness, Far: a.zone != zone, Queued: a.queued,
 	}
 	for _, s := range a.unseen {
 		c.Add(s.size, s.urgency, s.expected)
--- a/process/forecast/forecast.go
+++ b/process/forecast/forecast.go
@@ -14,9 +14,9 @@
 	firstRun = 200 * time.Millisecond
 	// leastRun keeps logarithms of very short runs in bounds.
 	leastRun = time.Millisecond
-	// early is the number of runs over which the mean is a plain one; later runs
+	// early is the number of jobs over which the mean is a plain one; later jobs
 	// weigh 1/early each, so that it follows changes.
-	early = 100
+	early = 50
 )
 
 type queue struct {
@@ -52,7 +52,7 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-// Observe takes the run time of a task, set against the speed of its endpoint.
+// Observe takes how long a job's tasks run at an endpoint of ordinary speed.
 func (f *Forecast) Observe(name string, estimate, ran time.Duration) {
 	q, known := f.queues[name]
 	if !known {
--- /dev/null
+++ b/process/replay/loads_test.go
@@ -0,0 +1,102 @@
+package replay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// The kinds of the users' sheets.
+func kinds() []kind {
+	return []kind{
+		{name: "check", urgency: 0, width: 8, run: 60 * time.Millisecond, cpu: 3100, worth: 0.0291, perS: 34},
+		{name: "list", urgency: 1, width: 2, run: 200 * time.Millisecond, cpu: 3100, worth: 0.01, perS: 100},
+		{name: "hold", urgency: 2, width: 4, run: 900 * time.Millisecond, cpu: 3100, worth: 0.16, perS: 6.2},
+	}
+}
+
+// speeds has two ordinary endpoints for one that is faster.
+func speeds(count int) []float64 {
+	list := make([]float64, count)
+	for i := range list {
+		list[i] = 1
+		if i%3 == 2 {
+			list[i] = 1 / 1.3
+		}
+	}
+	return list
+}
+
+// burst multiplies the load of one kind, or of all where no name is given.
+func burst(all []kind, name string, times float64) []kind {
+	var list []kind
+	for _, k := range all {
+		if name == "" || k.name == name {
+			k.perS *= times
+		}
+		list = append(list, k)
+	}
+	return list
+}
+
+func served(t *testing.T, w *world) float64 {
+	t.Helper()
+	earned, owed := 0.0, 0.0
+	for _, k := range kinds() {
+		s := w.tally(k.name)
+		earned += k.worth * (float64(s.onTime) + float64(s.late)/5)
+		owed += k.worth * float64(s.asked)
+		t.Logf("%-6s asked %d on time %d late %d refused %d failed %d", k.name, s.asked, s.onTime, s.late, s.refused, s.failed)
+	}
+	t.Logf("worth %.3f", earned/owed)
+	return earned / owed
+}
+
+// A calm load is served whole: nothing is refused while there is room.
+func TestCalmLoadIsServed(t *testing.T) {
+	i := is.New(t)
+	w := newWorld(t, 1, 3, speeds(14))
+	w.load(kinds(), 20*time.Second)
+	w.play(25 * time.Second)
+	i.True(served(t, w) > 0.97)
+	for _, e := range w.entries {
+		t.Log(e.decided)
+		// Nothing that runs is stopped while all is well.
+		i.True(e.decided["task overdue"]*100 < w.tally("check").asked)
+	}
+}
+
+// Endpoints that turn slow for a while under a burst of long tasks make everything
+// late. Afterwards run times and speeds have to be believed as before: only their
+// product is seen, so that both can be wrong and agree.
+func TestRunTimesAndSpeedsDoNotDriftApart(t *testing.T) {
+	i := is.New(t)
+	w := newWorld(t, 2, 3, speeds(14))
+	w.load(kinds(), 2*time.Second)
+	w.play(2 * time.Second)
+	for _, s := range w.sidecars[:7] {
+		s.speed *= 3
+	}
+	w.load(burst(kinds(), "hold", 2), 10*time.Second)
+	w.play(10 * time.Second)
+	for _, s := range w.sidecars[:7] {
+		s.speed /= 3
+	}
+	w.play(5 * time.Second)
+	w.score = map[string]*tally{}
+	w.load(kinds(), 15*time.Second)
+	w.play(20 * time.Second)
+	i.True(served(t, w) > 0.97)
+	refused := 0
+	for _, k := range kinds() {
+		refused += w.tally(k.name).refused
+	}
+	i.True(refused < 20)
+	for _, e := range w.entries {
+		// The first endpoint is an ordinary one again.
+		slowness := e.scheduler.Fleet().Speeds().Slowness("agent-00", w.now)
+		t.Logf("slowness of an ordinary endpoint %.2f", slowness)
+		i.True(slowness > 0.8 && slowness < 1.25)
+	}
+}
--- /dev/null
+++ b/process/replay/sidecar_test.go
@@ -0,0 +1,227 @@
+package replay
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/corianderhook/corianderhook/process/runner"
+	"github.com/corianderhook/corianderhook/request/size"
+	"github.com/corianderhook/corianderhook/wire"
+)
+
+// sidecar is a sidecar's decisions with their host and an endpoint.
+type sidecar struct {
+	world    *world
+	name     string
+	runner   *runner.Runner
+	pending  map[uint64][]*wire.TaskEvent
+	seen     map[uint64]uint64
+	sentAt   map[uint64]time.Time
+	told     map[uint64]int
+	capacity size.Size
+	used     int
+	// speed is how long runs take, 1 for ordinary; frozen loses every message.
+	speed  float64
+	frozen bool
+	// hangs: what starts never ends.
+	hangs bool
+	runs  map[string]bool
+	// doubtful is the share of start orders that get no answer; late ones are carried
+	// out after lateBy.
+	doubtful float64
+	lateBy   time.Duration
+	ended    map[string]bool
+}
+
+func newSidecar(w *world, name string, speed float64) *sidecar {
+	s := &sidecar{
+		world: w, name: name, speed: speed, capacity: size.Size{CPU: 32000, Memory: 131072},
+		pending: map[uint64][]*wire.TaskEvent{}, seen: map[uint64]uint64{}, sentAt: map[uint64]time.Time{},
+		told: map[uint64]int{}, runs: map[string]bool{}, ended: map[string]bool{},
+	}
+	s.runner = runner.New(s)
+	s.runner.Accept(s.capacity)
+	for _, e := range w.entries {
+		e.scheduler.Attached(name, "zone", nil)
+		e.scheduler.Frame(name, &wire.SidecarFrame{Endpoint: &wire.EndpointState{
+			Service: "service", Accepting: true, Capacity: &wire.Size{Cpu: 32000, Memory: 131072},
+		}, Room: s.runner.Room()})
+		s.runner.Heard(e.incarnation, fmt.Sprint(e.incarnation), w.now)
+	}
+	return s
+}
+
+func (s *sidecar) Now() time.Time { return s.world.now }
+
+func (s *sidecar) Send(dispatcher uint64, events ...*wire.TaskEvent) {
+	s.pending[dispatcher] = append(s.pending[dispatcher], events...)
+}
+
+func (s *sidecar) Decided(string, runner.Order, ...any) {}
+
+func (s *sidecar) offer(e *entry, number uint64, o *wire.Offer) {
+	if s.frozen {
+		return
+	}
+	s.seen[e.incarnation] = number
+	s.runner.Heard(e.incarnation, fmt.Sprint(e.incarnation), s.world.now)
+	s.runner.Offer(e.incarnation, o)
+	s.flush()
+}
+
+// flush sends pending events, but for starts, which wait for a tick.
+func (s *sidecar) flush() {
+	for _, e := range s.world.entries {
+		for _, one := range s.pending[e.incarnation] {
+			if one.GetKind() != wire.TaskEventKind_TASK_EVENT_KIND_STARTED {
+				s.send(e)
+				break
+			}
+		}
+	}
+}
+
+func (s *sidecar) send(e *entry) {
+	f := &wire.SidecarFrame{Room: s.runner.Room(), Seen: s.seen[e.incarnation], Events: s.pending[e.incarnation]}
+	s.pending[e.incarnation] = nil
+	s.sentAt[e.incarnation] = s.world.now
+	s.told[e.incarnation] = int(f.GetRoom().GetFree().GetCpu())
+	s.world.after(hop, func() {
+		e.scheduler.Frame(s.name, f)
+		s.world.after(hop, func() {
+			if !s.frozen {
+				s.runner.Heard(e.incarnation, fmt.Sprint(e.incarnation), s.world.now.Add(-2*hop))
+			}
+		})
+	})
+}
+
+func (s *sidecar) tick() {
+	if s.frozen {
+		return
+	}
+	s.runner.Tick()
+	free := int(s.runner.Room().GetFree().GetCpu())
+	for _, e := range s.world.entries {
+		change := free - s.told[e.incarnation]
+		due := s.world.now.Sub(s.sentAt[e.incarnation]) >= heartbeat
+		if due || len(s.pending[e.incarnation]) > 0 || change > 1000 || change < -1000 {
+			s.send(e)
+		}
+	}
+}
+
+func runName(o runner.Order) runner.RunName {
+	return runner.RunName{Job: o.Job, Step: o.Step, Index: o.Index, Run: o.Run}
+}
+
+func taskName(n runner.RunName) string { return fmt.Sprintf("%s.%d.%d", n.Job, n.Step, n.Index) }
+
+func runKey(n runner.RunName) string { return fmt.Sprintf("%s.%d", taskName(n), n.Run) }
+
+// Start orders a run at the endpoint.
+func (s *sidecar) Start(name string, o runner.Order) {
+	w := s.world
+	if s.doubtful > 0 && w.random.Float64() < s.doubtful {
+		w.after(s.lateBy, func() { s.begin(o) })
+		w.after(60*time.Millisecond, func() {
+			s.runner.Started(name, runner.Doubtful, "no answer")
+			s.flush()
+		})
+		return
+	}
+	w.after(orderHop, func() {
+		taken := s.begin(o)
+		w.after(orderHop, func() {
+			result := runner.Running
+			if !taken {
+				result = runner.Refused
+			}
+			s.runner.Started(name, result, "")
+			s.flush()
+		})
+	})
+}
+
+// begin starts a run as an endpoint does: a run that is there is left alone, one
+// that has ended, or a lower one, is refused.
+func (s *sidecar) begin(o runner.Order) bool {
+	n := runName(o)
+	if s.runs[runKey(n)] {
+		return true
+	}
+	if s.ended[runKey(n)] {
+		return false
+	}
+	j := s.world.works[o.Job]
+	s.runs[runKey(n)] = true
+	s.used += j.cpu
+	s.world.running[taskName(n)]++
+	if s.used > s.capacity.CPU {
+		s.world.t.Errorf("%s: endpoint of %s runs %d of %d thousandths of a core", s.world.now, s.name, s.used, s.capacity.CPU)
+	}
+	if s.world.running[taskName(n)] > 1 {
+		s.world.t.Errorf("%s: task %s runs twice at a time", s.world.now, taskName(n))
+	}
+	if !s.hangs {
+		s.world.after(time.Duration(float64(j.run)*s.speed), func() { s.finish(n, runner.EndedWell) })
+	}
+	return true
+}
+
+func (s *sidecar) finish(n runner.RunName, how runner.How) {
+	if !s.runs[runKey(n)] {
+		return
+	}
+	delete(s.runs, runKey(n))
+	s.ended[runKey(n)] = true
+	s.used -= s.world.works[n.Job].cpu
+	s.world.running[taskName(n)]--
+	s.world.after(orderHop, func() {
+		s.runner.Report(runner.Report{Asked: s.world.now, Ended: []runner.End{{RunName: n, How: how}}})
+		s.flush()
+	})
+}
+
+// Stop orders the end of a run at the endpoint.
+func (s *sidecar) Stop(name string, o runner.Order) {
+	n := runName(o)
+	s.world.after(orderHop, func() {
+		s.ended[runKey(n)] = true
+		s.world.after(runner.Reset/2, func() {
+			if s.runs[runKey(n)] {
+				s.finish(n, runner.EndedOtherwise)
+			}
+		})
+		s.world.after(orderHop, func() {
+			s.runner.Stopped(name, true)
+			asked := s.world.now.Add(time.Microsecond)
+			s.world.after(runner.Reset, func() {
+				var listed []runner.RunName
+				if s.runs[runKey(n)] {
+					listed = append(listed, n)
+				}
+				s.settle(asked, listed)
+			})
+		})
+	})
+}
+
+// settle has the runner see a whole list of the endpoint.
+func (s *sidecar) settle(asked time.Time, _ []runner.RunName) {
+	s.runner.Report(runner.Report{Asked: asked, Running: s.list(), Whole: true})
+	s.flush()
+}
+
+func (s *sidecar) list() []runner.RunName {
+	var list []runner.RunName
+	for key := range s.runs {
+		var n runner.RunName
+		if _, err := fmt.Sscanf(key[16:], ".%d.%d.%d", &n.Step, &n.Index, &n.Run); err != nil {
+			s.world.t.Fatal(err)
+		}
+		n.Job = key[:16]
+		list = append(list, n)
+	}
+	return list
+}
--- a/process/runner/runner.go
+++ b/process/runner/runner.go
@@ -246,6 +246,13 @@
 	}
 }
 
+// Withdraw gives a task back that has not started; a later one goes on.
+func (r *Runner) Withdraw(dispatcher, ref uint64) {
+	if t, known := r.tasks[name(dispatcher, ref)]; known && t.phase == waiting {
+		r.giveBack(t, "withdrawn by its dispatcher")
+	}
+}
+
 // fill starts what waits as long as there is room.
 func (r *Runner) fill() {
 	for r.accepting {
--- a/process/scheduler/events.go
+++ b/process/scheduler/events.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"github.com/corianderhook/corianderhook/process/health"
 	"github.com/corianderhook/corianderhook/process/placement"
 	"github.com/corianderhook/corianderhook/request/answer"
 	"github.com/corianderhook/corianderhook/request/outcome"
@@ -68,6 +69,7 @@
 	case wire.TaskEventKind_TASK_EVENT_KIND_STARTED:
 		p.job.progress.Start()
 		p.started = s.host.Now()
+		p.recalled = false
 	case wire.TaskEventKind_TASK_EVENT_KIND_DONE:
 		s.observe(p, false, ran)
 		s.doneTask(p)
@@ -170,22 +172,18 @@
 	if p.recalled || !now.Before(p.job.deadline) {
 		return
 	}
-	var reason string
 	switch {
 	case p.started.IsZero() && now.Sub(p.sentAt) > p.wait+recallAfter && s.room(p):
-		reason = "waits for too long"
+		p.recalled = true
+		s.host.Decided("task withdrawn", p.job.work.ID(), "agent", p.agent, "task", p.number, "since", now.Sub(p.sentAt), "foretold", p.wait)
+		s.host.Withdraw(p.agent, p.ref)
 	case !p.started.IsZero() && now.Sub(p.started) > max(overdueFactor*p.expected, overdueLeast) &&
 		now.Add(stopTime+p.expected).Before(s.useful(p.job)):
-		reason = "runs for too long"
-	default:
-		return
-	}
-	p.recalled = true
-	if !p.started.IsZero() {
-		s.observe(p, false, now.Sub(p.started))
+		p.recalled = true
+		s.overdue(p, now)
+		s.host.Decided("task overdue", p.job.work.ID(), "agent", p.agent, "task", p.number, "since", now.Sub(p.started), "expected", p.expected)
+		s.host.Cancel(p.agent, p.ref)
 	}
-	s.host.Decided("task recalled", p.job.work.ID(), "agent", p.agent, "task", p.number, "reason", reason, "since", now.Sub(p.sentAt), "expected", p.expected)
-	s.host.Cancel(p.agent, p.ref)
 }
 
 // room reports whether another endpoint could start the task at once.
@@ -218,3 +216,14 @@
 		s.giveUp(j, "suspended", reason)
 	}
 }
+
+// overdue counts a task that runs for too long against its endpoint.
+func (s *Scheduler) overdue(p *placed, now time.Time) {
+	ran := now.Sub(p.started)
+	s.fleet.Speeds().Overdue(p.agent, float64(ran)/float64(max(p.expected, time.Millisecond)), now)
+	step, _ := p.job.work.Task(p.number)
+	s.fleet.Health().Observe(health.Observation{
+		Agent: p.agent, Kind: p.job.queue.Name, Job: p.job.work.ID(), Index: uint32(p.number),
+		Seconds: float64(ran) / float64(max(s.expect(p.job, step), time.Millisecond)),
+	}, now)
+}
--- a/process/scheduler/scheduler.go
+++ b/process/scheduler/scheduler.go
@@ -11,6 +11,7 @@
 	"github.com/corianderhook/corianderhook/process/forecast"
 	"github.com/corianderhook/corianderhook/process/health"
 	"github.com/corianderhook/corianderhook/process/placement"
+	"github.com/corianderhook/corianderhook/process/speed"
 	"github.com/corianderhook/corianderhook/request/answer"
 	"github.com/corianderhook/corianderhook/request/outcome"
 	"github.com/corianderhook/corianderhook/request/progress"
@@ -41,6 +42,8 @@
 	Send(agent string, o *wire.Offer) (number uint64, sent bool)
 	// Cancel tells an agent to stop a task.
 	Cancel(agent string, ref uint64)
+	// Withdraw asks an agent for a task back that has not started.
+	Withdraw(agent string, ref uint64)
 	// Decided logs a decision on a job.
 	Decided(what, job string, details ...any)
 }
@@ -79,9 +82,11 @@
 	objective time.Duration
 	replies   []func(answer.Answer)
 	// callers is how many still wait.
-	callers int
-	placed  map[int]*placed
-	runs    uint64
+	callers  int
+	placed   map[int]*placed
+	firstRun uint64
+	// runs holds the tasks that ended well, by step.
+	runs [][]speed.Run
 	// parked: ready tasks fit nowhere at present.
 	parked bool
 }
@@ -187,7 +192,7 @@
 	j := &job{
 		work: r.Work, queue: r.Queue, progress: progress.New(r.Work, r.Queue.Attempts),
 		begun: now, deadline: now.Add(r.Budget - answerMargin),
-		replies: []func(answer.Answer){r.Reply}, callers: 1, placed: map[int]*placed{}, runs: s.firstRun(),
+		replies: []func(answer.Answer){r.Reply}, callers: 1, placed: map[int]*placed{}, firstRun: s.firstRun(), runs: make([][]speed.Run, len(r.Work.Steps())),
 	}
 	chain := r.Work.Chain(func(step int) time.Duration { return s.expect(j, step) })
 	j.objective = time.Duration(r.Queue.Stretch*float64(chain)) + r.Queue.Latency
@@ -257,7 +262,7 @@
 		Job: j.work.ID(), Payload: j.work.Payload(), Urgency: uint32(max(0, j.queue.Urgency)),
 		AgeMs: uint32(now.Sub(j.begun).Milliseconds()),
 	}
-	slowness := s.fleet.Slowness(agent)
+	slowness := s.fleet.Speeds().Slowness(agent, now)
 	for _, c := range choices {
 		step, index := j.work.Task(c.Number)
 		spec := j.work.Steps()[step]
@@ -271,7 +276,7 @@
 		s.refs[p.ref] = p
 		j.placed[c.Number] = p
 		offer.Tasks = append(offer.Tasks, &wire.OfferedTask{
-			Ref: p.ref, Step: uint32(step), Index: uint32(index), Run: j.runs + uint64(run),
+			Ref: p.ref, Step: uint32(step), Index: uint32(index), Run: j.firstRun + uint64(run),
 			ExpectedMs: uint32(expected.Milliseconds()),
 			Size:       &wire.Size{Cpu: uint32(spec.Size.CPU), Memory: uint32(spec.Size.Memory), Accelerators: uint32(spec.Size.Accelerators)},
 		})
@@ -346,6 +351,7 @@
 	}
 	delete(s.jobs, j.work.ID())
 	if a.Outcome() == outcome.Complete {
+		s.learn(j)
 		s.done[j.work.ID()] = now
 	}
 	s.host.Decided("ended", j.work.ID(), "queue", j.queue.Name, "outcome", a.Outcome(), "reason", a.Reason(), "detail", a.Detail(),
@@ -376,10 +382,22 @@
 	if verdict != health.Keep {
 		s.host.Decided("agent judged", p.job.work.ID(), "agent", p.agent, "verdict", verdict, "failed", failed, "ran", ran, "expected", expected)
 	}
-	if failed {
-		return
+	if !failed {
+		p.job.runs[step] = append(p.job.runs[step], speed.Run{Agent: p.agent, Ran: ran})
+	}
+}
+
+// learn takes the run times of a job that has ended well.
+func (s *Scheduler) learn(j *job) {
+	now := s.host.Now()
+	for step, runs := range j.runs {
+		if len(runs) > 0 {
+			s.forecast.Observe(j.queue.Name, j.work.Steps()[step].Estimate, s.fleet.Speeds().Job(runs, now))
+		}
 	}
-	slowness := s.fleet.Slowness(p.agent)
-	s.forecast.Observe(p.job.queue.Name, p.job.work.Steps()[step].Estimate, time.Duration(float64(ran)/slowness))
-	s.fleet.Ran(p.agent, ratio)
+}
+
+// Expect returns the run time that is expected of a queue's tasks.
+func (s *Scheduler) Expect(queue string, estimate time.Duration) time.Duration {
+	return s.forecast.Expect(queue, estimate)
 }
--- a/process/sidecar/actor.go
+++ b/process/sidecar/actor.go
@@ -235,6 +235,9 @@
 	for _, ref := range f.GetCancels() {
 		a.runner.Cancel(l.dispatcher, ref)
 	}
+	for _, ref := range f.GetWithdraws() {
+		a.runner.Withdraw(l.dispatcher, ref)
+	}
 	for _, o := range f.GetOffers() {
 		a.runner.Offer(l.dispatcher, o)
 	}
