--- a/commands/process.go
+++ b/commands/process.go
@@ -17,14 +17,16 @@
 	"k8s.io/klog/v2"
 
 	"github.com/corianderhook/corianderhook/common/eventlog"
-	"github.com/corianderhook/corianderhook/platform"
-	"github.com/corianderhook/corianderhook/process/dispatcher"
 	"github.com/corianderhook/corianderhook/version/config"
 )
 
 const (
 	// lookEvery is the time between two looks at the settings file.
 	lookEvery = time.Second
+	// exitMargin is left of the time until the process is killed.
+	exitMargin = 400 * time.Millisecond
+	// headerTime bounds the header of a request for metrics.
+	headerTime = 5 * time.Second
 	// lastLines bounds the wait for log lines at the end.
 	lastLines = 200 * time.Millisecond
 	// heapShare of the VM's memory is where the collector works harder, in percent;
@@ -140,7 +142,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", handler)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: callerHeaderTime}
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTime}
 	stop := context.AfterFunc(ctx, func() { server.Close() })
 	defer stop()
 	if err := server.Serve(l); err != nil && ctx.Err() == nil {
@@ -148,12 +150,38 @@
 	}
 }
 
-// adopt puts a published configuration into force.
-func adopt(d *dispatcher.Dispatcher, text []byte) {
-	c, err := platform.DecodeCatalog(text)
-	if err != nil {
-		klog.ErrorS(err, "CH1205 published configuration cannot be read")
-		return
+// process is how a dispatcher or sidecar is run and stopped.
+type process struct {
+	settings *config.Config
+	file     string
+	role     config.Role
+	metrics  http.Handler
+	run      func(context.Context) error
+	reload   func(*config.Config)
+	drain    func(context.Context)
+}
+
+// runProcess runs a process until it fails or a signal ends it. The first signal
+// drains it; the second, or the end of the grace time, stops it at once.
+func runProcess(s *Streams, p process) error {
+	defer startLogs(s.Out)()
+	limitMemory(p.settings.Runtime().Memory)
+	first, second, stop := signals()
+	defer stop()
+	ctx, cancel := context.WithCancel(second)
+	defer cancel()
+	go serveMetrics(ctx, p.settings.Runtime().Metrics, p.metrics)
+	go watchSettings(ctx, p.file, p.role, p.reload)
+	ended := make(chan error, 1)
+	go func() { ended <- p.run(ctx) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-first.Done():
 	}
-	d.Adopt(c, "store")
+	klog.InfoS("CH0004 stopping as planned", "bound", p.settings.Runtime().Grace)
+	draining, cancelDrain := context.WithTimeout(ctx, p.settings.Runtime().Grace-exitMargin)
+	defer cancelDrain()
+	p.drain(draining)
+	return nil
 }
--- a/process/dispatcher/dispatcher.go
+++ b/process/dispatcher/dispatcher.go
@@ -197,6 +197,13 @@
 	return count
 }
 
+// Usable returns how many endpoints of a service can be given tasks.
+func (d *Dispatcher) Usable(ctx context.Context, service string) int {
+	count := 0
+	d.inspect(ctx, func(s *scheduler.Scheduler) { count = s.Fleet().Count(service, d.deps.Clock.Now()) })
+	return count
+}
+
 // Cancel ends a job; it reports whether the job was here.
 func (d *Dispatcher) Cancel(ctx context.Context, id string) bool {
 	known := false
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -147,10 +147,15 @@
 // Health returns the evidence against agents.
 func (f *Fleet) Health() *health.Health { return f.health }
 
-// Usable reports whether an agent is heard and accepts tasks.
-func (f *Fleet) Usable(name string, now time.Time) bool {
-	a, known := f.agents[name]
-	return known && a.usable(now)
+// Count returns how many endpoints of a service are heard and accept tasks.
+func (f *Fleet) Count(service string, now time.Time) int {
+	count := 0
+	for _, a := range f.order {
+		if a.service == service && a.usable(now) {
+			count++
+		}
+	}
+	return count
 }
 
 func (a *agent) usable(now time.Time) bool { return a.accepting && now.Sub(a.heard) <= suspicion }
@@ -180,19 +185,6 @@
 	return c
 }
 
-// Largest returns the largest capacity among a service's endpoints, per resource.
-func (f *Fleet) Largest(service string) size.Size {
-	var largest size.Size
-	for _, a := range f.order {
-		if a.service == service {
-			largest.CPU = max(largest.CPU, a.capacity.CPU)
-			largest.Memory = max(largest.Memory, a.capacity.Memory)
-			largest.Accelerators = max(largest.Accelerators, a.capacity.Accelerators)
-		}
-	}
-	return largest
-}
-
 // Names returns the agents in order.
 func (f *Fleet) Names() []string {
 	names := make([]string, 0, len(f.order))
--- /dev/null
+++ b/process/replay/faults_test.go
@@ -0,0 +1,79 @@
+package replay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// Whatever freezes, dies or answers late: no endpoint takes more than its capacity
+// and no task runs twice at a time (both are checked at each start), and every
+// caller gets an answer.
+func TestFaultsBreakNoPromise(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		w := newWorld(t, rapid.Uint64().Draw(r, "seed"), 3, speeds(6))
+		load := burst(kinds(), "", rapid.Float64Range(0.3, 1).Draw(r, "load"))
+		w.load(load, 4*time.Second)
+		for range rapid.IntRange(1, 6).Draw(r, "faults") {
+			at := time.Duration(rapid.IntRange(0, 4000).Draw(r, "at")) * time.Millisecond
+			lasts := time.Duration(rapid.IntRange(50, 2500).Draw(r, "lasts")) * time.Millisecond
+			s := w.sidecars[rapid.IntRange(0, len(w.sidecars)-1).Draw(r, "sidecar")]
+			entry := rapid.IntRange(0, len(w.entries)-1).Draw(r, "entry")
+			switch rapid.IntRange(0, 4).Draw(r, "kind") {
+			case 0:
+				w.after(at, func() { s.freeze(lasts) })
+			case 1:
+				w.after(at, func() { w.entries[entry].die(lasts) })
+			case 2:
+				w.after(at, func() {
+					s.doubtful, s.lateBy = 0.3, lasts
+					w.after(lasts, func() { s.doubtful = 0 })
+				})
+			case 3:
+				w.after(at, func() { s.speed *= 6 })
+			case 4:
+				w.after(at, func() {
+					s.hangs = true
+					w.after(lasts, func() { s.hangs = false })
+				})
+			}
+		}
+		w.play(14 * time.Second)
+		for name, tally := range w.score {
+			if answered := tally.onTime + tally.late + tally.refused + tally.failed; answered != tally.asked {
+				r.Fatalf("%s: %d jobs asked, %d answered", name, tally.asked, answered)
+			}
+		}
+		if t.Failed() {
+			r.Fatalf("a promise was broken")
+		}
+	})
+}
+
+// Six in a hundred orders get no answer and are carried out seconds later: that
+// costs the caller the repeat, and the endpoint no room that it does not have.
+func TestOrdersWithoutAnswer(t *testing.T) {
+	i := is.New(t)
+	w := newWorld(t, 3, 3, speeds(14))
+	for _, s := range w.sidecars {
+		s.doubtful, s.lateBy = 0.06, 3*time.Second
+	}
+	w.load(kinds(), 15*time.Second)
+	w.play(20 * time.Second)
+	i.True(served(t, w) > 0.93)
+}
+
+// A fifth of the endpoints turn slow: work goes elsewhere, and comes back after.
+func TestSlowEndpointsAreAvoided(t *testing.T) {
+	i := is.New(t)
+	w := newWorld(t, 4, 3, speeds(14))
+	w.load(kinds(), 20*time.Second)
+	w.play(5 * time.Second)
+	for _, s := range w.sidecars[:3] {
+		s.speed *= 6
+	}
+	w.play(20 * time.Second)
+	i.True(served(t, w) > 0.9)
+}
--- a/process/replay/sidecar_test.go
+++ b/process/replay/sidecar_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/corianderhook/corianderhook/process/runner"
@@ -31,6 +33,8 @@
 	doubtful float64
 	lateBy   time.Duration
 	ended    map[string]bool
+	// unread are ends that the sidecar has not seen.
+	unread []runner.End
 }
 
 func newSidecar(w *world, name string, speed float64) *sidecar {
@@ -43,10 +47,8 @@
 	s.runner.Accept(s.capacity)
 	for _, e := range w.entries {
 		e.scheduler.Attached(name, "zone", nil)
-		e.scheduler.Frame(name, &wire.SidecarFrame{Endpoint: &wire.EndpointState{
-			Service: "service", Accepting: true, Capacity: &wire.Size{Cpu: 32000, Memory: 131072},
-		}, Room: s.runner.Room()})
-		s.runner.Heard(e.incarnation, fmt.Sprint(e.incarnation), w.now)
+		e.scheduler.Frame(name, &wire.SidecarFrame{Endpoint: s.endpoint(), Room: s.runner.Room()})
+		s.runner.Heard(e.incarnation, fmt.Sprint(e.incarnation%100), w.now)
 	}
 	return s
 }
@@ -60,11 +62,11 @@
 func (s *sidecar) Decided(string, runner.Order, ...any) {}
 
 func (s *sidecar) offer(e *entry, number uint64, o *wire.Offer) {
-	if s.frozen {
+	if s.frozen || e.dead {
 		return
 	}
 	s.seen[e.incarnation] = number
-	s.runner.Heard(e.incarnation, fmt.Sprint(e.incarnation), s.world.now)
+	s.runner.Heard(e.incarnation, fmt.Sprint(e.incarnation%100), s.world.now)
 	s.runner.Offer(e.incarnation, o)
 	s.flush()
 }
@@ -87,10 +89,13 @@
 	s.sentAt[e.incarnation] = s.world.now
 	s.told[e.incarnation] = int(f.GetRoom().GetFree().GetCpu())
 	s.world.after(hop, func() {
+		if e.dead {
+			return
+		}
 		e.scheduler.Frame(s.name, f)
 		s.world.after(hop, func() {
-			if !s.frozen {
-				s.runner.Heard(e.incarnation, fmt.Sprint(e.incarnation), s.world.now.Add(-2*hop))
+			if !s.frozen && !e.dead {
+				s.runner.Heard(e.incarnation, fmt.Sprint(e.incarnation%100), s.world.now.Add(-2*hop))
 			}
 		})
 	})
@@ -125,8 +130,10 @@
 	if s.doubtful > 0 && w.random.Float64() < s.doubtful {
 		w.after(s.lateBy, func() { s.begin(o) })
 		w.after(60*time.Millisecond, func() {
-			s.runner.Started(name, runner.Doubtful, "no answer")
-			s.flush()
+			if !s.frozen {
+				s.runner.Started(name, runner.Doubtful, "no answer")
+				s.flush()
+			}
 		})
 		return
 	}
@@ -137,8 +144,10 @@
 			if !taken {
 				result = runner.Refused
 			}
-			s.runner.Started(name, result, "")
-			s.flush()
+			if !s.frozen {
+				s.runner.Started(name, result, "")
+				s.flush()
+			}
 		})
 	})
 }
@@ -177,12 +186,91 @@
 	s.ended[runKey(n)] = true
 	s.used -= s.world.works[n.Job].cpu
 	s.world.running[taskName(n)]--
+	end := runner.End{RunName: n, How: how}
+	if s.frozen {
+		s.unread = append(s.unread, end)
+		return
+	}
 	s.world.after(orderHop, func() {
-		s.runner.Report(runner.Report{Asked: s.world.now, Ended: []runner.End{{RunName: n, How: how}}})
+		s.runner.Report(runner.Report{Asked: s.world.now, Ended: []runner.End{end}})
 		s.flush()
 	})
 }
 
+// freeze has the sidecar stand still. Its lease at the endpoint runs out meanwhile,
+// and its sessions break.
+func (s *sidecar) freeze(d time.Duration) {
+	if s.frozen {
+		return
+	}
+	w := s.world
+	s.frozen = true
+	for _, e := range w.entries {
+		e.scheduler.Detached(s.name)
+	}
+	w.after(runner.Lease*102/100, func() {
+		if s.frozen {
+			for _, n := range s.list() {
+				s.finish(n, runner.EndedOtherwise)
+			}
+		}
+	})
+	w.after(d, s.thaw)
+}
+
+// thaw reads what happened meanwhile and opens new sessions.
+func (s *sidecar) thaw() {
+	s.frozen = false
+	s.runner.Report(runner.Report{Asked: s.world.now, Ended: s.unread})
+	s.unread = nil
+	s.runner.Tick()
+	clear(s.pending)
+	for _, e := range s.world.entries {
+		if e.dead {
+			continue
+		}
+		s.runner.Heard(e.incarnation, fmt.Sprint(e.incarnation%100), s.world.now)
+		e.scheduler.Attached(s.name, "zone", s.runner.Held(e.incarnation))
+		s.send(e)
+	}
+}
+
+// die ends an entry for a time; its callers see their connections break at once.
+func (e *entry) die(d time.Duration) {
+	if e.dead {
+		return
+	}
+	e.dead = true
+	broken := e.callers
+	e.callers = map[string]func(){}
+	for _, id := range slices.Sorted(maps.Keys(broken)) {
+		broken[id]()
+	}
+	e.world.after(d, func() { e.rise() })
+}
+
+// rise starts an entry anew that knows nothing of before.
+func (e *entry) rise() {
+	w := e.world
+	next := newEntry(w, uint64(len(w.entries)+1))
+	w.entries[slices.Index(w.entries, e)] = next
+	next.incarnation = e.incarnation + 100
+	for _, s := range w.sidecars {
+		if s.frozen {
+			continue
+		}
+		s.runner.Heard(next.incarnation, fmt.Sprint(e.incarnation%100), w.now)
+		next.scheduler.Attached(s.name, "zone", nil)
+		next.scheduler.Frame(s.name, &wire.SidecarFrame{Endpoint: s.endpoint(), Room: s.runner.Room()})
+	}
+}
+
+func (s *sidecar) endpoint() *wire.EndpointState {
+	return &wire.EndpointState{
+		Service: "service", Accepting: true, Capacity: &wire.Size{Cpu: uint32(s.capacity.CPU), Memory: uint32(s.capacity.Memory)},
+	}
+}
+
 // Stop orders the end of a run at the endpoint.
 func (s *sidecar) Stop(name string, o runner.Order) {
 	n := runName(o)
--- a/process/replay/world_test.go
+++ b/process/replay/world_test.go
@@ -119,7 +119,9 @@
 	})
 	w.every(20*time.Millisecond, func() {
 		for _, e := range w.entries {
-			e.scheduler.Tick()
+			if !e.dead {
+				e.scheduler.Tick()
+			}
 		}
 	})
 	return w
@@ -188,14 +190,27 @@
 		w.t.Fatal(err)
 	}
 	w.works[j.id] = j
+	w.tally(j.kind.name).asked++
+	w.send(work, j, w.now)
+}
+
+// resubmitAfter is when a caller without an answer sends its job again.
+const resubmitAfter = 1300 * time.Millisecond
+
+// send hands a job to an entry that lives. A caller whose entry dies sends it again.
+func (w *world) send(work *workload.Workload, j job, began time.Time) {
 	e := w.entries[w.random.IntN(len(w.entries))]
-	began := w.now
+	if e.dead {
+		w.after(resubmitAfter, func() { w.send(work, j, began) })
+		return
+	}
 	t := w.tally(j.kind.name)
-	t.asked++
+	e.callers[j.id] = func() { w.after(resubmitAfter, func() { w.send(work, j, began) }) }
 	e.scheduler.Submit(scheduler.Request{
 		Work: work, Budget: j.budget,
 		Queue: catalog.Queue{Name: j.kind.name, Service: "service", Urgency: j.kind.urgency, Attempts: 3, Stretch: stretch, Latency: latency},
 		Reply: func(a answer.Answer) {
+			delete(e.callers, j.id)
 			switch took := w.now.Sub(began); {
 			case a.Outcome() == outcome.Complete && took <= j.objective():
 				t.onTime++
@@ -216,12 +231,16 @@
 	incarnation uint64
 	scheduler   *scheduler.Scheduler
 	numbers     map[string]uint64
+	// callers wait for answers; a call tells them that the connection broke.
+	callers map[string]func()
 	// decided counts the decisions by name.
 	decided map[string]int
+	// dead entries neither hear nor say anything.
+	dead bool
 }
 
 func newEntry(w *world, incarnation uint64) *entry {
-	e := &entry{world: w, incarnation: incarnation, numbers: map[string]uint64{}, decided: map[string]int{}}
+	e := &entry{world: w, incarnation: incarnation, numbers: map[string]uint64{}, callers: map[string]func(){}, decided: map[string]int{}}
 	e.scheduler = scheduler.New(e, fleet.New("zone"), func() uint64 { return uint64(w.now.UnixMilli()) })
 	return e
 }
@@ -232,6 +251,9 @@
 	e.numbers[agent]++
 	number := e.numbers[agent]
 	s := e.world.sidecar(agent)
+	if s.frozen {
+		return number, true
+	}
 	e.world.after(hop, func() { s.offer(e, number, o) })
 	return number, true
 }
--- a/process/sidecar/keeper.go
+++ b/process/sidecar/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -35,12 +36,15 @@
 	instance atomic.Pointer[string]
 	// announced holds the start of the life that announced itself last.
 	announced chan time.Time
-	last      uint64
-	born      time.Time
+	// taken is closed after the first takeover.
+	taken chan struct{}
+	once  sync.Once
+	last  uint64
+	born  time.Time
 }
 
 func newKeeper(s *Sidecar) *keeper {
-	k := &keeper{sidecar: s, announced: make(chan time.Time, 1)}
+	k := &keeper{sidecar: s, announced: make(chan time.Time, 1), taken: make(chan struct{})}
 	k.fence.Store(uint64(s.deps.Clock.Now().UnixMicro()))
 	none := ""
 	k.instance.Store(&none)
@@ -120,6 +124,7 @@
 			k.last = list.Last
 			k.born = list.Born
 			klog.InfoS("CH1133 endpoint taken over", "agent", k.sidecar.deps.Name, "instance", k.life().Instance, "born", list.Born, "fence", k.fence.Load())
+			k.once.Do(func() { close(k.taken) })
 			k.tell(took{born: list.Born, reason: "the endpoint was taken over anew"})
 			return true
 		}
--- a/process/sidecar/sidecar.go
+++ b/process/sidecar/sidecar.go
@@ -114,8 +114,11 @@
 	klog.InfoS("CH1101 sidecar started", "agent", s.deps.Name, "zone", s.deps.Zone, "incarnation", s.incarnation)
 	var group sync.WaitGroup
 	defer group.Wait()
-	group.Go(func() { s.links.run(ctx) })
 	group.Go(func() { s.keeper.run(ctx) })
+	group.Go(func() {
+		s.awaitEmpty(ctx)
+		s.links.run(ctx)
+	})
 	ticker := s.deps.Clock.NewTicker(tickEvery)
 	defer ticker.Stop()
 	for {
@@ -128,6 +131,17 @@
 	}
 }
 
+// awaitEmpty returns when nothing of an earlier sidecar can run at the endpoint: it
+// was taken over, or every lease from before this process has run out. Dispatchers
+// take a new sidecar's first words as the end of what they gave to the earlier one.
+func (s *Sidecar) awaitEmpty(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-s.keeper.taken:
+	case <-s.deps.Clock.After(runner.LapsedAfter()):
+	}
+}
+
 // Drain takes no new tasks and returns when none is left or the context ends.
 func (s *Sidecar) Drain(ctx context.Context) {
 	klog.InfoS("CH1102 sidecar drains", "agent", s.deps.Name, "tasks", s.tasks.Load())
