A task that an agent no longer holds may have run

What the agent says with its hello counts now before what it no longer holds, and a task that is not held counts as started. A task that could not be sent is placed again at the next tick; it stayed unplaced until the caller's time was over. Tests: TestTaskThatIsNotHeldMayHaveRun (failed before), TestEndsThatCameWithTheHelloCount, TestTaskThatCannotBeSentIsPlacedLater.

--- a/process/dispatcher/actor.go
+++ b/process/dispatcher/actor.go
@@ -20,7 +20,7 @@
 	// attached, detached and received come from the sessions of sidecars.
 	attached struct {
 		session *session
-		hello   *wire.SidecarHello
+		first   *wire.SidecarFrame
 	}
 	detached struct{ session *session }
 	received struct {
@@ -80,12 +80,13 @@
 		former.close()
 	}
 	a.live[name] = m.session
-	held := m.hello.GetHeld()
-	if m.hello.GetDispatcher() != a.dispatcher.incarnation {
+	hello := m.first.GetHello()
+	held := hello.GetHeld()
+	if hello.GetDispatcher() != a.dispatcher.incarnation {
 		held = nil
 	}
-	klog.InfoS("CH1011 agent attached", "entry", a.dispatcher.deps.Name, "agent", name, "zone", m.hello.GetZone(), "incarnation", m.hello.GetIncarnation(), "held", len(held))
-	a.scheduler.Attached(name, m.hello.GetZone(), held)
+	klog.InfoS("CH1011 agent attached", "entry", a.dispatcher.deps.Name, "agent", name, "zone", hello.GetZone(), "incarnation", hello.GetIncarnation(), "held", len(held))
+	a.scheduler.Attached(name, hello.GetZone(), held, m.first)
 }
 
 func (a *schedulerActor) detach(s *session) {
--- a/process/dispatcher/session.go
+++ b/process/dispatcher/session.go
@@ -79,12 +79,12 @@
 		// The end of the stream is reported where it is read.
 		_ = s.out.Run(ctx, func(batch []proto.Message) error { return s.send(d, stream, batch) })
 	}()
-	d.deps.System.Root.Send(d.scheduler, attached{session: s, hello: first.GetHello()})
+	d.deps.System.Root.Send(d.scheduler, attached{session: s, first: first})
 	defer d.deps.System.Root.Send(d.scheduler, detached{session: s})
 	d.peers.join(s)
 	defer d.peers.part(s)
 	go v.watch(ctx, s)
-	v.take(s, first)
+	v.hear(s, first)
 	received := make(chan error, 1)
 	go func() { received <- v.receive(stream, s) }()
 	select {
@@ -105,13 +105,17 @@
 	}
 }
 
-// take hands a frame to the scheduler and echoes its stamp.
+// take hands a frame to the scheduler.
 func (v *service) take(s *session, f *wire.SidecarFrame) {
-	d := v.dispatcher
-	now := d.deps.Clock.Since(s.began)
+	v.dispatcher.deps.System.Root.Send(v.dispatcher.scheduler, received{session: s, frame: f})
+	v.hear(s, f)
+}
+
+// hear dates a frame and echoes its stamp.
+func (v *service) hear(s *session, f *wire.SidecarFrame) {
+	now := v.dispatcher.deps.Clock.Since(s.began)
 	s.heardAt.Store(int64(now))
 	s.stamp.Store(f.GetStampUs())
-	d.deps.System.Root.Send(d.scheduler, received{session: s, frame: f})
 	if now-time.Duration(s.sentAt.Load()) > echoAfter {
 		s.out.Put(&wire.DispatcherFrame{})
 	}
--- a/process/replay/sidecar_test.go
+++ b/process/replay/sidecar_test.go
@@ -46,8 +46,7 @@
 	s.runner = runner.New(s)
 	s.runner.Accept(s.capacity)
 	for _, e := range w.entries {
-		e.scheduler.Attached(name, "zone", nil)
-		e.scheduler.Frame(name, &wire.SidecarFrame{Endpoint: s.endpoint(), Room: s.runner.Room()})
+		e.scheduler.Attached(name, "zone", nil, &wire.SidecarFrame{Endpoint: s.endpoint(), Room: s.runner.Room()})
 		s.runner.Heard(e.incarnation, fmt.Sprint(e.incarnation%100), w.now)
 	}
 	return s
@@ -230,7 +229,7 @@
 			continue
 		}
 		s.runner.Heard(e.incarnation, fmt.Sprint(e.incarnation%100), s.world.now)
-		e.scheduler.Attached(s.name, "zone", s.runner.Held(e.incarnation))
+		e.scheduler.Attached(s.name, "zone", s.runner.Held(e.incarnation), &wire.SidecarFrame{Endpoint: s.endpoint()})
 		s.send(e)
 	}
 }
@@ -260,8 +259,7 @@
 			continue
 		}
 		s.runner.Heard(next.incarnation, fmt.Sprint(e.incarnation%100), w.now)
-		next.scheduler.Attached(s.name, "zone", nil)
-		next.scheduler.Frame(s.name, &wire.SidecarFrame{Endpoint: s.endpoint(), Room: s.runner.Room()})
+		next.scheduler.Attached(s.name, "zone", nil, &wire.SidecarFrame{Endpoint: s.endpoint(), Room: s.runner.Room()})
 	}
 }
 
--- a/process/scheduler/events.go
+++ b/process/scheduler/events.go
@@ -24,9 +24,10 @@
 )
 
 // Attached takes the hello of an agent: tasks that it does not hold are ready again.
-func (s *Scheduler) Attached(agent, zone string, held []uint64) {
-	now := s.host.Now()
-	s.fleet.Attach(agent, zone, now)
+// What the agent says with it counts first.
+func (s *Scheduler) Attached(agent, zone string, held []uint64, first *wire.SidecarFrame) {
+	s.fleet.Attach(agent, zone, s.host.Now())
+	s.Frame(agent, first)
 	holds := make(map[uint64]bool, len(held))
 	for _, ref := range held {
 		holds[ref] = true
@@ -37,6 +38,8 @@
 	s.each(func(p *placed) {
 		if p.agent == agent && !holds[p.ref] {
 			s.host.Decided("task not held", p.job.work.ID(), "agent", agent, "task", p.number)
+			// It may have run: word of its start can be lost.
+			p.job.progress.Start()
 			s.again(p, "the agent does not hold it")
 		}
 	})
--- a/process/scheduler/scheduler.go
+++ b/process/scheduler/scheduler.go
@@ -287,6 +287,7 @@
 	for _, c := range choices {
 		if !sent {
 			s.takeBack(j.placed[c.Number])
+			j.parked = true
 			continue
 		}
 		step, _ := j.work.Task(c.Number)
--- /dev/null
+++ b/process/scheduler/scheduler_test.go
@@ -0,0 +1,243 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/corianderhook/corianderhook/process/fleet"
+	"github.com/corianderhook/corianderhook/request/answer"
+	"github.com/corianderhook/corianderhook/request/outcome"
+	"github.com/corianderhook/corianderhook/request/size"
+	"github.com/corianderhook/corianderhook/request/workload"
+	"github.com/corianderhook/corianderhook/version/catalog"
+	"github.com/corianderhook/corianderhook/wire"
+)
+
+// host keeps what the scheduler sends.
+type host struct {
+	now       time.Time
+	offers    map[string][]*wire.Offer
+	cancels   []uint64
+	withdraws []uint64
+	away      map[string]bool
+	number    uint64
+}
+
+func (h *host) Now() time.Time { return h.now }
+
+func (h *host) Send(agent string, o *wire.Offer) (uint64, bool) {
+	if h.away[agent] {
+		return 0, false
+	}
+	h.number++
+	h.offers[agent] = append(h.offers[agent], o)
+	return h.number, true
+}
+
+func (h *host) Cancel(_ string, ref uint64) { h.cancels = append(h.cancels, ref) }
+
+func (h *host) Withdraw(_ string, ref uint64) { h.withdraws = append(h.withdraws, ref) }
+
+func (h *host) Decided(string, string, ...any) {}
+
+// refs are the references of the tasks that an agent was last offered.
+func (h *host) refs(agent string) []uint64 {
+	var refs []uint64
+	if list := h.offers[agent]; len(list) > 0 {
+		for _, t := range list[len(list)-1].GetTasks() {
+			refs = append(refs, t.GetRef())
+		}
+	}
+	return refs
+}
+
+func newScheduler(agents ...string) (*Scheduler, *host) {
+	h := &host{now: time.Unix(1_700_000_000, 0), offers: map[string][]*wire.Offer{}, away: map[string]bool{}}
+	s := New(h, fleet.New("z1"), func() uint64 { return 100 })
+	for _, a := range agents {
+		join(s, a)
+	}
+	return s, h
+}
+
+func join(s *Scheduler, agent string) {
+	s.Attached(agent, "z1", nil, &wire.SidecarFrame{
+		Endpoint: &wire.EndpointState{Service: "checks", Accepting: true, Capacity: &wire.Size{Cpu: 8000, Memory: 1000}},
+		Room:     &wire.Room{Free: &wire.Size{Cpu: 8000, Memory: 1000}},
+	})
+}
+
+func submit(t *testing.T, s *Scheduler, id string, tasks int, budget time.Duration) *[]answer.Answer {
+	t.Helper()
+	work, err := workload.New(id, "checks", "", []workload.Step{{Count: tasks, Size: size.Size{CPU: 2000, Memory: 10}, Estimate: 100 * time.Millisecond}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	answers := &[]answer.Answer{}
+	s.Submit(Request{
+		Work: work, Budget: budget, Reply: func(a answer.Answer) { *answers = append(*answers, a) },
+		Queue: catalog.Queue{Name: "checks", Service: "checks", Attempts: 2, Stretch: 1.6, Latency: 60 * time.Millisecond},
+	})
+	return answers
+}
+
+func event(ref uint64, kind wire.TaskEventKind) *wire.SidecarFrame {
+	return &wire.SidecarFrame{Events: []*wire.TaskEvent{{Ref: ref, Kind: kind, RanMs: 100}}}
+}
+
+func TestJobIsAnsweredWhenEveryTaskHasEnded(t *testing.T) {
+	i := is.New(t)
+	s, h := newScheduler("a")
+	answers := submit(t, s, "job", 2, time.Second)
+	refs := h.refs("a")
+	i.Equal(len(refs), 2)
+	s.Frame("a", event(refs[0], wire.TaskEventKind_TASK_EVENT_KIND_DONE))
+	i.Equal(len(*answers), 0)
+	s.Frame("a", event(refs[1], wire.TaskEventKind_TASK_EVENT_KIND_DONE))
+	i.Equal((*answers)[0].Outcome(), outcome.Complete)
+	i.Equal(s.Jobs(), 0)
+}
+
+// An agent that stood still may have started a task and not told of it: the job
+// cannot be refused as not run any more.
+func TestTaskThatIsNotHeldMayHaveRun(t *testing.T) {
+	i := is.New(t)
+	s, h := newScheduler("a")
+	answers := submit(t, s, "job", 1, time.Second)
+	s.Detached("a")
+	s.Attached("a", "z1", nil, &wire.SidecarFrame{Endpoint: &wire.EndpointState{Service: "checks", Reason: "the endpoint drains"}})
+	h.now = h.now.Add(2 * time.Second)
+	s.Tick()
+	i.Equal((*answers)[0].Outcome(), outcome.Unknown)
+}
+
+// A task that came back without a start order leaves the job refusable.
+func TestReturnedTaskHasNotRun(t *testing.T) {
+	i := is.New(t)
+	s, h := newScheduler("a")
+	answers := submit(t, s, "job", 1, time.Second)
+	ref := h.refs("a")[0]
+	s.Detached("a")
+	s.Frame("a", event(ref, wire.TaskEventKind_TASK_EVENT_KIND_RETURNED))
+	h.now = h.now.Add(2 * time.Second)
+	s.Tick()
+	i.Equal((*answers)[0].Outcome(), outcome.NotRun)
+	i.True((*answers)[0].RetryAfter() >= time.Second)
+}
+
+// What an agent says as it attaches comes before what it no longer holds.
+func TestEndsThatCameWithTheHelloCount(t *testing.T) {
+	i := is.New(t)
+	s, h := newScheduler("a")
+	answers := submit(t, s, "job", 1, time.Second)
+	ref := h.refs("a")[0]
+	s.Detached("a")
+	s.Attached("a", "z1", nil, event(ref, wire.TaskEventKind_TASK_EVENT_KIND_DONE))
+	i.Equal((*answers)[0].Outcome(), outcome.Complete)
+	i.Equal(len(h.offers["a"]), 1)
+}
+
+// A session that is gone as a task is sent leaves the task to be placed later.
+func TestTaskThatCannotBeSentIsPlacedLater(t *testing.T) {
+	i := is.New(t)
+	s, h := newScheduler("a")
+	h.away["a"] = true
+	answers := submit(t, s, "job", 1, time.Second)
+	i.Equal(len(h.offers["a"]), 0)
+	h.away["a"] = false
+	h.now = h.now.Add(20 * time.Millisecond)
+	s.Tick()
+	i.Equal(len(h.refs("a")), 1)
+	i.Equal(len(*answers), 0)
+}
+
+func TestTaskThatFailsTooOftenFailsTheJob(t *testing.T) {
+	i := is.New(t)
+	s, h := newScheduler("a")
+	answers := submit(t, s, "job", 1, time.Second)
+	for range 2 {
+		i.Equal(len(*answers), 0)
+		s.Frame("a", event(h.refs("a")[0], wire.TaskEventKind_TASK_EVENT_KIND_FAILED))
+	}
+	i.Equal((*answers)[0].Outcome(), outcome.Failed)
+	runs := []uint64{}
+	for _, o := range h.offers["a"] {
+		runs = append(runs, o.GetTasks()[0].GetRun())
+	}
+	i.Equal(runs, []uint64{101, 102})
+}
+
+func TestCopiesOfARequestAreOneJob(t *testing.T) {
+	i := is.New(t)
+	s, h := newScheduler("a")
+	first := submit(t, s, "job", 1, time.Second)
+	second := submit(t, s, "job", 1, time.Second)
+	i.Equal(len(h.offers["a"]), 1)
+	s.Leave("job")
+	i.Equal(s.Jobs(), 1)
+	s.Frame("a", event(h.refs("a")[0], wire.TaskEventKind_TASK_EVENT_KIND_DONE))
+	i.Equal((*first)[0].Outcome(), outcome.Complete)
+	i.Equal((*second)[0].Outcome(), outcome.Complete)
+	third := submit(t, s, "job", 1, time.Second)
+	i.Equal((*third)[0].Outcome(), outcome.Complete)
+	i.Equal(len(h.offers["a"]), 1)
+}
+
+func TestLeavingCallerStopsTheJob(t *testing.T) {
+	i := is.New(t)
+	s, h := newScheduler("a")
+	submit(t, s, "job", 2, time.Second)
+	s.Leave("job")
+	i.Equal(h.cancels, h.refs("a"))
+	i.Equal(s.Jobs(), 0)
+}
+
+func TestSuspensionEndsEveryJobTruthfully(t *testing.T) {
+	i := is.New(t)
+	s, h := newScheduler("a")
+	answers := submit(t, s, "job", 1, time.Minute)
+	s.Suspended("this process stood still")
+	i.Equal((*answers)[0].Outcome(), outcome.Unknown)
+	i.Equal(len(h.cancels), 1)
+}
+
+func TestStepsWaitForEachOther(t *testing.T) {
+	i := is.New(t)
+	s, h := newScheduler("a")
+	work, err := workload.New("job", "checks", "", []workload.Step{
+		{Count: 1, Size: size.Size{CPU: 100}, Estimate: 50 * time.Millisecond},
+		{Count: 2, Size: size.Size{CPU: 100}, Estimate: 50 * time.Millisecond, After: []int{0}},
+	})
+	i.NoErr(err)
+	s.Submit(Request{Work: work, Budget: time.Second, Reply: func(answer.Answer) {}, Queue: catalog.Queue{Service: "checks", Stretch: 1.6}})
+	i.Equal(len(h.refs("a")), 1)
+	s.Frame("a", event(h.refs("a")[0], wire.TaskEventKind_TASK_EVENT_KIND_DONE))
+	i.Equal(len(h.refs("a")), 2)
+}
+
+// A task that runs far longer than its kind is stopped and tried elsewhere, once it
+// is known to be gone.
+func TestOverdueTaskMovesOnceItIsGone(t *testing.T) {
+	i := is.New(t)
+	s, h := newScheduler("a", "b")
+	work, err := workload.New("job", "checks", "", []workload.Step{{Count: 1, Size: size.Size{CPU: 100}, Estimate: 100 * time.Millisecond}})
+	i.NoErr(err)
+	s.Submit(Request{Work: work, Budget: 5 * time.Second, Reply: func(answer.Answer) {}, Queue: catalog.Queue{Service: "checks", Stretch: 5, Latency: time.Second}})
+	at, other := "a", "b"
+	if len(h.offers["a"]) == 0 {
+		at, other = "b", "a"
+	}
+	ref := h.refs(at)[0]
+	s.Frame(at, event(ref, wire.TaskEventKind_TASK_EVENT_KIND_STARTED))
+	h.now = h.now.Add(300 * time.Millisecond)
+	s.Frame(at, &wire.SidecarFrame{})
+	s.Frame(other, &wire.SidecarFrame{})
+	h.now = h.now.Add(150 * time.Millisecond)
+	s.Tick()
+	i.Equal(h.cancels, []uint64{ref})
+	i.Equal(len(h.offers[other]), 0)
+	s.Frame(at, event(ref, wire.TaskEventKind_TASK_EVENT_KIND_LOST))
+	i.Equal(len(h.offers[other]), 1)
+}
