Leave tasks that a hello's events have placed on the new session

Ruled out: two live sessions. Change: only tasks from before the hello are compared with what is held. Test: TestLossThatCameWithTheHelloPlacesOnce.

--- a/process/scheduler/events.go
+++ b/process/scheduler/events.go
@@ -27,6 +27,8 @@
 // What the agent says with it counts first.
 func (s *Scheduler) Attached(agent, zone string, held []uint64, first *wire.SidecarFrame) {
 	s.fleet.Attach(agent, zone, s.host.Now())
+	// Tasks that what it says has placed anew are on the new session.
+	last := s.lastRef
 	s.Frame(agent, first)
 	holds := make(map[uint64]bool, len(held))
 	for _, ref := range held {
@@ -36,7 +38,7 @@
 		}
 	}
 	s.each(func(p *placed) {
-		if p.agent == agent && !holds[p.ref] {
+		if p.agent == agent && p.ref <= last && !holds[p.ref] {
 			s.host.Decided("task not held", p.job.work.ID(), "agent", agent, "task", p.number)
 			// It may have run: word of its start can be lost.
 			p.job.progress.Start()
--- a/process/scheduler/scheduler_test.go
+++ b/process/scheduler/scheduler_test.go
@@ -139,6 +139,21 @@
 	i.Equal(len(h.offers["a"]), 1)
 }
 
+// A task whose loss comes with the hello is placed once, on the new session.
+func TestLossThatCameWithTheHelloPlacesOnce(t *testing.T) {
+	i := is.New(t)
+	s, h := newScheduler("a")
+	submit(t, s, "job", 1, 5*time.Second)
+	ref := h.refs("a")[0]
+	s.Detached("a")
+	f := event(ref, wire.TaskEventKind_TASK_EVENT_KIND_LOST)
+	f.Endpoint = &wire.EndpointState{Service: "checks", Accepting: true, Capacity: &wire.Size{Cpu: 8000, Memory: 1000}}
+	f.Room = &wire.Room{Free: &wire.Size{Cpu: 8000, Memory: 1000}}
+	s.Attached("a", "z1", nil, f)
+	i.Equal(len(h.offers["a"]), 2)
+	i.Equal(h.cancels, nil)
+}
+
 // A session that is gone as a task is sent leaves the task to be placed later.
 func TestTaskThatCannotBeSentIsPlacedLater(t *testing.T) {
 	i := is.New(t)
