Start the task with the least slack first; shed by the common backlog

Load: bursts of 2 and 2.5 times everything. Change: a sidecar starts the task that has to start soonest to be on time; a job that would have to wait is refused where the work that waits over all endpoints is more than 100 ms of their rate, 0.8 times that for each further level of urgency.

--- a/process/backlog/backlog.go
+++ b/process/backlog/backlog.go
@@ -1,7 +1,9 @@
 // Package backlog orders the tasks that wait at an endpoint for room. It answers
 // the load in which several dispatchers send more than the endpoint can start at
-// once: the most urgent goes first, and among equals the one whose job is oldest,
-// so that jobs that are under way end before others begin. It does no I/O.
+// once: the task goes first that has to start soonest for its job to be on time.
+// Jobs were weighed against each other when they were taken; one that is under way
+// and late with its last task has wasted the others. Tasks that cannot be on time
+// any more go last. It does no I/O.
 package backlog
 
 import (
@@ -12,15 +14,40 @@
 	"github.com/corianderhook/corianderhook/request/size"
 )
 
-// Urgencies is the number of levels that are told apart; beyond it all are alike.
-const Urgencies = 8
+// Bands is the number of bands of slack that are told apart in reports. Slack is the
+// time that is left for a start that is on time.
+const Bands = 8
+
+// lastBand is for tasks that cannot be on time any more: they go last.
+const lastBand = Bands - 1
+
+// edges are the upper bounds of the bands but for the last two.
+func edges() [Bands - 2]time.Duration {
+	return [...]time.Duration{
+		25 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond,
+		200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond,
+	}
+}
+
+// Band returns the band of a slack.
+func Band(slack time.Duration) int {
+	if slack < 0 {
+		return lastBand
+	}
+	for i, e := range edges() {
+		if slack < e {
+			return i
+		}
+	}
+	return Bands - 2
+}
 
 // Item is a task that waits.
 type Item struct {
 	Name    string
 	Urgency int
-	// Since is when the job came to its dispatcher.
-	Since time.Time
+	// OnTime is the latest start at which the job is on time.
+	OnTime time.Time
 	// Until is the time after which a start is of no use.
 	Until    time.Time
 	Size     size.Size
@@ -28,27 +55,21 @@
 }
 
 // Backlog is what waits at one endpoint. It is not safe for concurrent use.
-type Backlog struct {
-	items  []Item
-	queued [Urgencies]uint64
-}
+type Backlog struct{ items []Item }
 
 // New returns an empty backlog.
 func New() *Backlog { return &Backlog{} }
 
 func before(a, b Item) int {
-	return cmp.Or(cmp.Compare(a.Urgency, b.Urgency), a.Since.Compare(b.Since), cmp.Compare(a.Name, b.Name))
+	return cmp.Or(a.OnTime.Compare(b.OnTime), cmp.Compare(a.Urgency, b.Urgency), cmp.Compare(a.Name, b.Name))
 }
 
 // Add puts a task in its place.
 func (b *Backlog) Add(i Item) {
 	at, _ := slices.BinarySearchFunc(b.items, i, before)
 	b.items = slices.Insert(b.items, at, i)
-	b.queued[level(i)] += i.work()
 }
 
-func level(i Item) int { return min(max(i.Urgency, 0), Urgencies-1) }
-
 // work is in millicore-milliseconds.
 func (i Item) work() uint64 {
 	return uint64(max(0, i.Size.CPU)) * uint64(max(0, i.Expected.Milliseconds()))
@@ -60,48 +81,50 @@
 	if at < 0 {
 		return false
 	}
-	b.cut(at)
-	return true
-}
-
-func (b *Backlog) cut(at int) {
-	b.queued[level(b.items[at])] -= b.items[at].work()
 	b.items = slices.Delete(b.items, at, at+1)
+	return true
 }
 
 // Next takes out the first task if it has room. A task that does not fit holds up
 // those behind it, so that large tasks get their turn.
-func (b *Backlog) Next(free size.Size) (Item, bool) {
-	if len(b.items) == 0 || !b.items[0].Size.Fits(free) {
+func (b *Backlog) Next(free size.Size, now time.Time) (Item, bool) {
+	if len(b.items) == 0 {
 		return Item{}, false
 	}
-	first := b.items[0]
-	b.cut(0)
+	at := slices.IndexFunc(b.items, func(i Item) bool { return !i.OnTime.Before(now) })
+	at = max(at, 0)
+	first := b.items[at]
+	if !first.Size.Fits(free) {
+		return Item{}, false
+	}
+	b.items = slices.Delete(b.items, at, at+1)
 	return first, true
 }
 
 // Expired takes out every task whose time is over.
 func (b *Backlog) Expired(now time.Time) []Item {
 	var over []Item
-	for at := 0; at < len(b.items); {
-		if b.items[at].Until.After(now) {
-			at++
-			continue
+	b.items = slices.DeleteFunc(b.items, func(i Item) bool {
+		gone := !i.Until.After(now)
+		if gone {
+			over = append(over, i)
 		}
-		over = append(over, b.items[at])
-		b.cut(at)
-	}
+		return gone
+	})
 	return over
 }
 
 // Len returns the number of tasks that wait.
 func (b *Backlog) Len() int { return len(b.items) }
 
-// Queued returns the work that waits per urgency in millicore-milliseconds.
-func (b *Backlog) Queued() []uint64 {
-	last := Urgencies
-	for last > 0 && b.queued[last-1] == 0 {
-		last--
+// Queued returns the work that waits per band of slack in millicore-milliseconds.
+func (b *Backlog) Queued(now time.Time) []uint64 {
+	if len(b.items) == 0 {
+		return nil
+	}
+	queued := make([]uint64, Bands)
+	for _, i := range b.items {
+		queued[Band(i.OnTime.Sub(now))] += i.work()
 	}
-	return slices.Clone(b.queued[:last])
+	return queued
 }
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -24,7 +24,7 @@
 
 type sent struct {
 	number   uint64
-	urgency  int
+	slack    time.Duration
 	size     size.Size
 	expected time.Duration
 }
@@ -39,7 +39,7 @@
 	reason    string
 	heard     time.Time
 	free      size.Size
-	queued    [backlog.Urgencies]float64
+	queued    [backlog.Bands]float64
 	running   int
 	residual  time.Duration
 	unseen    []sent
@@ -125,9 +125,9 @@
 		return
 	}
 	a.free = sizeOf(room.GetFree())
-	a.queued = [backlog.Urgencies]float64{}
+	a.queued = [backlog.Bands]float64{}
 	for i, work := range room.GetQueued() {
-		a.queued[min(i, backlog.Urgencies-1)] += float64(work)
+		a.queued[min(i, backlog.Bands-1)] += float64(work)
 	}
 	a.running = int(room.GetRunning())
 	a.residual = time.Duration(room.GetResidualMs()) * time.Millisecond
@@ -135,9 +135,9 @@
 }
 
 // Sent notes a task that goes out with the frame of the given number.
-func (f *Fleet) Sent(name string, number uint64, urgency int, s size.Size, expected time.Duration) {
+func (f *Fleet) Sent(name string, number uint64, slack time.Duration, s size.Size, expected time.Duration) {
 	if a, known := f.agents[name]; known {
-		a.unseen = append(a.unseen, sent{number: number, urgency: urgency, size: s, expected: expected})
+		a.unseen = append(a.unseen, sent{number: number, slack: slack, size: s, expected: expected})
 	}
 }
 
@@ -180,7 +180,7 @@
 		Residual: a.residual, Slowness: slowness, Far: a.zone != zone, Queued: a.queued,
 	}
 	for _, s := range a.unseen {
-		c.Add(s.size, s.urgency, s.expected)
+		c.Add(s.size, s.slack, s.expected)
 	}
 	return c
 }
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -28,8 +28,8 @@
 	Labels   []string
 	Capacity size.Size
 	Free     size.Size
-	// Queued is the work ahead per urgency, in millicore-milliseconds.
-	Queued   [backlog.Urgencies]float64
+	// Queued is the work that waits per band of slack, in millicore-milliseconds.
+	Queued   [backlog.Bands]float64
 	Running  int
 	Residual time.Duration
 	Slowness float64
@@ -39,27 +39,28 @@
 }
 
 // Add counts a task that is on its way to the candidate.
-func (c *Candidate) Add(s size.Size, urgency int, expected time.Duration) {
-	if c.ahead(urgency) == 0 && s.Fits(c.Free) {
+func (c *Candidate) Add(s size.Size, slack time.Duration, expected time.Duration) {
+	if c.ahead(slack) == 0 && s.Fits(c.Free) {
 		c.Free = c.Free.Minus(s)
 		c.Residual = (c.Residual*time.Duration(c.Running) + expected) / time.Duration(c.Running+1)
 		c.Running++
 		return
 	}
-	c.Queued[min(urgency, backlog.Urgencies-1)] += float64(s.CPU) * float64(expected.Milliseconds())
+	c.Queued[backlog.Band(slack)] += float64(s.CPU) * float64(expected.Milliseconds())
 }
 
-func (c *Candidate) ahead(urgency int) float64 {
+// ahead is the work that goes before a task of the slack.
+func (c *Candidate) ahead(slack time.Duration) float64 {
 	work := 0.0
-	for _, w := range c.Queued[:min(urgency, backlog.Urgencies-1)+1] {
+	for _, w := range c.Queued[:backlog.Band(slack)+1] {
 		work += w
 	}
 	return work
 }
 
-// Wait returns the expected time until a task of the size and urgency starts.
-func (c *Candidate) Wait(s size.Size, urgency int) time.Duration {
-	ahead := c.ahead(urgency)
+// Wait returns the expected time until a task of the size and slack starts.
+func (c *Candidate) Wait(s size.Size, slack time.Duration) time.Duration {
+	ahead := c.ahead(slack)
 	if ahead == 0 && s.Fits(c.Free) {
 		return 0
 	}
@@ -75,9 +76,10 @@
 
 // Request is one task that needs an endpoint.
 type Request struct {
-	Number   int
-	Size     size.Size
-	Urgency  int
+	Number int
+	Size   size.Size
+	// Slack is the time that is left for a start that is on time.
+	Slack    time.Duration
 	Expected time.Duration
 	Label    string
 	Near     string
@@ -108,9 +110,9 @@
 			return choices, false
 		}
 		c := &candidates[best]
-		wait, run := c.Wait(r.Size, r.Urgency), c.run(r)
+		wait, run := c.Wait(r.Size, r.Slack), c.run(r)
 		choices = append(choices, Choice{Number: r.Number, Agent: c.Name, Wait: wait, Ends: wait + run})
-		c.Add(r.Size, r.Urgency, r.Expected)
+		c.Add(r.Size, r.Slack, r.Expected)
 		c.Taken++
 	}
 	return choices, true
@@ -134,7 +136,7 @@
 		if !c.allows(r) {
 			continue
 		}
-		cost := waitWeight*c.Wait(r.Size, r.Urgency) + c.run(r)
+		cost := waitWeight*c.Wait(r.Size, r.Slack) + c.run(r)
 		if !found || cost < least {
 			best, least, found = i, cost, true
 		}
@@ -148,6 +150,32 @@
 		(r.Spread == 0 || c.Taken < r.Spread)
 }
 
+// Backlog returns how long the endpoints together need for the work that waits and
+// can still be on time.
+func Backlog(candidates []Candidate) time.Duration {
+	waits, rate := 0.0, 0.0
+	for i := range candidates {
+		c := &candidates[i]
+		for _, w := range c.Queued[:backlog.Bands-1] {
+			waits += w
+		}
+		rate += float64(c.Capacity.CPU) / c.Slowness
+	}
+	if rate == 0 {
+		return 0
+	}
+	return time.Duration(waits / rate * float64(time.Millisecond))
+}
+
+// Longest returns the longest wait of the choices.
+func Longest(choices []Choice) time.Duration {
+	var longest time.Duration
+	for _, c := range choices {
+		longest = max(longest, c.Wait)
+	}
+	return longest
+}
+
 // Latest returns the time until the last of the choices has ended.
 func Latest(choices []Choice) time.Duration {
 	var latest time.Duration
--- a/process/replay/loads_test.go
+++ b/process/replay/loads_test.go
@@ -28,6 +28,18 @@
 	return list
 }
 
+// site has the endpoints of a users' site: one in three is larger and faster.
+func site(t *testing.T, seed uint64) *world {
+	t.Helper()
+	w := newWorld(t, seed, 3, speeds(11))
+	for _, s := range w.sidecars {
+		if s.speed < 1 {
+			s.resize(48000)
+		}
+	}
+	return w
+}
+
 // burst multiplies the load of one kind, or of all where no name is given.
 func burst(all []kind, name string, times float64) []kind {
 	var list []kind
@@ -100,3 +112,30 @@
 		i.True(slowness > 0.8 && slowness < 1.25)
 	}
 }
+
+func TestDebugBurst(t *testing.T) {
+	for _, c := range []struct{name string; x float64}{{"", 1.6}, {"", 2}, {"", 2.5},{"hold",3}} {
+		total := 0.0
+		all := map[string]*tally{}
+		for seed := uint64(1); seed <= 6; seed++ {
+		w := site(t, seed)
+		w.load(kinds(), 3*time.Second)
+		w.play(3*time.Second)
+		w.score = map[string]*tally{}
+		w.load(burst(kinds(), c.name, c.x), 5*time.Second)
+		w.play(10*time.Second)
+		total += quiet(w)
+		for n, s := range w.score { if all[n]==nil {all[n]=&tally{}}; a:=all[n]; a.asked+=s.asked;a.onTime+=s.onTime;a.late+=s.late;a.refused+=s.refused;a.failed+=s.failed }
+		}
+		t.Logf("%v %.3f check %v list %v hold %v", c, total/6, *all["check"], *all["list"], *all["hold"])
+	}
+}
+func quiet(w *world) float64 {
+	earned, owed := 0.0, 0.0
+	for _, k := range kinds() {
+		s := w.tally(k.name)
+		earned += k.worth * (float64(s.onTime) + float64(s.late)/5)
+		owed += k.worth * float64(s.asked)
+	}
+	return earned/owed
+}
--- a/process/replay/sidecar_test.go
+++ b/process/replay/sidecar_test.go
@@ -223,13 +223,14 @@
 	s.runner.Report(runner.Report{Asked: s.world.now, Ended: s.unread})
 	s.unread = nil
 	s.runner.Tick()
-	clear(s.pending)
 	for _, e := range s.world.entries {
 		if e.dead {
 			continue
 		}
 		s.runner.Heard(e.incarnation, fmt.Sprint(e.incarnation%100), s.world.now)
-		e.scheduler.Attached(s.name, "zone", s.runner.Held(e.incarnation), &wire.SidecarFrame{Endpoint: s.endpoint()})
+		first := &wire.SidecarFrame{Endpoint: s.endpoint(), Room: s.runner.Room(), Events: s.pending[e.incarnation]}
+		delete(s.pending, e.incarnation)
+		e.scheduler.Attached(s.name, "zone", s.runner.Held(e.incarnation), first)
 		s.send(e)
 	}
 }
@@ -311,3 +312,12 @@
 	}
 	return list
 }
+
+// resize changes the endpoint's capacity.
+func (s *sidecar) resize(cpu int) {
+	s.capacity.CPU = cpu
+	s.runner.Accept(s.capacity)
+	for _, e := range s.world.entries {
+		e.scheduler.Frame(s.name, &wire.SidecarFrame{Endpoint: s.endpoint(), Room: s.runner.Room()})
+	}
+}
--- a/process/replay/world_test.go
+++ b/process/replay/world_test.go
@@ -61,6 +61,8 @@
 	running map[string]int
 	works   map[string]job
 	score   map[string]*tally
+	// usedArea and wholeArea sum use and capacity over time.
+	usedArea, wholeArea float64
 }
 
 // kind is a queue with the load that is sent to it.
@@ -124,9 +126,18 @@
 			}
 		}
 	})
+	w.every(50*time.Millisecond, func() {
+		for _, s := range w.sidecars {
+			w.usedArea += float64(s.used)
+			w.wholeArea += float64(s.capacity.CPU)
+		}
+	})
 	return w
 }
 
+// busy is the share of all capacity that was in use so far.
+func (w *world) busy() float64 { return w.usedArea / w.wholeArea }
+
 func (w *world) after(d time.Duration, run func()) {
 	w.turn++
 	heap.Push(&w.queue, event{at: w.now.Add(d), turn: w.turn, run: run})
--- a/process/runner/report.go
+++ b/process/runner/report.go
@@ -148,7 +148,7 @@
 	free := r.ledger.Free()
 	room := &wire.Room{
 		Free:    &wire.Size{Cpu: uint32(max(0, free.CPU)), Memory: uint32(max(0, free.Memory)), Accelerators: uint32(max(0, free.Accelerators))},
-		Queued:  r.backlog.Queued(),
+		Queued:  r.backlog.Queued(r.host.Now()),
 		Waiting: uint32(r.backlog.Len()),
 	}
 	now := r.host.Now()
--- a/process/runner/runner.go
+++ b/process/runner/runner.go
@@ -228,8 +228,8 @@
 		}
 		r.backlog.Add(backlog.Item{
 			Name: n, Urgency: int(o.GetUrgency()), Size: t.size, Expected: t.expected,
-			Since: now.Add(-time.Duration(o.GetAgeMs()) * time.Millisecond),
-			Until: now.Add(time.Duration(o.GetStartWithinMs()) * time.Millisecond),
+			OnTime: now.Add(time.Duration(o.GetOnTimeWithinMs()) * time.Millisecond),
+			Until:  now.Add(time.Duration(o.GetStartWithinMs()) * time.Millisecond),
 		})
 	}
 	r.fill()
@@ -256,7 +256,7 @@
 // fill starts what waits as long as there is room.
 func (r *Runner) fill() {
 	for r.accepting {
-		item, found := r.backlog.Next(r.ledger.Free())
+		item, found := r.backlog.Next(r.ledger.Free(), r.host.Now())
 		if !found {
 			return
 		}
--- a/process/scheduler/events.go
+++ b/process/scheduler/events.go
@@ -126,7 +126,7 @@
 // next places what is ready of a job that is under way.
 func (s *Scheduler) next(j *job, reason string) {
 	now := s.host.Now()
-	choices, fits := s.choose(j)
+	choices, _, fits := s.choose(j)
 	switch {
 	case !fits && now.Before(s.useful(j)):
 		// Agents may be back within the caller's time.
@@ -198,7 +198,7 @@
 	s.candidates = s.fleet.Candidates(p.job.queue.Service, s.host.Now(), s.candidates[:0])
 	for i := range s.candidates {
 		c := &s.candidates[i]
-		if c.Name != p.agent && c.Wait(spec.Size, p.job.queue.Urgency) == 0 {
+		if c.Name != p.agent && c.Wait(spec.Size, s.slack(p.job, p.expected)) == 0 {
 			return true
 		}
 	}
--- a/process/scheduler/scheduler.go
+++ b/process/scheduler/scheduler.go
@@ -4,6 +4,7 @@
 package scheduler
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -27,8 +28,15 @@
 	// remembered is how long completed jobs are known, for copies of a request that
 	// arrive after its answer.
 	remembered = 30 * time.Second
+	// mostBacklog is the backlog up to which the most urgent jobs are taken: what waits
+	// starts within the slack of the shortest jobs, of some 100 ms.
+	mostBacklog = 100 * time.Millisecond
+	// shedStep is how much less backlog each further level of urgency may find.
+	shedStep = 0.8
 	// answerMargin is left of a caller's time for the answer's way back.
 	answerMargin = 15 * time.Millisecond
+	// onTimeMargin is left of a job's objective for messages and for the way back.
+	onTimeMargin = 15 * time.Millisecond
 	// leastRetry and mostRetry bound Retry-After.
 	leastRetry, mostRetry = time.Second, 5 * time.Second
 )
@@ -161,16 +169,17 @@
 		return
 	}
 	j := s.newJob(r)
-	choices, fits := s.choose(j)
+	choices, backlog, fits := s.choose(j)
 	if !fits {
 		s.refuse(r, "no-endpoint", "no endpoint can take the job", 0)
 		return
 	}
 	ends := placement.Latest(choices)
-	allowed := min(admitted(j.objective), r.Budget-answerMargin)
-	if ends > allowed {
-		s.host.Decided("refused", id, "reason", "overload", "queue", r.Queue.Name, "ends", ends, "objective", j.objective, "budget", r.Budget)
-		r.Reply(refusal("overload", "the job could not end in time", ends-allowed))
+	allowed := min(j.objective, r.Budget-answerMargin)
+	crowded := backlog > admitted(r.Queue.Urgency) && placement.Longest(choices) > 0
+	if crowded || ends > allowed {
+		s.host.Decided("refused", id, "reason", "overload", "queue", r.Queue.Name, "backlog", backlog, "ends", ends, "objective", j.objective, "budget", r.Budget)
+		r.Reply(refusal("overload", "the job could not end in time", max(backlog, ends-allowed)))
 		return
 	}
 	s.jobs[id] = j
@@ -179,8 +188,12 @@
 	s.send(j, choices)
 }
 
-// admitted is the expected response time up to which jobs are taken.
-func admitted(objective time.Duration) time.Duration { return objective }
+// admitted is the backlog up to which jobs of an urgency are taken where some task
+// has to wait. Each level is shed at its own backlog, so that the less urgent goes
+// first and none goes wholly.
+func admitted(urgency int) time.Duration {
+	return time.Duration(float64(mostBacklog) * math.Pow(shedStep, float64(urgency)))
+}
 
 func (s *Scheduler) refuse(r Request, reason, detail string, after time.Duration) {
 	s.host.Decided("refused", r.Work.ID(), "reason", reason, "queue", r.Queue.Name)
@@ -203,8 +216,9 @@
 	return s.forecast.Expect(j.queue.Name, j.work.Steps()[step].Estimate)
 }
 
-// choose gives the job's ready tasks endpoints; false where one fits nowhere.
-func (s *Scheduler) choose(j *job) ([]placement.Choice, bool) {
+// choose gives the job's ready tasks endpoints; false where one fits nowhere. The
+// backlog is what it found.
+func (s *Scheduler) choose(j *job) (choices []placement.Choice, backlog time.Duration, fits bool) {
 	now := s.host.Now()
 	s.candidates = s.fleet.Candidates(j.queue.Service, now, s.candidates[:0])
 	ready := j.progress.Ready()
@@ -218,11 +232,13 @@
 			s.countTaken(j, step, spec.Spread)
 		}
 		requests = append(requests, placement.Request{
-			Number: number, Size: spec.Size, Urgency: j.queue.Urgency, Expected: s.expect(j, step),
+			Number: number, Size: spec.Size, Slack: s.slack(j, s.expect(j, step)), Expected: s.expect(j, step),
 			Label: spec.Label, Near: spec.Near, Spread: spec.Spread,
 		})
 	}
-	return placement.Choose(requests, s.candidates)
+	backlog = placement.Backlog(s.candidates)
+	choices, fits = placement.Choose(requests, s.candidates)
+	return choices, backlog, fits
 }
 
 func (s *Scheduler) countTaken(j *job, step, spread int) {
@@ -260,7 +276,6 @@
 func (s *Scheduler) offer(j *job, agent string, choices []placement.Choice, now time.Time) {
 	offer := &wire.Offer{
 		Job: j.work.ID(), Payload: j.work.Payload(), Urgency: uint32(max(0, j.queue.Urgency)),
-		AgeMs: uint32(now.Sub(j.begun).Milliseconds()),
 	}
 	slowness := s.fleet.Speeds().Slowness(agent, now)
 	for _, c := range choices {
@@ -281,6 +296,7 @@
 			Size:       &wire.Size{Cpu: uint32(spec.Size.CPU), Memory: uint32(spec.Size.Memory), Accelerators: uint32(spec.Size.Accelerators)},
 		})
 		within := s.useful(j).Sub(now) - p.expected
+		offer.OnTimeWithinMs = s.slack(j, p.expected).Milliseconds()
 		offer.StartWithinMs = uint32(max(1, within.Milliseconds()))
 	}
 	number, sent := s.host.Send(agent, offer)
@@ -291,10 +307,15 @@
 			continue
 		}
 		step, _ := j.work.Task(c.Number)
-		s.fleet.Sent(agent, number, j.queue.Urgency, j.work.Steps()[step].Size, s.expect(j, step))
+		s.fleet.Sent(agent, number, s.slack(j, s.expect(j, step)), j.work.Steps()[step].Size, s.expect(j, step))
 	}
 }
 
+// slack is the time that is left for a start after which the job is still on time.
+func (s *Scheduler) slack(j *job, run time.Duration) time.Duration {
+	return j.begun.Add(j.objective - run - onTimeMargin).Sub(s.host.Now())
+}
+
 // useful is the time until which an answer is of use to the caller.
 func (s *Scheduler) useful(j *job) time.Time {
 	late := j.begun.Add(lateFactor * j.objective)
