--- a/process/registration/registration.go
+++ b/process/registration/registration.go
@@ -79,6 +79,18 @@
 	return Changed
 }
 
+// Recall takes an announcement that was kept from before this process, where the
+// endpoint itself has not spoken and still lives the same life. Its own next one is
+// newer.
+func (r *Registration) Recall(a Announcement, born time.Time) bool {
+	if r.known || !a.Born.Equal(born) {
+		return false
+	}
+	a.Sequence = 0
+	r.current, r.known = a, true
+	return true
+}
+
 // Leave notes that an endpoint has left for good; it reports whether it was the
 // current one.
 func (r *Registration) Leave(instance string) bool {
--- a/process/registration/registration_test.go
+++ b/process/registration/registration_test.go
@@ -47,3 +47,14 @@
 	i.Equal(r.Announce(announcement("a", 10, 4)), registration.Stale)
 	i.Equal(r.Announce(announcement("a", 11, 1)), registration.Reborn)
 }
+
+func TestKeptAnnouncementCountsForTheSameLifeOnly(t *testing.T) {
+	i := is.New(t)
+	r := registration.New()
+	kept := announcement("a", 10, 7)
+	i.True(!r.Recall(kept, time.UnixMilli(11)))
+	i.True(r.Recall(kept, time.UnixMilli(10)))
+	// The endpoint's own word comes after it, whatever its number.
+	i.Equal(r.Announce(announcement("a", 10, 1)), registration.Same)
+	i.True(!r.Recall(kept, time.UnixMilli(10)))
+}
--- a/process/sidecar/actor.go
+++ b/process/sidecar/actor.go
@@ -27,6 +27,7 @@
 	tick      struct{}
 	drain     struct{ done chan<- struct{} }
 	announced struct{ announcement registration.Announcement }
+	recalled  struct{ announcement registration.Announcement }
 	left      struct{ instance string }
 	// opened, closed and received come from the sessions with dispatchers.
 	opened struct {
@@ -74,11 +75,13 @@
 	pending map[uint64][]*wire.TaskEvent
 	urgent  map[uint64]bool
 	recent  map[uint64][]past
-	born    time.Time
-	reach   string
-	drains  bool
-	state   *wire.EndpointState
-	room    *wire.Room
+	// kept is what an earlier sidecar was told.
+	kept   *registration.Announcement
+	born   time.Time
+	reach  string
+	drains bool
+	state  *wire.EndpointState
+	room   *wire.Room
 }
 
 func newRunnerActor(s *Sidecar) *runnerActor {
@@ -103,6 +106,9 @@
 		close(m.done)
 	case announced:
 		a.announce(m.announcement)
+	case recalled:
+		a.kept = &m.announcement
+		a.recall()
 	case left:
 		if a.registration.Leave(m.instance) {
 			klog.InfoS("CH1112 endpoint left", "agent", a.sidecar.deps.Name, "instance", m.instance)
@@ -124,6 +130,7 @@
 		a.runner.Forget(m.reason)
 		a.born = m.born
 		a.reach = ""
+		a.recall()
 		a.open()
 	case listed:
 		a.listed(m.report)
@@ -183,13 +190,31 @@
 		klog.InfoS("CH1113 announcement is out of date", "agent", a.sidecar.deps.Name, "instance", n.Instance, "born", n.Born, "sequence", n.Sequence)
 	case registration.Same:
 	case registration.Changed:
+		a.keep()
 		a.open()
 	case registration.Reborn:
+		a.keep()
 		a.sidecar.keeper.expect(n.Instance, n.Born)
 		a.open()
 	}
 }
 
+// keep writes what the endpoint says for the next sidecar.
+func (a *runnerActor) keep() {
+	current, _ := a.registration.Current()
+	go a.sidecar.remember(current)
+}
+
+// recall goes by what an earlier sidecar was told while the endpoint lives the same life.
+func (a *runnerActor) recall() {
+	if a.kept == nil || a.born.IsZero() || !a.registration.Recall(*a.kept, a.born) {
+		return
+	}
+	klog.InfoS("CH1115 announcement to an earlier sidecar counts", "agent", a.sidecar.deps.Name, "instance", a.kept.Instance, "born", a.born)
+	a.sidecar.keeper.expect(a.kept.Instance, a.born)
+	a.open()
+}
+
 func (a *runnerActor) listed(p runner.Report) {
 	if a.reach != "" {
 		a.reach = ""
--- a/process/sidecar/sidecar.go
+++ b/process/sidecar/sidecar.go
@@ -37,6 +37,12 @@
 	LeaseEnds() time.Time
 }
 
+// Memory keeps what the endpoint last said of itself beyond the life of a sidecar.
+type Memory interface {
+	Remember(ctx context.Context, a registration.Announcement) error
+	Recall(ctx context.Context) (a registration.Announcement, found bool, err error)
+}
+
 // Life is whom orders are meant for and who gives them.
 type Life struct {
 	// Instance is empty where it is not known.
@@ -63,6 +69,7 @@
 	// Dispatchers are addresses of some dispatchers; they may be out of date.
 	Dispatchers []string
 	Endpoint    Endpoint
+	Memory      Memory
 	Clock       clockwork.Clock
 	System      *actor.ActorSystem
 }
@@ -115,6 +122,7 @@
 	var group sync.WaitGroup
 	defer group.Wait()
 	group.Go(func() { s.keeper.run(ctx) })
+	group.Go(func() { s.recall(ctx) })
 	group.Go(func() {
 		s.awaitEmpty(ctx)
 		s.links.run(ctx)
@@ -131,6 +139,25 @@
 	}
 }
 
+// recall brings back what the endpoint said to an earlier sidecar, if the store answers.
+func (s *Sidecar) recall(ctx context.Context) {
+	a, found, err := s.deps.Memory.Recall(ctx)
+	switch {
+	case err != nil:
+		klog.InfoS("CH1104 earlier announcement cannot be read", "agent", s.deps.Name, "error", err)
+	case found:
+		s.deps.System.Root.Send(s.runner, recalled{announcement: a})
+	}
+}
+
+// remember writes what the endpoint says. A failure costs the next sidecar the wait for
+// an announcement.
+func (s *Sidecar) remember(a registration.Announcement) {
+	if err := s.deps.Memory.Remember(background(), a); err != nil {
+		klog.InfoS("CH1105 announcement cannot be written", "agent", s.deps.Name, "instance", a.Instance, "error", err)
+	}
+}
+
 // awaitEmpty returns when nothing of an earlier sidecar can run at the endpoint: it
 // was taken over, or every lease from before this process has run out. Dispatchers
 // take a new sidecar's first words as the end of what they gave to the earlier one.
