--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -20,6 +20,9 @@
 	// suspicion is the silence after which an agent gets no new tasks: two heartbeats
 	// of 150 ms are missing.
 	suspicion = 330 * time.Millisecond
+	// moment is how long ago an endpoint was heard that may come back: sessions are
+	// opened anew within a second.
+	moment = 2 * time.Second
 )
 
 type sent struct {
@@ -147,6 +150,17 @@
 // Health returns the evidence against agents.
 func (f *Fleet) Health() *health.Health { return f.health }
 
+// Lately reports whether an endpoint of a service was usable a moment ago, so that it
+// may be again in a moment.
+func (f *Fleet) Lately(service string, now time.Time) bool {
+	for _, a := range f.order {
+		if a.service == service && now.Sub(a.heard) < moment {
+			return true
+		}
+	}
+	return false
+}
+
 // Count returns how many endpoints of a service are heard and accept tasks.
 func (f *Fleet) Count(service string, now time.Time) int {
 	count := 0
--- a/process/scheduler/events.go
+++ b/process/scheduler/events.go
@@ -128,7 +128,7 @@
 	now := s.host.Now()
 	choices, _, fits := s.choose(j)
 	switch {
-	case !fits && now.Before(s.useful(j)):
+	case !fits && now.Before(s.hopeful(j)):
 		// Agents may be back within the caller's time.
 		j.parked = true
 	case !fits || now.Add(placement.Latest(choices)).After(s.useful(j)):
@@ -139,6 +139,15 @@
 	}
 }
 
+// hopeful is the time until which a job waits for endpoints: where nothing has
+// started, as long as it can be on time.
+func (s *Scheduler) hopeful(j *job) time.Time {
+	if j.progress.Started() {
+		return s.useful(j)
+	}
+	return s.host.Now().Add(s.slack(j, s.expect(j, 0)))
+}
+
 // each calls a function for every placed task in the order of their references.
 func (s *Scheduler) each(visit func(p *placed)) {
 	refs := make([]uint64, 0, len(s.refs))
--- a/process/scheduler/scheduler.go
+++ b/process/scheduler/scheduler.go
@@ -28,6 +28,8 @@
 	// remembered is how long completed jobs are known, for copies of a request that
 	// arrive after its answer.
 	remembered = 30 * time.Second
+	// settleTime is how long after its start a dispatcher may lack sessions.
+	settleTime = 1500 * time.Millisecond
 	// mostBacklog is the backlog up to which the most urgent jobs are taken: what waits
 	// starts within the slack of the shortest jobs, of some 100 ms.
 	mostBacklog = 100 * time.Millisecond
@@ -110,13 +112,14 @@
 	done       map[string]time.Time
 	candidates []placement.Candidate
 	firstRun   func() uint64
+	began      time.Time
 }
 
 // New returns a scheduler without jobs. FirstRun gives the number of the first run
 // of a job that comes now: higher than any of the same job's earlier submission.
 func New(host Host, f *fleet.Fleet, firstRun func() uint64) *Scheduler {
 	return &Scheduler{
-		host: host, fleet: f, forecast: forecast.New(), firstRun: firstRun,
+		host: host, began: host.Now(), fleet: f, forecast: forecast.New(), firstRun: firstRun,
 		jobs: map[string]*job{}, refs: map[uint64]*placed{}, done: map[string]time.Time{},
 	}
 }
@@ -170,6 +173,12 @@
 	}
 	j := s.newJob(r)
 	choices, backlog, fits := s.choose(j)
+	if !fits && s.settling(r.Queue.Service) {
+		s.host.Decided("parked", id, "queue", r.Queue.Name, "tasks", r.Work.Tasks(), "objective", j.objective, "budget", r.Budget)
+		s.jobs[id] = j
+		j.parked = true
+		return
+	}
 	if !fits {
 		s.refuse(r, "no-endpoint", "no endpoint can take the job", 0)
 		return
@@ -188,6 +197,14 @@
 	s.send(j, choices)
 }
 
+// settling reports whether endpoints are missing that should be there in a moment:
+// this dispatcher has just started, or its sessions have broken. A job waits for them
+// as long as it can still be on time.
+func (s *Scheduler) settling(service string) bool {
+	now := s.host.Now()
+	return len(s.candidates) == 0 && (now.Sub(s.began) < settleTime || s.fleet.Lately(service, now))
+}
+
 // admitted is the backlog up to which jobs of an urgency are taken where some task
 // has to wait. Each level is shed at its own backlog, so that the less urgent goes
 // first and none goes wholly.
--- a/process/scheduler/scheduler_test.go
+++ b/process/scheduler/scheduler_test.go
@@ -168,6 +168,30 @@
 	i.Equal(len(*answers), 0)
 }
 
+// A dispatcher that has just started waits for its sessions while the job can be on
+// time; then it refuses truthfully. Later a service without endpoints is refused at once.
+func TestJobsWaitForSessionsThatAreOpening(t *testing.T) {
+	i := is.New(t)
+	s, h := newScheduler()
+	first := submit(t, s, "first", 1, time.Second)
+	second := submit(t, s, "second", 1, time.Second)
+	s.Leave("second")
+	i.Equal(len(*first), 0)
+	i.Equal((*second)[0].Outcome(), outcome.NotRun)
+	h.now = h.now.Add(60 * time.Millisecond)
+	join(s, "a")
+	s.Tick()
+	i.Equal(len(h.refs("a")), 1)
+	s.Detached("a")
+	third := submit(t, s, "third", 1, time.Second)
+	i.Equal(len(*third), 0)
+	h.now = h.now.Add(150 * time.Millisecond)
+	s.Tick()
+	i.Equal((*third)[0].Outcome(), outcome.NotRun)
+	h.now = h.now.Add(3 * time.Second)
+	i.Equal((*submit(t, s, "fourth", 1, time.Second))[0].Reason(), "no-endpoint")
+}
+
 func TestTaskThatFailsTooOftenFailsTheJob(t *testing.T) {
 	i := is.New(t)
 	s, h := newScheduler("a")
--- a/process/sidecar/links.go
+++ b/process/sidecar/links.go
@@ -23,8 +23,10 @@
 	heartbeat = 150 * time.Millisecond
 	// sessionSilence replaces a session on which no echo has come for two heartbeats.
 	sessionSilence = 330 * time.Millisecond
-	// openTime bounds the opening of a session.
-	openTime = 600 * time.Millisecond
+	// firstOpen bounds the opening of a session, doubled with each failure up to
+	// lastOpen: a VM without power does not answer, a slow one takes its time.
+	firstOpen = 150 * time.Millisecond
+	lastOpen  = 600 * time.Millisecond
 	// redial and slowRedial are the pauses before a new session: at first, and with an
 	// address that has not answered for dropAfter.
 	redial     = 50 * time.Millisecond
@@ -90,13 +92,16 @@
 func (l *links) keep(ctx context.Context, address string) {
 	clock := l.sidecar.deps.Clock
 	answered := clock.Now()
+	open := firstOpen
 	for ctx.Err() == nil {
 		began := clock.Now()
-		opened, err := l.session(ctx, address)
+		opened, err := l.session(ctx, address, open)
 		if ctx.Err() != nil {
 			return
 		}
+		open = min(2*open, lastOpen)
 		if opened {
+			open = firstOpen
 			answered = clock.Now()
 			klog.InfoS("CH1141 session with dispatcher lost", "agent", l.sidecar.deps.Name, "dispatcher", address, "error", err, "lasted", answered.Sub(began))
 		}
@@ -109,7 +114,7 @@
 }
 
 // session opens one session and serves it; opened tells whether it came about.
-func (l *links) session(ctx context.Context, address string) (opened bool, err error) {
+func (l *links) session(ctx context.Context, address string, within time.Duration) (opened bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	conn, err := grpc.NewClient("passthrough:///"+address,
@@ -121,7 +126,7 @@
 	defer conn.Close()
 	k := &link{address: address, out: outbox.New()}
 	defer k.out.Close()
-	timer := l.sidecar.deps.Clock.AfterFunc(openTime, cancel)
+	timer := l.sidecar.deps.Clock.AfterFunc(within, cancel)
 	defer timer.Stop()
 	k.openedUS = l.sidecar.stamp()
 	stream, err := wire.NewDispatcherClient(conn).Work(ctx)
