Log each offer and start with its inputs; count calls, tasks and beliefs

Numbered events for each kind of decision instead of one number for all; the age of what the dispatcher believes of an agent, its slowness, the backlog and its limit, and the configuration's version stand in the lines.

--- a/process/dispatcher/actor.go
+++ b/process/dispatcher/actor.go
@@ -126,6 +126,6 @@
 }
 
 // Decided logs a decision on a job.
-func (a *schedulerActor) Decided(what, job string, details ...any) {
-	klog.InfoS("CH1021 job "+what, append([]any{"job", job}, details...)...)
+func (a *schedulerActor) Decided(event, job string, details ...any) {
+	klog.InfoS(event, append([]any{"job", job}, details...)...)
 }
--- a/process/dispatcher/dispatcher.go
+++ b/process/dispatcher/dispatcher.go
@@ -50,7 +50,8 @@
 	Clock  clockwork.Clock
 	System *actor.ActorSystem
 	// Decode reads a catalog that another dispatcher has passed on.
-	Decode func(text []byte) (*catalog.Catalog, error)
+	Decode  func(text []byte) (*catalog.Catalog, error)
+	Metrics *metrics.Metrics
 }
 
 // Dispatcher is one dispatcher process.
@@ -74,8 +75,10 @@
 	d := &Dispatcher{
 		deps:        deps,
 		incarnation: uint64(deps.Clock.Now().UnixNano()),
-		metrics:     metrics.New(),
+		metrics:     deps.Metrics,
 	}
+	d.metrics.Watch("corianderhook_jobs_under_way", "Jobs that have been taken and not answered.", func() float64 { return float64(d.jobs.Load()) })
+	d.metrics.Watch("corianderhook_agents_attached", "Agents with a session.", func() float64 { return float64(d.agents.Load()) })
 	d.peers = newPeers(d)
 	d.scheduler = deps.System.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return newSchedulerActor(d) }))
 	return d
@@ -163,7 +166,7 @@
 	}
 	reply := make(chan answer.Answer, 1)
 	d.deps.System.Root.Send(d.scheduler, submit{request: scheduler.Request{
-		Work: work, Queue: queue, Budget: budget,
+		Work: work, Queue: queue, Budget: budget, Version: d.Catalog().Version(),
 		Reply: func(a answer.Answer) { reply <- a },
 	}})
 	var a answer.Answer
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -150,6 +150,14 @@
 // Health returns the evidence against agents.
 func (f *Fleet) Health() *health.Health { return f.health }
 
+// Age returns how old the last word of an agent is.
+func (f *Fleet) Age(name string, now time.Time) time.Duration {
+	if a, known := f.agents[name]; known {
+		return now.Sub(a.heard)
+	}
+	return 0
+}
+
 // Lately reports whether an endpoint of a service was usable a moment ago, so that it
 // may be again in a moment.
 func (f *Fleet) Lately(service string, now time.Time) bool {
--- a/process/metrics/metrics.go
+++ b/process/metrics/metrics.go
@@ -23,6 +23,11 @@
 	slots     *prometheus.GaugeVec
 	wasted    *prometheus.CounterVec
 	config    prometheus.Gauge
+	taskEnds  *prometheus.CounterVec
+	taskWait  prometheus.Histogram
+	taskRun   prometheus.Histogram
+	calls     *prometheus.CounterVec
+	callTime  *prometheus.HistogramVec
 	mu        sync.Mutex
 	lastWaste map[string]uint64
 }
@@ -63,6 +68,7 @@
 			Name: "corianderhook_config_version", Help: "Configuration version in force.",
 		}),
 	}
+	m.addTasks()
 	m.registry.MustRegister(m.jobs, m.refusals, m.started, m.jobTime, m.startWait, m.waiting, m.slots, m.wasted, m.config)
 	return m
 }
@@ -112,3 +118,43 @@
 	defer m.mu.Unlock()
 	return maps.Clone(m.lastWaste)
 }
+
+// addTasks makes the metrics of tasks at an endpoint and of calls to others.
+func (m *Metrics) addTasks() {
+	m.taskEnds = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "corianderhook_task_events_total", Help: "What became of tasks at this endpoint: started, done, failed, returned, lost.",
+	}, []string{"event"})
+	m.taskWait = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "corianderhook_task_wait_seconds", Help: "Time from the offer of a task to its start.", Buckets: buckets(),
+	})
+	m.taskRun = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "corianderhook_task_run_seconds", Help: "Time from the start of a task to its end.", Buckets: buckets(),
+	})
+	m.calls = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "corianderhook_calls_total", Help: "Calls to the store and to the endpoint by result.",
+	}, []string{"target", "call", "result"})
+	m.callTime = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "corianderhook_call_seconds", Help: "Time of calls to the store and to the endpoint.", Buckets: buckets(),
+	}, []string{"target", "call"})
+	m.registry.MustRegister(m.taskEnds, m.taskWait, m.taskRun, m.calls, m.callTime)
+}
+
+// Task counts an event of a task.
+func (m *Metrics) Task(event string) { m.taskEnds.WithLabelValues(event).Inc() }
+
+// TaskWaited takes how long a task waited for its start.
+func (m *Metrics) TaskWaited(waited time.Duration) { m.taskWait.Observe(waited.Seconds()) }
+
+// TaskRan takes how long a task ran.
+func (m *Metrics) TaskRan(ran time.Duration) { m.taskRun.Observe(ran.Seconds()) }
+
+// Called counts a call to the store or to the endpoint.
+func (m *Metrics) Called(target, call, result string, took time.Duration) {
+	m.calls.WithLabelValues(target, call, result).Inc()
+	m.callTime.WithLabelValues(target, call).Observe(took.Seconds())
+}
+
+// Watch adds a gauge that is read when the metrics are fetched.
+func (m *Metrics) Watch(name, help string, read func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
+}
--- a/process/replay/loads_test.go
+++ b/process/replay/loads_test.go
@@ -76,7 +76,7 @@
 	for _, e := range w.entries {
 		t.Log(e.decided)
 		// Nothing that runs is stopped while all is well.
-		i.True(e.decided["task overdue"]*100 < w.tally("check").asked)
+		i.True(e.decided["CH1035 task overdue"]*100 < w.tally("check").asked)
 	}
 }
 
--- a/process/replay/world_test.go
+++ b/process/replay/world_test.go
@@ -286,7 +286,7 @@
 	})
 }
 
-func (e *entry) Decided(what, _ string, _ ...any) { e.decided[what]++ }
+func (e *entry) Decided(event, _ string, _ ...any) { e.decided[event]++ }
 
 func (w *world) sidecar(name string) *sidecar {
 	for _, s := range w.sidecars {
--- a/process/runner/report.go
+++ b/process/runner/report.go
@@ -82,7 +82,7 @@
 	case EndedOtherwise:
 	}
 	if kind != wire.TaskEventKind_TASK_EVENT_KIND_DONE {
-		r.host.Decided("run ended", t.order, "how", e.Reason)
+		r.host.Decided("CH1125 run ended otherwise than well", t.order, "how", e.Reason)
 	}
 	r.end(t, kind, e.Reason)
 }
--- a/process/runner/runner.go
+++ b/process/runner/runner.go
@@ -56,8 +56,8 @@
 	Stop(name string, o Order)
 	// Send queues events for a dispatcher.
 	Send(dispatcher uint64, events ...*wire.TaskEvent)
-	// Decided logs a decision on a task.
-	Decided(what string, o Order, details ...any)
+	// Decided logs a decision on a task under a numbered event.
+	Decided(event string, o Order, details ...any)
 }
 
 // Result is what became of a start order.
@@ -280,6 +280,7 @@
 	t.phase = starting
 	t.orderedAt = now
 	t.tries = 1
+	r.host.Decided("CH1126 task started", t.order, "waited", now.Sub(t.offered), "free", r.ledger.Free(), "heard", now.Sub(s.heard))
 	r.host.Start(t.name, t.order)
 	r.host.Send(t.dispatcher, &wire.TaskEvent{Ref: t.ref, Kind: wire.TaskEventKind_TASK_EVENT_KIND_STARTED, WaitedMs: millis(now.Sub(t.offered))})
 }
@@ -296,7 +297,7 @@
 	switch {
 	case result == Refused && t.tries == 1:
 		// With no earlier order in doubt nothing of the task can run.
-		r.host.Decided("start refused", t.order, "reason", reason)
+		r.host.Decided("CH1121 start refused", t.order, "reason", reason)
 		r.end(t, wire.TaskEventKind_TASK_EVENT_KIND_LOST, "start refused: "+reason)
 	case t.phase != starting:
 	case result == Running:
@@ -305,7 +306,7 @@
 		// The same run again: the endpoint starts it once, and a delayed copy of the
 		// first order does nothing then.
 		t.tries++
-		r.host.Decided("start sent again", t.order, "try", t.tries, "reason", reason)
+		r.host.Decided("CH1122 start sent again", t.order, "try", t.tries, "reason", reason)
 		r.host.Start(t.name, t.order)
 	default:
 		r.stop(t, "start in doubt: "+reason)
@@ -319,7 +320,7 @@
 		r.giveBack(t, reason)
 	case starting, running:
 		t.phase = stopping
-		r.host.Decided("stop ordered", t.order, "reason", reason)
+		r.host.Decided("CH1123 stop ordered", t.order, "reason", reason)
 		r.host.Stop(t.name, t.order)
 	case stopping, stopped:
 	}
@@ -342,7 +343,7 @@
 func (r *Runner) giveBack(t *task, reason string) {
 	r.backlog.Remove(t.name)
 	delete(r.tasks, t.name)
-	r.host.Decided("returned without a start", t.order, "reason", reason)
+	r.host.Decided("CH1124 task returned without a start", t.order, "reason", reason)
 	r.host.Send(t.dispatcher, &wire.TaskEvent{
 		Ref: t.ref, Kind: wire.TaskEventKind_TASK_EVENT_KIND_RETURNED, Reason: reason,
 		WaitedMs: millis(r.host.Now().Sub(t.offered)),
--- a/process/scheduler/events.go
+++ b/process/scheduler/events.go
@@ -39,7 +39,7 @@
 	}
 	s.each(func(p *placed) {
 		if p.agent == agent && p.ref <= last && !holds[p.ref] {
-			s.host.Decided("task not held", p.job.work.ID(), "agent", agent, "task", p.number)
+			s.host.Decided("CH1031 task not held", p.job.work.ID(), "agent", agent, "task", p.number)
 			// It may have run: word of its start can be lost.
 			p.job.progress.Start()
 			s.again(p, "the agent does not hold it")
@@ -82,13 +82,14 @@
 		s.observe(p, true, ran)
 		p.job.progress.Start()
 		p.job.progress.Fail(p.number)
-		s.host.Decided("task failed", p.job.work.ID(), "agent", agent, "task", p.number, "ran", ran, "reason", e.GetReason())
+		s.host.Decided("CH1032 task failed", p.job.work.ID(), "agent", agent, "task", p.number, "ran", ran, "reason", e.GetReason())
 		s.again(p, e.GetReason())
 	case wire.TaskEventKind_TASK_EVENT_KIND_LOST:
 		p.job.progress.Start()
-		s.host.Decided("task lost", p.job.work.ID(), "agent", agent, "task", p.number, "ran", ran, "reason", e.GetReason())
+		s.host.Decided("CH1033 task lost", p.job.work.ID(), "agent", agent, "task", p.number, "ran", ran, "reason", e.GetReason())
 		s.again(p, e.GetReason())
 	case wire.TaskEventKind_TASK_EVENT_KIND_RETURNED, wire.TaskEventKind_TASK_EVENT_KIND_UNSPECIFIED:
+		s.host.Decided("CH1036 task returned", p.job.work.ID(), "agent", agent, "task", p.number, "waited", time.Duration(e.GetWaitedMs())*time.Millisecond, "reason", e.GetReason())
 		s.again(p, e.GetReason())
 	}
 }
@@ -189,13 +190,13 @@
 	switch {
 	case p.started.IsZero() && now.Sub(p.sentAt) > p.wait+recallAfter && s.room(p):
 		p.recalled = true
-		s.host.Decided("task withdrawn", p.job.work.ID(), "agent", p.agent, "task", p.number, "since", now.Sub(p.sentAt), "foretold", p.wait)
+		s.host.Decided("CH1034 task withdrawn", p.job.work.ID(), "agent", p.agent, "task", p.number, "since", now.Sub(p.sentAt), "foretold", p.wait)
 		s.host.Withdraw(p.agent, p.ref)
 	case !p.started.IsZero() && now.Sub(p.started) > max(overdueFactor*p.expected, overdueLeast) &&
 		now.Add(stopTime+p.expected).Before(s.useful(p.job)):
 		p.recalled = true
 		s.overdue(p, now)
-		s.host.Decided("task overdue", p.job.work.ID(), "agent", p.agent, "task", p.number, "since", now.Sub(p.started), "expected", p.expected)
+		s.host.Decided("CH1035 task overdue", p.job.work.ID(), "agent", p.agent, "task", p.number, "since", now.Sub(p.started), "expected", p.expected)
 		s.host.Cancel(p.agent, p.ref)
 	}
 }
--- a/process/scheduler/scheduler.go
+++ b/process/scheduler/scheduler.go
@@ -54,8 +54,8 @@
 	Cancel(agent string, ref uint64)
 	// Withdraw asks an agent for a task back that has not started.
 	Withdraw(agent string, ref uint64)
-	// Decided logs a decision on a job.
-	Decided(what, job string, details ...any)
+	// Decided logs a decision on a job under a numbered event.
+	Decided(event, job string, details ...any)
 }
 
 // Request is a job with what its sender and its queue ask for.
@@ -63,6 +63,8 @@
 	Work *workload.Workload
 	// Queue is as of the configuration in force when the job came.
 	Queue catalog.Queue
+	// Version is the configuration's.
+	Version uint64
 	// Budget is how long the caller waits.
 	Budget time.Duration
 	// Reply takes the answer; it is called once.
@@ -161,12 +163,12 @@
 func (s *Scheduler) Submit(r Request) {
 	id := r.Work.ID()
 	if _, known := s.done[id]; known {
-		s.host.Decided("answered again", id)
+		s.host.Decided("CH1025 job answered again", id)
 		r.Reply(answer.New(outcome.Complete, "complete", "the job was completed before"))
 		return
 	}
 	if j, known := s.jobs[id]; known {
-		s.host.Decided("joined", id)
+		s.host.Decided("CH1024 job joined", id)
 		j.replies = append(j.replies, r.Reply)
 		j.callers++
 		return
@@ -174,7 +176,7 @@
 	j := s.newJob(r)
 	choices, backlog, fits := s.choose(j)
 	if !fits && s.settling(r.Queue.Service) {
-		s.host.Decided("parked", id, "queue", r.Queue.Name, "tasks", r.Work.Tasks(), "objective", j.objective, "budget", r.Budget)
+		s.host.Decided("CH1023 job parked", id, "queue", r.Queue.Name, "tasks", r.Work.Tasks(), "objective", j.objective, "budget", r.Budget)
 		s.jobs[id] = j
 		j.parked = true
 		return
@@ -187,13 +189,14 @@
 	allowed := min(j.objective, r.Budget-answerMargin)
 	crowded := backlog > admitted(r.Queue.Urgency) && placement.Longest(choices) > 0
 	if crowded || ends > allowed {
-		s.host.Decided("refused", id, "reason", "overload", "queue", r.Queue.Name, "backlog", backlog, "ends", ends, "objective", j.objective, "budget", r.Budget)
+		s.host.Decided("CH1022 job refused", id, "reason", "overload", "queue", r.Queue.Name, "backlog", backlog,
+			"limit", admitted(r.Queue.Urgency), "ends", ends, "objective", j.objective, "budget", r.Budget, "endpoints", len(s.candidates), "version", r.Version)
 		r.Reply(refusal("overload", "the job could not end in time", max(backlog, ends-allowed)))
 		return
 	}
 	s.jobs[id] = j
-	s.host.Decided("accepted", id, "queue", r.Queue.Name, "tasks", r.Work.Tasks(), "ends", ends,
-		"objective", j.objective, "budget", r.Budget, "catalog", r.Queue.Name)
+	s.host.Decided("CH1021 job accepted", id, "queue", r.Queue.Name, "tasks", r.Work.Tasks(), "ends", ends,
+		"objective", j.objective, "budget", r.Budget, "backlog", backlog, "endpoints", len(s.candidates), "version", r.Version)
 	s.send(j, choices)
 }
 
@@ -213,7 +216,7 @@
 }
 
 func (s *Scheduler) refuse(r Request, reason, detail string, after time.Duration) {
-	s.host.Decided("refused", r.Work.ID(), "reason", reason, "queue", r.Queue.Name)
+	s.host.Decided("CH1022 job refused", r.Work.ID(), "reason", reason, "queue", r.Queue.Name, "endpoints", len(s.candidates), "version", r.Version)
 	r.Reply(refusal(reason, detail, after))
 }
 
@@ -317,6 +320,8 @@
 		offer.StartWithinMs = uint32(max(1, within.Milliseconds()))
 	}
 	number, sent := s.host.Send(agent, offer)
+	s.host.Decided("CH1027 tasks offered", j.work.ID(), "agent", agent, "tasks", len(choices), "sent", sent, "wait", choices[0].Wait,
+		"heard", s.fleet.Age(agent, now), "slowness", slowness, "first", offer.GetTasks()[0].GetIndex())
 	for _, c := range choices {
 		if !sent {
 			s.takeBack(j.placed[c.Number])
@@ -393,7 +398,7 @@
 		s.learn(j)
 		s.done[j.work.ID()] = now
 	}
-	s.host.Decided("ended", j.work.ID(), "queue", j.queue.Name, "outcome", a.Outcome(), "reason", a.Reason(), "detail", a.Detail(),
+	s.host.Decided("CH1026 job ended", j.work.ID(), "queue", j.queue.Name, "outcome", a.Outcome(), "reason", a.Reason(), "detail", a.Detail(),
 		"took", now.Sub(j.begun), "objective", j.objective, "undone", j.progress.Undone(), "placed", len(j.placed))
 	for _, reply := range j.replies {
 		reply(a)
@@ -419,7 +424,7 @@
 		Agent: p.agent, Kind: p.job.queue.Name, Job: p.job.work.ID(), Index: uint32(p.number), Failed: failed, Seconds: ratio,
 	}, now)
 	if verdict != health.Keep {
-		s.host.Decided("agent judged", p.job.work.ID(), "agent", p.agent, "verdict", verdict, "failed", failed, "ran", ran, "expected", expected)
+		s.host.Decided("CH1041 agent judged", p.job.work.ID(), "agent", p.agent, "verdict", verdict, "failed", failed, "ran", ran, "expected", expected)
 	}
 	if !failed {
 		p.job.runs[step] = append(p.job.runs[step], speed.Run{Agent: p.agent, Ran: ran})
--- a/process/sidecar/actor.go
+++ b/process/sidecar/actor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -338,6 +339,7 @@
 	a.pending[dispatcher] = append(a.pending[dispatcher], events...)
 	now := a.Now()
 	for _, e := range events {
+		a.measure(e)
 		a.recent[dispatcher] = append(a.recent[dispatcher], past{at: now, event: e})
 		if e.GetKind() != wire.TaskEventKind_TASK_EVENT_KIND_STARTED {
 			a.urgent[dispatcher] = true
@@ -345,9 +347,23 @@
 	}
 }
 
+// measure counts an event of a task.
+func (a *runnerActor) measure(e *wire.TaskEvent) {
+	m := a.sidecar.metrics
+	event := strings.ToLower(strings.TrimPrefix(e.GetKind().String(), "TASK_EVENT_KIND_"))
+	m.Task(event)
+	switch e.GetKind() {
+	case wire.TaskEventKind_TASK_EVENT_KIND_STARTED:
+		m.TaskWaited(time.Duration(e.GetWaitedMs()) * time.Millisecond)
+	case wire.TaskEventKind_TASK_EVENT_KIND_DONE:
+		m.TaskRan(time.Duration(e.GetRanMs()) * time.Millisecond)
+	default:
+	}
+}
+
 // Decided logs a decision on a task.
-func (a *runnerActor) Decided(what string, o runner.Order, details ...any) {
-	klog.InfoS("CH1121 task "+what, append([]any{"job", o.Job, "step", o.Step, "index", o.Index, "run", o.Run}, details...)...)
+func (a *runnerActor) Decided(event string, o runner.Order, details ...any) {
+	klog.InfoS(event, append([]any{"job", o.Job, "step", o.Step, "index", o.Index, "run", o.Run}, details...)...)
 }
 
 // background bounds nothing: the endpoint's calls end within bounds of their own.
--- a/process/sidecar/sidecar.go
+++ b/process/sidecar/sidecar.go
@@ -68,6 +68,7 @@
 	Zone string
 	// Dispatchers are addresses of some dispatchers; they may be out of date.
 	Dispatchers []string
+	Metrics     *metrics.Metrics
 	Endpoint    Endpoint
 	Memory      Memory
 	Clock       clockwork.Clock
@@ -93,8 +94,10 @@
 		deps:        deps,
 		incarnation: uint64(deps.Clock.Now().UnixNano()),
 		began:       deps.Clock.Now(),
-		metrics:     metrics.New(),
+		metrics:     deps.Metrics,
 	}
+	s.metrics.Watch("corianderhook_tasks_held", "Tasks that wait or may run at the endpoint.", func() float64 { return float64(s.tasks.Load()) })
+	s.metrics.Watch("corianderhook_fence", "Fence of the orders to the endpoint.", func() float64 { return float64(s.keeper.fence.Load()) })
 	s.links = newLinks(s)
 	s.keeper = newKeeper(s)
 	s.runner = deps.System.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return newRunnerActor(s) }))
