Set tools and wiring apart from decisions; report room every 10 ms

lab/ has stand-ins, load driver, experiments and reports, node/ the wiring of the processes, process/ what is left: mostly decisions without I/O. connection/logclient owns the messages of its protocol, so that nothing but tools imports lab/.

--- a/commands/agent.go
+++ b/commands/agent.go
@@ -6,7 +6,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/corianderhook/corianderhook/process/agent"
+	"github.com/corianderhook/corianderhook/node/agent"
 	"github.com/corianderhook/corianderhook/version/config"
 )
 
--- a/commands/bench.go
+++ b/commands/bench.go
@@ -11,8 +11,8 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/corianderhook/corianderhook/process/bench"
-	"github.com/corianderhook/corianderhook/process/report"
+	"github.com/corianderhook/corianderhook/lab/bench"
+	"github.com/corianderhook/corianderhook/lab/report"
 )
 
 // BenchCommand runs experiments.
--- a/commands/demo.go
+++ b/commands/demo.go
@@ -10,8 +10,8 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/corianderhook/corianderhook/process/load"
-	"github.com/corianderhook/corianderhook/process/local"
+	"github.com/corianderhook/corianderhook/lab/load"
+	"github.com/corianderhook/corianderhook/lab/local"
 	"github.com/corianderhook/corianderhook/version/config"
 )
 
--- a/commands/entry.go
+++ b/commands/entry.go
@@ -9,7 +9,7 @@
 	"github.com/corianderhook/corianderhook/connection/certificate"
 	"github.com/corianderhook/corianderhook/connection/logclient"
 	"github.com/corianderhook/corianderhook/connection/security"
-	"github.com/corianderhook/corianderhook/process/entry"
+	"github.com/corianderhook/corianderhook/node/entry"
 	"github.com/corianderhook/corianderhook/version/config"
 )
 
--- a/commands/log.go
+++ b/commands/log.go
@@ -9,8 +9,8 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/corianderhook/corianderhook/process/logstore"
-	"github.com/corianderhook/corianderhook/process/sample"
+	"github.com/corianderhook/corianderhook/lab/logstore"
+	"github.com/corianderhook/corianderhook/lab/sample"
 )
 
 // serverHeaderTime bounds how long a client may take to send its headers.
--- a/commands/publish.go
+++ b/commands/publish.go
@@ -15,8 +15,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/corianderhook/corianderhook/connection/logclient"
+	"github.com/corianderhook/corianderhook/node/entry"
 	"github.com/corianderhook/corianderhook/process/audit"
-	"github.com/corianderhook/corianderhook/process/entry"
 	"github.com/corianderhook/corianderhook/version/publication"
 )
 
--- a/connection/logclient/logclient.go
+++ b/connection/logclient/logclient.go
@@ -13,8 +13,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-
-	"github.com/corianderhook/corianderhook/process/logstore"
 )
 
 const (
@@ -52,7 +50,7 @@
 	if err != nil {
 		return 0, errors.Wrap(err, "log append")
 	}
-	var appended logstore.Appended
+	var appended Appended
 	if err := c.do(request, &appended); err != nil {
 		return 0, errors.Wrapf(err, "append to log stream %q", stream)
 	}
@@ -60,23 +58,23 @@
 }
 
 // Read returns records from an offset on, or none after the given wait.
-func (c *Client) Read(ctx context.Context, stream string, from uint64, wait time.Duration) (logstore.Batch, error) {
+func (c *Client) Read(ctx context.Context, stream string, from uint64, wait time.Duration) (Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+answerTime)
 	defer cancel()
 	query := "?from=" + strconv.FormatUint(from, 10) + "&wait_ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url(stream, query), nil)
 	if err != nil {
-		return logstore.Batch{}, errors.Wrap(err, "log read")
+		return Batch{}, errors.Wrap(err, "log read")
 	}
-	var batch logstore.Batch
+	var batch Batch
 	if err := c.do(request, &batch); err != nil {
-		return logstore.Batch{}, errors.Wrapf(err, "read log stream %q", stream)
+		return Batch{}, errors.Wrapf(err, "read log stream %q", stream)
 	}
 	return batch, nil
 }
 
 // SetFaults tells the stand-in log what to do wrong.
-func (c *Client) SetFaults(ctx context.Context, f logstore.Faults) error {
+func (c *Client) SetFaults(ctx context.Context, f Faults) error {
 	body, err := json.Marshal(f)
 	if err != nil {
 		return errors.Wrap(err, "log faults")
--- a/process/bench/bench.go
+++ b/lab/bench/bench.go
@@ -15,9 +15,9 @@
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/jonboulle/clockwork"
 
-	"github.com/corianderhook/corianderhook/process/load"
-	"github.com/corianderhook/corianderhook/process/local"
-	"github.com/corianderhook/corianderhook/process/sample"
+	"github.com/corianderhook/corianderhook/lab/load"
+	"github.com/corianderhook/corianderhook/lab/local"
+	"github.com/corianderhook/corianderhook/lab/sample"
 	"github.com/corianderhook/corianderhook/version/config"
 )
 
--- a/process/bench/conservation.go
+++ b/lab/bench/conservation.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"github.com/corianderhook/corianderhook/process/sample"
+	"github.com/corianderhook/corianderhook/lab/sample"
 )
 
 // interval is a stretch of time since the start of a run.
--- a/process/bench/conservation_test.go
+++ b/lab/bench/conservation_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/corianderhook/corianderhook/process/sample"
+	"github.com/corianderhook/corianderhook/lab/sample"
 )
 
 func TestIdleSlotIsSeenWhileATaskWaits(t *testing.T) {
--- a/process/bench/floods.go
+++ b/lab/bench/floods.go
@@ -6,8 +6,8 @@
 	"slices"
 	"time"
 
-	"github.com/corianderhook/corianderhook/process/load"
-	"github.com/corianderhook/corianderhook/process/sample"
+	"github.com/corianderhook/corianderhook/lab/load"
+	"github.com/corianderhook/corianderhook/lab/sample"
 )
 
 const (
--- a/process/bench/publish.go
+++ b/lab/bench/publish.go
@@ -11,8 +11,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/corianderhook/corianderhook/connection/logclient"
-	"github.com/corianderhook/corianderhook/process/local"
-	"github.com/corianderhook/corianderhook/process/logstore"
+	"github.com/corianderhook/corianderhook/lab/local"
 	"github.com/corianderhook/corianderhook/version/publication"
 )
 
@@ -42,7 +41,7 @@
 	}
 	defer l.Stop()
 	if weather == "slow" {
-		l.Log().SetFaults(logstore.Faults{DelayMS: 100})
+		l.Log().SetFaults(logclient.Faults{DelayMS: 100})
 	}
 	w := &watcher{local: l, clock: set.Clock, bases: map[string]uint64{}, held: map[string]uint64{}}
 	watchCtx, stop := context.WithCancel(ctx)
@@ -54,10 +53,10 @@
 	lost := 0
 	for i := range publishChanges {
 		if weather == "down" && i == outageFrom {
-			l.Log().SetFaults(logstore.Faults{Down: true})
+			l.Log().SetFaults(logclient.Faults{Down: true})
 		}
 		if weather == "down" && i == outageTo {
-			l.Log().SetFaults(logstore.Faults{})
+			l.Log().SetFaults(logclient.Faults{})
 		}
 		lost += w.publish(ctx, i)
 		set.Clock.Sleep(publishEvery)
--- a/process/bench/scale.go
+++ b/lab/bench/scale.go
@@ -7,7 +7,7 @@
 	"syscall"
 	"time"
 
-	"github.com/corianderhook/corianderhook/process/local"
+	"github.com/corianderhook/corianderhook/lab/local"
 	"github.com/corianderhook/corianderhook/version/config"
 )
 
--- a/process/bench/table.go
+++ b/lab/bench/table.go
@@ -6,8 +6,8 @@
 	"slices"
 	"time"
 
-	"github.com/corianderhook/corianderhook/process/load"
-	"github.com/corianderhook/corianderhook/process/logstore"
+	"github.com/corianderhook/corianderhook/connection/logclient"
+	"github.com/corianderhook/corianderhook/lab/load"
 )
 
 // bound returns a pointer to a stated bound.
@@ -65,7 +65,7 @@
 			Entries: 3, Agents: 4, Slots: 8,
 			Plan: steady(14*time.Second, 0.5, 4*8, 50, 4, "urgent", "plain"),
 			Faults: []Fault{
-				{At: 0, Do: logFaults(logstore.Faults{Down: true})},
+				{At: 0, Do: logFaults(logclient.Faults{Down: true})},
 				{At: 5 * time.Second, Do: replaceAgent(0)},
 			},
 			Report:  reportFault,
@@ -148,7 +148,7 @@
 	}
 }
 
-func logFaults(f logstore.Faults) func(*Run) error {
+func logFaults(f logclient.Faults) func(*Run) error {
 	return func(r *Run) error {
 		r.Local.Log().SetFaults(f)
 		return nil
--- a/process/bench/waves.go
+++ b/lab/bench/waves.go
@@ -6,8 +6,8 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/corianderhook/corianderhook/process/load"
-	"github.com/corianderhook/corianderhook/process/sample"
+	"github.com/corianderhook/corianderhook/lab/load"
+	"github.com/corianderhook/corianderhook/lab/sample"
 )
 
 const (
--- a/process/load/load.go
+++ b/lab/load/load.go
@@ -17,7 +17,7 @@
 	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
 
-	"github.com/corianderhook/corianderhook/process/sample"
+	"github.com/corianderhook/corianderhook/lab/sample"
 	"github.com/corianderhook/corianderhook/request/gateway"
 )
 
--- a/process/load/verdict.go
+++ b/lab/load/verdict.go
@@ -4,7 +4,7 @@
 	"strconv"
 	"time"
 
-	"github.com/corianderhook/corianderhook/process/sample"
+	"github.com/corianderhook/corianderhook/lab/sample"
 )
 
 // Verdict is the check of results against the endpoints' record of starts.
--- a/process/local/local.go
+++ b/lab/local/local.go
@@ -17,11 +17,11 @@
 	"k8s.io/klog/v2"
 
 	"github.com/corianderhook/corianderhook/connection/logclient"
-	"github.com/corianderhook/corianderhook/process/agent"
+	"github.com/corianderhook/corianderhook/lab/logstore"
+	"github.com/corianderhook/corianderhook/lab/sample"
+	"github.com/corianderhook/corianderhook/node/agent"
+	"github.com/corianderhook/corianderhook/node/entry"
 	"github.com/corianderhook/corianderhook/process/dispatch"
-	"github.com/corianderhook/corianderhook/process/entry"
-	"github.com/corianderhook/corianderhook/process/logstore"
-	"github.com/corianderhook/corianderhook/process/sample"
 	"github.com/corianderhook/corianderhook/version/config"
 )
 
--- a/process/logstore/handler.go
+++ b/lab/logstore/handler.go
@@ -8,16 +8,13 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/corianderhook/corianderhook/connection/logclient"
 )
 
 // maxWait is the longest time that a read waits for records.
 const maxWait = 30 * time.Second
 
-// Appended is the answer to an append.
-type Appended struct {
-	Offset uint64 `json:"offset"`
-}
-
 // Handler serves the store over HTTP:
 //
 //	POST /v1/streams/{name}                       appends the body
@@ -43,7 +40,7 @@
 		refuse(w, err)
 		return
 	}
-	reply(w, Appended{Offset: offset})
+	reply(w, logclient.Appended{Offset: offset})
 }
 
 func (s *Store) serveRead(w http.ResponseWriter, r *http.Request) {
@@ -69,7 +66,7 @@
 func (s *Store) serveFaults(w http.ResponseWriter, _ *http.Request) { reply(w, s.Faults()) }
 
 func (s *Store) serveSetFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
+	var f logclient.Faults
 	decoder := json.NewDecoder(r.Body)
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&f); err != nil {
--- a/process/logstore/logstore.go
+++ b/lab/logstore/logstore.go
@@ -11,6 +11,8 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
+
+	"github.com/corianderhook/corianderhook/connection/logclient"
 )
 
 const (
@@ -26,29 +28,6 @@
 // ErrTooLarge is returned for a record over MaxRecordBytes.
 var ErrTooLarge = errors.New("the record is larger than the log takes")
 
-// Faults is what the log is told to do wrong.
-type Faults struct {
-	// Down refuses every call.
-	Down bool `json:"down"`
-	// DelayMS delays every call, in milliseconds.
-	DelayMS int64 `json:"delay_ms"`
-	// LoseAnswers is the share of appends, 0 to 1, that take effect and are then
-	// answered with an error.
-	LoseAnswers float64 `json:"lose_answers"`
-}
-
-// Batch is a run of records that follow each other.
-type Batch struct {
-	// First is the lowest offset that the log still has.
-	First uint64 `json:"first"`
-	// From is the offset of the first record in Records.
-	From uint64 `json:"from"`
-	// Next is the offset that the next append gets.
-	Next uint64 `json:"next"`
-	// Records are the records from From on.
-	Records [][]byte `json:"records"`
-}
-
 type stream struct {
 	first   uint64
 	records [][]byte
@@ -61,7 +40,7 @@
 	clock   clockwork.Clock
 	random  *rand.Rand
 	retain  int
-	faults  Faults
+	faults  logclient.Faults
 	streams map[string]*stream
 	appends uint64
 }
@@ -97,14 +76,14 @@
 }
 
 // SetFaults replaces what the log does wrong from now on.
-func (s *Store) SetFaults(f Faults) {
+func (s *Store) SetFaults(f logclient.Faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = f
 }
 
 // Faults returns what the log does wrong now.
-func (s *Store) Faults() Faults {
+func (s *Store) Faults() logclient.Faults {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.faults
@@ -173,9 +152,9 @@
 
 // Read returns records from an offset on. Where there are none yet it waits for
 // some, at most for the given time.
-func (s *Store) Read(ctx context.Context, name string, from uint64, wait time.Duration) (Batch, error) {
+func (s *Store) Read(ctx context.Context, name string, from uint64, wait time.Duration) (logclient.Batch, error) {
 	if err := s.hinder(ctx); err != nil {
-		return Batch{}, err
+		return logclient.Batch{}, err
 	}
 	deadline := s.clock.After(wait)
 	for {
@@ -185,23 +164,23 @@
 		}
 		select {
 		case <-ctx.Done():
-			return Batch{}, ctx.Err()
+			return logclient.Batch{}, ctx.Err()
 		case <-deadline:
 			return batch, nil
 		case <-changed:
 		}
 		if s.Faults().Down {
-			return Batch{}, ErrDown
+			return logclient.Batch{}, ErrDown
 		}
 	}
 }
 
-func (s *Store) batch(name string, from uint64) (Batch, <-chan struct{}) {
+func (s *Store) batch(name string, from uint64) (logclient.Batch, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := s.stream(name)
 	next := st.first + uint64(len(st.records))
-	b := Batch{First: st.first, From: max(from, st.first), Next: next}
+	b := logclient.Batch{First: st.first, From: max(from, st.first), Next: next}
 	if b.From < next {
 		start := int(b.From - st.first)
 		end := min(len(st.records), start+MaxBatch)
--- a/process/report/report.go
+++ b/lab/report/report.go
@@ -14,7 +14,7 @@
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
 
-	"github.com/corianderhook/corianderhook/process/bench"
+	"github.com/corianderhook/corianderhook/lab/bench"
 )
 
 const (
--- a/process/report/report_test.go
+++ b/lab/report/report_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/corianderhook/corianderhook/process/report"
+	"github.com/corianderhook/corianderhook/lab/report"
 )
 
 func TestReportIsWrittenWhole(t *testing.T) {
--- a/process/entry/entry.go
+++ b/node/entry/entry.go
@@ -20,11 +20,11 @@
 	"github.com/corianderhook/corianderhook/common/instance"
 	"github.com/corianderhook/corianderhook/common/stopper"
 	"github.com/corianderhook/corianderhook/connection/guard"
+	"github.com/corianderhook/corianderhook/connection/logclient"
 	"github.com/corianderhook/corianderhook/connection/peer"
 	"github.com/corianderhook/corianderhook/connection/security"
 	"github.com/corianderhook/corianderhook/process/audit"
 	"github.com/corianderhook/corianderhook/process/dispatch"
-	"github.com/corianderhook/corianderhook/process/logstore"
 	"github.com/corianderhook/corianderhook/process/membership"
 	"github.com/corianderhook/corianderhook/process/metrics"
 	"github.com/corianderhook/corianderhook/process/router"
@@ -39,7 +39,7 @@
 // Log is the platform's log as an entry uses it.
 type Log interface {
 	Append(ctx context.Context, stream string, record []byte) (uint64, error)
-	Read(ctx context.Context, stream string, from uint64, wait time.Duration) (logstore.Batch, error)
+	Read(ctx context.Context, stream string, from uint64, wait time.Duration) (logclient.Batch, error)
 }
 
 // Dependencies are what an entry works with.
--- a/process/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -18,8 +18,9 @@
 	"github.com/corianderhook/corianderhook/process/runner"
 )
 
-// tickEvery is also the least time between two reports of room without a cause.
-const tickEvery = 25 * time.Millisecond
+// tickEvery is also the least time between two reports of room without a cause: a
+// few tasks start and end at an endpoint meanwhile.
+const tickEvery = 10 * time.Millisecond
 
 // Endpoint is the endpoint beside the sidecar. Its calls return within a bound of
 // their own.
--- a/process/audit/audit_test.go
+++ b/process/audit/audit_test.go
@@ -9,8 +9,9 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
+	"github.com/corianderhook/corianderhook/connection/logclient"
+	"github.com/corianderhook/corianderhook/lab/logstore"
 	"github.com/corianderhook/corianderhook/process/audit"
-	"github.com/corianderhook/corianderhook/process/logstore"
 )
 
 // TestOutageKeepsRecordsInOrderAndMarksThemLate runs a trail over an outage of
@@ -21,7 +22,7 @@
 	defer cancel()
 	clock := clockwork.NewFakeClock()
 	log := logstore.New(clock)
-	log.SetFaults(logstore.Faults{Down: true})
+	log.SetFaults(logclient.Faults{Down: true})
 	trail := audit.New(log, clock)
 	go trail.Run(ctx)
 	trail.Add(audit.Record{Who: "e1", What: "claim", Subject: "slot 1"})
@@ -30,7 +31,7 @@
 	is.Equal(trail.Waiting(), 2)
 	clock.Advance(10 * time.Second)
 	is.NoErr(clock.BlockUntilContext(ctx, 1)) // and again
-	log.SetFaults(logstore.Faults{})
+	log.SetFaults(logclient.Faults{})
 	clock.Advance(time.Second)
 	batch, err := log.Read(ctx, audit.Stream, 1, time.Hour) // waits for the second record
 	is.NoErr(err)
