--- a/common/eventlog/eventlog.go
+++ b/common/eventlog/eventlog.go
@@ -91,7 +91,7 @@
 	batch := l.buffer
 	l.buffer = l.spare[:0]
 	if l.dropped > 0 {
-		batch = fmt.Appendf(batch, "W \"CH0003 log lines dropped\" count=%d\n", l.dropped)
+		batch = fmt.Appendf(batch, "W \"CH0005 log lines dropped\" count=%d\n", l.dropped)
 		l.dropped = 0
 	}
 	closed = l.closed
--- a/process/scheduler/scheduler.go
+++ b/process/scheduler/scheduler.go
@@ -99,6 +99,8 @@
 	firstRun uint64
 	// runs holds the tasks that ended well, by step.
 	runs [][]speed.Run
+	// more is how much longer than expected the tasks of a step ran, by step.
+	more []time.Duration
 	// parked: ready tasks fit nowhere at present.
 	parked bool
 }
@@ -226,6 +228,7 @@
 		work: r.Work, queue: r.Queue, progress: progress.New(r.Work, r.Queue.Attempts),
 		begun: now, deadline: now.Add(r.Budget - answerMargin),
 		replies: []func(answer.Answer){r.Reply}, callers: 1, placed: map[int]*placed{}, firstRun: s.firstRun(), runs: make([][]speed.Run, len(r.Work.Steps())),
+		more: make([]time.Duration, len(r.Work.Steps())),
 	}
 	chain := r.Work.Chain(func(step int) time.Duration { return s.expect(j, step) })
 	j.objective = time.Duration(r.Queue.Stretch*float64(chain)) + r.Queue.Latency
@@ -427,10 +430,22 @@
 		s.host.Decided("CH1041 agent judged", p.job.work.ID(), "agent", p.agent, "verdict", verdict, "failed", failed, "ran", ran, "expected", expected)
 	}
 	if !failed {
+		s.stretch(p.job, step, time.Duration(float64(ran)/s.fleet.Speeds().Slowness(p.agent, now)))
 		p.job.runs[step] = append(p.job.runs[step], speed.Run{Agent: p.agent, Ran: ran})
 	}
 }
 
+// stretch lets the objective grow where a job's first tasks ran for longer than its
+// caller had estimated: the others will, too.
+func (s *Scheduler) stretch(j *job, step int, ran time.Duration) {
+	more := ran - s.expect(j, step)
+	if more <= j.more[step] {
+		return
+	}
+	j.objective += time.Duration(j.queue.Stretch * float64(more-j.more[step]))
+	j.more[step] = more
+}
+
 // learn takes the run times of a job that has ended well.
 func (s *Scheduler) learn(j *job) {
 	now := s.host.Now()
--- a/process/scheduler/scheduler_test.go
+++ b/process/scheduler/scheduler_test.go
@@ -242,6 +242,20 @@
 	i.Equal(len(h.cancels), 1)
 }
 
+// A caller's estimate that is far too low ends nothing once tasks have shown better.
+func TestObjectiveGrowsWithWhatTasksTake(t *testing.T) {
+	i := is.New(t)
+	s, h := newScheduler("a")
+	answers := submit(t, s, "job", 2, 5*time.Second)
+	refs := h.refs("a")
+	h.now = h.now.Add(600 * time.Millisecond)
+	s.Frame("a", &wire.SidecarFrame{Events: []*wire.TaskEvent{{Ref: refs[0], Kind: wire.TaskEventKind_TASK_EVENT_KIND_DONE, RanMs: 600}}})
+	h.now = h.now.Add(300 * time.Millisecond)
+	s.Frame("a", event(refs[1], wire.TaskEventKind_TASK_EVENT_KIND_RETURNED))
+	i.Equal(len(*answers), 0)
+	i.Equal(len(h.offers["a"]), 2)
+}
+
 func TestStepsWaitForEachOther(t *testing.T) {
 	i := is.New(t)
 	s, h := newScheduler("a")
