Keep the work of a placement from growing with the square of the endpoints

Each placement asked for the slowness of each endpoint, and each took the median over all; each waiting task looked at all endpoints in every tick; and sidecars reported room up to 100 times a second to each of 8 dispatchers. Ruled out: links (25 Mbit/s), memory (59 of 184 MB).

--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -30,6 +30,14 @@
 	// stoodStill is the suspension after which agents have stopped this process's
 	// tasks, or may have.
 	stoodStill = 100 * time.Millisecond
+	// roomReports is how many reports of room without another cause a dispatcher takes
+	// in a second: some 30 us each, 2 % of a core.
+	roomReports = 700
+	// leastRoomEvery and mostRoomEvery bound the time between two reports of a sidecar,
+	// roomStep keeps it from changing with each session.
+	leastRoomEvery = 10 * time.Millisecond
+	mostRoomEvery  = 100 * time.Millisecond
+	roomStep       = 5 * time.Millisecond
 	// runsPerSlice and runSlice number runs by the time of day: a job comes again
 	// after 1.3 s at the earliest, and runs at most a few times.
 	runSlice     = 500 * time.Millisecond
@@ -239,6 +247,13 @@
 	klog.InfoS("CH1005 dispatcher stopped", "entry", d.deps.Name, "jobs", d.jobs.Load())
 }
 
+// roomEvery is how often a sidecar should report its room: the reports of all sidecars
+// together stay within a budget, whatever their number.
+func (d *Dispatcher) roomEvery() time.Duration {
+	every := time.Duration(d.agents.Load()) * time.Second / roomReports
+	return min(max(every, leastRoomEvery), mostRoomEvery).Truncate(roomStep)
+}
+
 // firstRun numbers the first run of a job that comes now.
 func (d *Dispatcher) firstRun() uint64 {
 	slice := d.deps.Clock.Now().UnixMilli() / runSlice.Milliseconds()
--- a/node/dispatcher/session.go
+++ b/node/dispatcher/session.go
@@ -38,6 +38,8 @@
 	sidecar string
 	out     *outbox.Outbox
 	cancel  context.CancelFunc
+	// roomEvery is what the sidecar was told; the sender alone changes it.
+	roomEvery time.Duration
 	// number counts the frames that carry offers; the actor alone changes it.
 	number uint64
 	stamp  atomic.Uint64
@@ -140,6 +142,10 @@
 // send merges what is ready into one frame.
 func (s *session) send(d *Dispatcher, stream grpc.BidiStreamingServer[wire.SidecarFrame, wire.DispatcherFrame], batch []proto.Message) error {
 	whole := &wire.DispatcherFrame{EchoUs: s.stamp.Load()}
+	if every := d.roomEvery(); every != s.roomEvery {
+		s.roomEvery = every
+		whole.RoomEveryMs = uint32(every.Milliseconds())
+	}
 	for _, m := range batch {
 		f := m.(*wire.DispatcherFrame)
 		whole.Offers = append(whole.Offers, f.GetOffers()...)
--- a/node/sidecar/actor.go
+++ b/node/sidecar/actor.go
@@ -16,6 +16,8 @@
 const (
 	// stopPause is the time between two stop orders for a run.
 	stopPause = 20 * time.Millisecond
+	// startsWithin is how long word of a start may wait for another cause to send.
+	startsWithin = 10 * time.Millisecond
 	// replay is how long events are kept for a dispatcher whose session breaks.
 	replay = time.Second
 	// roomStep is the change of free processor time, in thousandths of a core, that
@@ -255,6 +257,9 @@
 	if f.GetEchoUs() > 0 {
 		a.runner.Heard(l.dispatcher, l.address, a.sidecar.stamped(f.GetEchoUs()))
 	}
+	if every := f.GetRoomEveryMs(); every > 0 {
+		l.roomEvery = time.Duration(every) * time.Millisecond
+	}
 	if f.GetNumber() > 0 {
 		l.seen = f.GetNumber()
 	}
@@ -297,8 +302,9 @@
 	now := a.Now()
 	a.room = a.runner.Room()
 	for d, l := range a.live {
-		due := now.Sub(a.sidecar.stamped(l.sent.Load())) >= heartbeat
-		if due || len(a.pending[d]) > 0 || differ(l.told, a.room) {
+		last := now.Sub(a.sidecar.stamped(l.sent.Load()))
+		due := last >= heartbeat
+		if due || len(a.pending[d]) > 0 && last >= startsWithin || last >= l.roomEvery && differ(l.told, a.room) {
 			a.sendPending(d)
 		}
 	}
--- a/node/sidecar/links.go
+++ b/node/sidecar/links.go
@@ -43,6 +43,8 @@
 	// seen and told belong to the actor.
 	seen uint64
 	told *wire.Room
+	// roomEvery is the least time between two reports of room without another cause.
+	roomEvery time.Duration
 	// sent and heard are the stamps of the last frame each way.
 	sent  atomic.Uint64
 	heard atomic.Uint64
--- /dev/null
+++ b/process/fleet/fleet_test.go
@@ -0,0 +1,79 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/corianderhook/corianderhook/process/fleet"
+	"github.com/corianderhook/corianderhook/process/placement"
+	"github.com/corianderhook/corianderhook/request/size"
+	"github.com/corianderhook/corianderhook/wire"
+)
+
+func now() time.Time { return time.Unix(1_700_000_000, 0) }
+
+func newFleet(agents int) *fleet.Fleet {
+	f := fleet.New("z1")
+	for n := range agents {
+		name := fmt.Sprintf("agent-%02d", n)
+		f.Attach(name, "z1", now())
+		f.Endpoint(name, &wire.EndpointState{
+			Service: "checks", Accepting: true, Labels: []string{"a"}, Capacity: &wire.Size{Cpu: 32000, Memory: 1000},
+		})
+		f.Room(name, &wire.Room{Free: &wire.Size{Cpu: 8000, Memory: 1000}}, 0)
+	}
+	return f
+}
+
+func names(list []placement.Candidate) int { return len(list) }
+
+func TestOnlyHeardAndAcceptingEndpointsOfTheServiceCount(t *testing.T) {
+	i := is.New(t)
+	f := newFleet(3)
+	i.Equal(names(f.Candidates("checks", now(), nil)), 3)
+	i.Equal(names(f.Candidates("other", now(), nil)), 0)
+	f.Endpoint("agent-00", &wire.EndpointState{Service: "checks", Reason: "the endpoint drains"})
+	f.Detach("agent-01")
+	i.Equal(names(f.Candidates("checks", now(), nil)), 1)
+	later := now().Add(400 * time.Millisecond)
+	i.Equal(f.Count("checks", later), 0)
+	i.True(f.Lately("checks", later))
+	f.Heard("agent-02", later)
+	i.Equal(f.Count("checks", later), 1)
+	i.True(!f.Lately("checks", later.Add(3*time.Second)))
+}
+
+// What was sent since a report counts until a report has seen it.
+func TestTasksOnTheirWayTakeUpRoom(t *testing.T) {
+	i := is.New(t)
+	f := newFleet(1)
+	task := size.Size{CPU: 3000, Memory: 10}
+	free := func() int { return f.Candidates("checks", now(), nil)[0].Free.CPU }
+	f.Sent("agent-00", 1, 80*time.Millisecond, task, 60*time.Millisecond)
+	f.Sent("agent-00", 2, 80*time.Millisecond, task, 60*time.Millisecond)
+	i.Equal(free(), 2000)
+	f.Sent("agent-00", 3, 80*time.Millisecond, task, 60*time.Millisecond)
+	i.Equal(free(), 2000)
+	i.True(f.Candidates("checks", now(), nil)[0].Wait(task, 80*time.Millisecond) > 0)
+	f.Room("agent-00", &wire.Room{Free: &wire.Size{Cpu: 5000, Memory: 1000}}, 1)
+	i.Equal(free(), 2000)
+	f.Room("agent-00", &wire.Room{Free: &wire.Size{Cpu: 8000, Memory: 1000}}, 3)
+	i.Equal(free(), 8000)
+}
+
+// BenchmarkCandidates shows how a look at all endpoints grows with their number.
+func BenchmarkCandidates(b *testing.B) {
+	for _, agents := range []int{11, 66} {
+		b.Run(fmt.Sprint(agents), func(b *testing.B) {
+			f := newFleet(agents)
+			var list []placement.Candidate
+			b.ReportAllocs()
+			for b.Loop() {
+				list = f.Candidates("checks", now(), list[:0])
+			}
+		})
+	}
+}
--- a/process/scheduler/events.go
+++ b/process/scheduler/events.go
@@ -174,6 +174,7 @@
 			s.next(j, "no endpoint can take the task")
 		}
 	}
+	clear(s.spare)
 	s.each(func(p *placed) { s.check(p, now) })
 	for id, at := range s.done {
 		if now.Sub(at) > remembered {
@@ -201,14 +202,20 @@
 	}
 }
 
-// room reports whether another endpoint could start the task at once.
+// room reports whether another endpoint could start the task at once. What is free is
+// looked up once a tick, and not twice for one place.
 func (s *Scheduler) room(p *placed) bool {
 	step, _ := p.job.work.Task(p.number)
 	spec := p.job.work.Steps()[step]
-	s.candidates = s.fleet.Candidates(p.job.queue.Service, s.host.Now(), s.candidates[:0])
-	for i := range s.candidates {
-		c := &s.candidates[i]
-		if c.Name != p.agent && c.Wait(spec.Size, s.slack(p.job, p.expected)) == 0 {
+	free, known := s.spare[p.job.queue.Service]
+	if !known {
+		free = s.fleet.Candidates(p.job.queue.Service, s.host.Now(), nil)
+		s.spare[p.job.queue.Service] = free
+	}
+	slack := s.slack(p.job, p.expected)
+	for i := range free {
+		if c := &free[i]; c.Name != p.agent && c.Wait(spec.Size, slack) == 0 {
+			c.Add(spec.Size, slack, p.expected)
 			return true
 		}
 	}
--- a/process/scheduler/scheduler.go
+++ b/process/scheduler/scheduler.go
@@ -115,8 +115,10 @@
 	lastRef    uint64
 	done       map[string]time.Time
 	candidates []placement.Candidate
-	firstRun   func() uint64
-	began      time.Time
+	// spare is what is free by service, as of this tick.
+	spare    map[string][]placement.Candidate
+	firstRun func() uint64
+	began    time.Time
 }
 
 // New returns a scheduler without jobs. FirstRun gives the number of the first run
@@ -124,7 +126,7 @@
 func New(host Host, f *fleet.Fleet, firstRun func() uint64) *Scheduler {
 	return &Scheduler{
 		host: host, began: host.Now(), fleet: f, forecast: forecast.New(), firstRun: firstRun,
-		jobs: map[string]*job{}, refs: map[uint64]*placed{}, done: map[string]time.Time{},
+		spare: map[string][]placement.Candidate{}, jobs: map[string]*job{}, refs: map[uint64]*placed{}, done: map[string]time.Time{},
 	}
 }
 
--- a/process/speed/speed.go
+++ b/process/speed/speed.go
@@ -19,6 +19,8 @@
 	// fade is how long a belief lasts that nothing confirms: an endpoint that is
 	// believed slow gets no tasks that could show otherwise.
 	fade = 3 * time.Second
+	// medianLife is how long a median counts: a few tasks end meanwhile.
+	medianLife = 50 * time.Millisecond
 	// most bounds the slowness and its inverse.
 	most = 20.0
 	// leastRun keeps the logarithm of very short runs in bounds.
@@ -43,6 +45,8 @@
 	endpoints map[string]*endpoint
 	kinds     map[string]float64
 	scratch   []float64
+	median    float64
+	medianAt  time.Time
 }
 
 // New returns speeds of no endpoint.
@@ -65,7 +69,18 @@
 	return kind + (e.slowness-kind)*math.Exp(-now.Sub(e.at).Seconds()/fade.Seconds())
 }
 
+// ordinary is the median of what is believed, as of a moment ago: each placement asks
+// for the slowness of every endpoint.
 func (s *Speeds) ordinary(now time.Time) float64 {
+	if age := now.Sub(s.medianAt); age >= 0 && age < medianLife && !s.medianAt.IsZero() {
+		return s.median
+	}
+	s.medianAt = now
+	s.median = s.medianNow(now)
+	return s.median
+}
+
+func (s *Speeds) medianNow(now time.Time) float64 {
 	s.scratch = s.scratch[:0]
 	for _, e := range s.endpoints {
 		s.scratch = append(s.scratch, s.believed(e, now))
