Refuse at once at an entry that is short of processor time

Change: process/pressure takes the least wait of each 100 ms for the scheduler's turn; above 20 ms jobs are refused in proportion, each with a Retry-After.

--- a/node/dispatcher/actor.go
+++ b/node/dispatcher/actor.go
@@ -15,8 +15,11 @@
 type (
 	tick      struct{}
 	suspended struct{ stood time.Duration }
-	submit    struct{ request scheduler.Request }
-	leave     struct{ job string }
+	submit    struct {
+		request scheduler.Request
+		sentAt  time.Time
+	}
+	leave struct{ job string }
 	// attached, detached and received come from the sessions of sidecars.
 	attached struct {
 		session *session
@@ -53,6 +56,8 @@
 	case tick:
 		a.scheduler.Tick()
 	case submit:
+		now := a.Now()
+		a.dispatcher.pressure.Observe(now.Sub(m.sentAt), now)
 		a.scheduler.Submit(m.request)
 	case leave:
 		a.scheduler.Leave(m.job)
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -16,6 +16,7 @@
 
 	"github.com/corianderhook/corianderhook/common/suspension"
 	"github.com/corianderhook/corianderhook/process/metrics"
+	"github.com/corianderhook/corianderhook/process/pressure"
 	"github.com/corianderhook/corianderhook/process/scheduler"
 	"github.com/corianderhook/corianderhook/request/answer"
 	"github.com/corianderhook/corianderhook/request/outcome"
@@ -30,6 +31,8 @@
 	// stoodStill is the suspension after which agents have stopped this process's
 	// tasks, or may have.
 	stoodStill = 100 * time.Millisecond
+	// busyRetry is when a caller should come back to an entry under pressure.
+	busyRetry = time.Second
 	// roomReports is how many reports of room without another cause a dispatcher takes
 	// in a second: some 30 us each, 2 % of a core.
 	roomReports = 700
@@ -70,6 +73,7 @@
 	scheduler   *actor.PID
 	catalog     atomic.Pointer[catalog.Catalog]
 	peers       *peers
+	pressure    pressure.Pressure
 	draining    atomic.Bool
 	// jobs is the number of jobs under way.
 	jobs atomic.Int64
@@ -172,8 +176,13 @@
 	if at := d.stopsAt.Load(); at != nil {
 		budget = min(budget, at.Sub(began))
 	}
+	if refuse, standing := d.pressure.Refuse(began); refuse {
+		klog.InfoS("CH1028 job refused by an entry under pressure", "job", work.ID(), "queue", queue.Name, "standing", standing)
+		d.metrics.Refused(queue.Name, "busy")
+		return answer.New(outcome.NotRun, "busy", "this entry is short of processor time").WithRetryAfter(busyRetry)
+	}
 	reply := make(chan answer.Answer, 1)
-	d.deps.System.Root.Send(d.scheduler, submit{request: scheduler.Request{
+	d.deps.System.Root.Send(d.scheduler, submit{sentAt: began, request: scheduler.Request{
 		Work: work, Queue: queue, Budget: budget, Version: d.Catalog().Version(),
 		Reply: func(a answer.Answer) { reply <- a },
 	}})
--- /dev/null
+++ b/process/pressure/pressure_test.go
@@ -0,0 +1,77 @@
+package pressure_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/corianderhook/corianderhook/process/pressure"
+)
+
+// serve has requests come in every gap and take some time each, one after the other.
+// It returns how many were served, how many refused, and the longest wait of the
+// second half.
+func serve(gap, takes, total time.Duration) (served, refused int, longest time.Duration) {
+	var p pressure.Pressure
+	now := time.Unix(1_700_000_000, 0)
+	end := now.Add(total)
+	half := now.Add(total / 2)
+	free := now
+	type waiting struct {
+		from, done time.Time
+	}
+	var queue []waiting
+	for ; now.Before(end); now = now.Add(gap) {
+		for len(queue) > 0 && !queue[0].from.After(now) {
+			queue = queue[1:]
+		}
+		if refuse, _ := p.Refuse(now); refuse {
+			refused++
+			continue
+		}
+		start := now
+		if free.After(now) {
+			start = free
+		}
+		free = start.Add(takes)
+		queue = append(queue, waiting{from: start, done: free})
+		// The wait is known when the turn comes; here it is foretold, which is the same.
+		p.Observe(start.Sub(now), now)
+		served++
+		if now.After(half) {
+			longest = max(longest, start.Sub(now))
+		}
+	}
+	return served, refused, longest
+}
+
+func TestNothingIsRefusedWithinCapacity(t *testing.T) {
+	i := is.New(t)
+	_, refused, longest := serve(10*time.Millisecond, 9*time.Millisecond, 5*time.Second)
+	i.Equal(refused, 0)
+	i.True(longest < 20*time.Millisecond)
+}
+
+// Twice of what fits: half is refused at once, the rest waits for a bounded time.
+func TestOverloadIsBounded(t *testing.T) {
+	i := is.New(t)
+	served, refused, longest := serve(5*time.Millisecond, 10*time.Millisecond, 10*time.Second)
+	t.Logf("served %d refused %d longest wait %s", served, refused, longest)
+	i.True(longest < 250*time.Millisecond)
+	i.True(served > 900)
+	i.True(refused > 800)
+}
+
+func TestOldMeasurementsDoNotCount(t *testing.T) {
+	i := is.New(t)
+	var p pressure.Pressure
+	now := time.Unix(1_700_000_000, 0)
+	p.Observe(time.Second, now)
+	p.Observe(time.Second, now.Add(150*time.Millisecond))
+	refuse, standing := p.Refuse(now.Add(200 * time.Millisecond))
+	i.True(refuse)
+	i.Equal(standing, time.Second)
+	refuse, _ = p.Refuse(now.Add(time.Second))
+	i.True(!refuse)
+}
