--- a/node/sidecar/actor.go
+++ b/node/sidecar/actor.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"context"
 	"strings"
 	"time"
 
@@ -371,6 +370,3 @@
 func (a *runnerActor) Decided(event string, o runner.Order, details ...any) {
 	klog.InfoS(event, append([]any{"job", o.Job, "step", o.Step, "index", o.Index, "run", o.Run}, details...)...)
 }
-
-// background bounds nothing: the endpoint's calls end within bounds of their own.
-func background() context.Context { return context.Background() }
--- a/node/sidecar/keeper.go
+++ b/node/sidecar/keeper.go
@@ -72,14 +72,14 @@
 }
 
 func (k *keeper) start(o runner.Order) (runner.Result, string) {
-	return k.sidecar.deps.Endpoint.Start(background(), k.life(), o)
+	return k.sidecar.deps.Endpoint.Start(context.Background(), k.life(), o)
 }
 
 // stop orders the end of a run; a name has the runner told of the result.
 func (k *keeper) stop(name string, run runner.RunName) {
-	acknowledged := k.sidecar.deps.Endpoint.Stop(background(), k.life(), run)
+	acknowledged := k.sidecar.deps.Endpoint.Stop(context.Background(), k.life(), run)
 	if !acknowledged {
-		k.sidecar.pause(background(), stopPause)
+		k.sidecar.pause(context.Background(), stopPause)
 	}
 	if name != "" {
 		k.sidecar.deps.System.Root.Send(k.sidecar.runner, stopped{name: name, acknowledged: acknowledged})
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -157,7 +157,7 @@
 // remember writes what the endpoint says. A failure costs the next sidecar the wait for
 // an announcement.
 func (s *Sidecar) remember(a registration.Announcement) {
-	if err := s.deps.Memory.Remember(background(), a); err != nil {
+	if err := s.deps.Memory.Remember(context.Background(), a); err != nil {
 		klog.InfoS("CH1105 announcement cannot be written", "agent", s.deps.Name, "instance", a.Instance, "error", err)
 	}
 }
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -20,6 +20,8 @@
 	// suspicion is the silence after which an agent gets no new tasks: two heartbeats
 	// of 150 ms are missing.
 	suspicion = 330 * time.Millisecond
+	// forgetAfter is the silence after which an agent is gone for good.
+	forgetAfter = time.Minute
 	// moment is how long ago an endpoint was heard that may come back: sessions are
 	// opened anew within a second.
 	moment = 2 * time.Second
@@ -85,11 +87,17 @@
 	}
 }
 
-// Forget drops an agent for good.
-func (f *Fleet) Forget(name string) {
-	delete(f.agents, name)
-	f.speeds.Forget(name)
-	f.order = slices.DeleteFunc(f.order, func(a *agent) bool { return a.name == name })
+// Expire drops agents that have not been heard for long.
+func (f *Fleet) Expire(now time.Time) {
+	f.order = slices.DeleteFunc(f.order, func(a *agent) bool {
+		gone := now.Sub(a.heard) > forgetAfter
+		if gone {
+			delete(f.agents, a.name)
+			f.speeds.Forget(a.name)
+			f.health.Forget(a.name)
+		}
+		return gone
+	})
 }
 
 // Endpoint takes what an agent says of the endpoint beside it.
@@ -206,12 +214,3 @@
 	}
 	return c
 }
-
-// Names returns the agents in order.
-func (f *Fleet) Names() []string {
-	names := make([]string, 0, len(f.order))
-	for _, a := range f.order {
-		names = append(names, a.name)
-	}
-	return names
-}
--- a/process/fleet/fleet_test.go
+++ b/process/fleet/fleet_test.go
@@ -64,6 +64,17 @@
 	i.Equal(free(), 8000)
 }
 
+func TestAgentsThatAreGoneAreForgotten(t *testing.T) {
+	i := is.New(t)
+	f := newFleet(2)
+	later := now().Add(2 * time.Minute)
+	f.Heard("agent-01", later)
+	f.Expire(later)
+	i.Equal(names(f.Candidates("checks", later, nil)), 1)
+	f.Heard("agent-00", later)
+	i.Equal(f.Count("checks", later), 1)
+}
+
 // BenchmarkCandidates shows how a look at all endpoints grows with their number.
 func BenchmarkCandidates(b *testing.B) {
 	for _, agents := range []int{11, 66} {
--- a/process/ledger/ledger.go
+++ b/process/ledger/ledger.go
@@ -23,17 +23,9 @@
 	if _, known := l.held[name]; known || !s.Fits(l.Free()) {
 		return false
 	}
-	l.Force(name, s)
-	return true
-}
-
-// Force holds room that is in use whether it is there or not.
-func (l *Ledger) Force(name string, s size.Size) {
-	if _, known := l.held[name]; known {
-		return
-	}
 	l.held[name] = s
 	l.used = l.used.Plus(s)
+	return true
 }
 
 // Release gives the room of a name back.
@@ -50,6 +42,3 @@
 
 // Free returns what is left.
 func (l *Ledger) Free() size.Size { return l.capacity.Minus(l.used) }
-
-// Capacity returns the whole.
-func (l *Ledger) Capacity() size.Size { return l.capacity }
--- a/process/ledger/ledger_test.go
+++ b/process/ledger/ledger_test.go
@@ -45,7 +45,7 @@
 	i := is.New(t)
 	l := ledger.New()
 	l.Resize(size.Size{CPU: 10})
-	l.Force("a", size.Size{CPU: 8})
+	i.True(l.Take("a", size.Size{CPU: 8}))
 	l.Resize(size.Size{CPU: 5})
 	i.Equal(l.Free().CPU, -3)
 	i.True(!l.Take("b", size.Size{}))
--- a/process/replay/world_test.go
+++ b/process/replay/world_test.go
@@ -191,7 +191,7 @@
 }
 
 func (w *world) submit(j job) {
-	work, err := workload.New(j.id, j.kind.name, "", []workload.Step{{
+	work, err := workload.New(j.id, "", []workload.Step{{
 		Count: j.tasks, Size: size.Size{CPU: j.cpu, Memory: 64}, Estimate: j.estimate,
 	}})
 	if err != nil {
--- a/process/runner/runner.go
+++ b/process/runner/runner.go
@@ -158,9 +158,6 @@
 	}
 }
 
-// Accepting reports whether tasks are started, and if not why.
-func (r *Runner) Accepting() (bool, string) { return r.accepting, r.reason }
-
 // Forget notes that the endpoint has begun a new life: nothing of before runs.
 func (r *Runner) Forget(reason string) {
 	for _, t := range r.all() {
@@ -274,8 +271,10 @@
 	case r.byRun[runKey(t.order)] != nil:
 		r.giveBack(t, "the same run is known already")
 		return
+	case !r.ledger.Take(t.name, t.size):
+		r.giveBack(t, "there is no room for it")
+		return
 	}
-	r.ledger.Force(t.name, t.size)
 	r.byRun[runKey(t.order)] = t
 	t.phase = starting
 	t.orderedAt = now
--- a/process/scheduler/events.go
+++ b/process/scheduler/events.go
@@ -176,11 +176,11 @@
 	}
 	clear(s.spare)
 	s.each(func(p *placed) { s.check(p, now) })
-	for id, at := range s.done {
-		if now.Sub(at) > remembered {
-			delete(s.done, id)
-		}
+	for len(s.ended) > 0 && now.Sub(s.ended[0].at) > remembered {
+		delete(s.done, s.ended[0].id)
+		s.ended = s.ended[1:]
 	}
+	s.fleet.Expire(now)
 }
 
 // check asks a task back that waits or runs for far longer than foretold.
--- a/process/scheduler/scheduler.go
+++ b/process/scheduler/scheduler.go
@@ -105,15 +105,22 @@
 	parked bool
 }
 
+type ended struct {
+	id string
+	at time.Time
+}
+
 // Scheduler is the state of one dispatcher. It is not safe for concurrent use.
 type Scheduler struct {
-	host       Host
-	fleet      *fleet.Fleet
-	forecast   *forecast.Forecast
-	jobs       map[string]*job
-	refs       map[uint64]*placed
-	lastRef    uint64
-	done       map[string]time.Time
+	host     Host
+	fleet    *fleet.Fleet
+	forecast *forecast.Forecast
+	jobs     map[string]*job
+	refs     map[uint64]*placed
+	lastRef  uint64
+	// done are jobs that were completed lately, ended in their order.
+	done       map[string]bool
+	ended      []ended
 	candidates []placement.Candidate
 	// spare is what is free by service, as of this tick.
 	spare    map[string][]placement.Candidate
@@ -126,7 +133,7 @@
 func New(host Host, f *fleet.Fleet, firstRun func() uint64) *Scheduler {
 	return &Scheduler{
 		host: host, began: host.Now(), fleet: f, forecast: forecast.New(), firstRun: firstRun,
-		spare: map[string][]placement.Candidate{}, jobs: map[string]*job{}, refs: map[uint64]*placed{}, done: map[string]time.Time{},
+		spare: map[string][]placement.Candidate{}, jobs: map[string]*job{}, refs: map[uint64]*placed{}, done: map[string]bool{},
 	}
 }
 
@@ -154,10 +161,7 @@
 }
 
 // Completed reports whether a job has lately been completed here.
-func (s *Scheduler) Completed(id string) bool {
-	_, known := s.done[id]
-	return known
-}
+func (s *Scheduler) Completed(id string) bool { return s.done[id] }
 
 func refusal(reason, detail string, after time.Duration) answer.Answer {
 	return answer.New(outcome.NotRun, reason, detail).WithRetryAfter(min(max(after, leastRetry), mostRetry))
@@ -166,7 +170,7 @@
 // Submit takes a job, joins it to the one of its name that is under way, or refuses it.
 func (s *Scheduler) Submit(r Request) {
 	id := r.Work.ID()
-	if _, known := s.done[id]; known {
+	if s.done[id] {
 		s.host.Decided("CH1025 job answered again", id)
 		r.Reply(answer.New(outcome.Complete, "complete", "the job was completed before"))
 		return
@@ -401,7 +405,8 @@
 	delete(s.jobs, j.work.ID())
 	if a.Outcome() == outcome.Complete {
 		s.learn(j)
-		s.done[j.work.ID()] = now
+		s.done[j.work.ID()] = true
+		s.ended = append(s.ended, ended{id: j.work.ID(), at: now})
 	}
 	s.host.Decided("CH1026 job ended", j.work.ID(), "queue", j.queue.Name, "outcome", a.Outcome(), "reason", a.Reason(), "detail", a.Detail(),
 		"took", now.Sub(j.begun), "objective", j.objective, "undone", j.progress.Undone(), "placed", len(j.placed))
@@ -457,8 +462,3 @@
 		}
 	}
 }
-
-// Expect returns the run time that is expected of a queue's tasks.
-func (s *Scheduler) Expect(queue string, estimate time.Duration) time.Duration {
-	return s.forecast.Expect(queue, estimate)
-}
--- a/process/scheduler/scheduler_test.go
+++ b/process/scheduler/scheduler_test.go
@@ -71,7 +71,7 @@
 
 func submit(t *testing.T, s *Scheduler, id string, tasks int, budget time.Duration) *[]answer.Answer {
 	t.Helper()
-	work, err := workload.New(id, "checks", "", []workload.Step{{Count: tasks, Size: size.Size{CPU: 2000, Memory: 10}, Estimate: 100 * time.Millisecond}})
+	work, err := workload.New(id, "", []workload.Step{{Count: tasks, Size: size.Size{CPU: 2000, Memory: 10}, Estimate: 100 * time.Millisecond}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -259,7 +259,7 @@
 func TestStepsWaitForEachOther(t *testing.T) {
 	i := is.New(t)
 	s, h := newScheduler("a")
-	work, err := workload.New("job", "checks", "", []workload.Step{
+	work, err := workload.New("job", "", []workload.Step{
 		{Count: 1, Size: size.Size{CPU: 100}, Estimate: 50 * time.Millisecond},
 		{Count: 2, Size: size.Size{CPU: 100}, Estimate: 50 * time.Millisecond, After: []int{0}},
 	})
@@ -275,7 +275,7 @@
 func TestOverdueTaskMovesOnceItIsGone(t *testing.T) {
 	i := is.New(t)
 	s, h := newScheduler("a", "b")
-	work, err := workload.New("job", "checks", "", []workload.Step{{Count: 1, Size: size.Size{CPU: 100}, Estimate: 100 * time.Millisecond}})
+	work, err := workload.New("job", "", []workload.Step{{Count: 1, Size: size.Size{CPU: 100}, Estimate: 100 * time.Millisecond}})
 	i.NoErr(err)
 	s.Submit(Request{Work: work, Budget: 5 * time.Second, Reply: func(answer.Answer) {}, Queue: catalog.Queue{Service: "checks", Stretch: 5, Latency: time.Second}})
 	at, other := "a", "b"
--- a/request/progress/progress_test.go
+++ b/request/progress/progress_test.go
@@ -11,7 +11,7 @@
 
 func steps(t *testing.T, steps ...workload.Step) *workload.Workload {
 	t.Helper()
-	w, err := workload.New("job", "queue", "", steps)
+	w, err := workload.New("job", "", steps)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/request/workload/workload.go
+++ b/request/workload/workload.go
@@ -32,7 +32,6 @@
 // Workload is one job. It is read-only.
 type Workload struct {
 	id      string
-	queue   string
 	payload string
 	steps   []Step
 	first   []int
@@ -40,8 +39,8 @@
 }
 
 // New checks and returns a job.
-func New(id, queue, payload string, steps []Step) (*Workload, error) {
-	w := &Workload{id: id, queue: queue, payload: payload, steps: steps}
+func New(id, payload string, steps []Step) (*Workload, error) {
+	w := &Workload{id: id, payload: payload, steps: steps}
 	if len(steps) == 0 {
 		return nil, fmt.Errorf("job %q has no steps", id)
 	}
@@ -76,9 +75,6 @@
 // ID returns the caller's name of the job.
 func (w *Workload) ID() string { return w.id }
 
-// Queue returns the queue that the job was sent to.
-func (w *Workload) Queue() string { return w.queue }
-
 // Payload returns what every task of the job is given.
 func (w *Workload) Payload() string { return w.payload }
 
--- a/request/workload/workload_test.go
+++ b/request/workload/workload_test.go
@@ -26,7 +26,7 @@
 		"waits for none": {[]workload.Step{{Count: 1, After: []int{-1}}}, "waits for step -1"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			_, err := workload.New("job", "queue", "", c.steps)
+			_, err := workload.New("job", "", c.steps)
 			if err == nil || !strings.Contains(err.Error(), c.says) {
 				t.Fatalf("error %v, must say %q", err, c.says)
 			}
@@ -36,7 +36,7 @@
 
 func TestTasksAreNumberedThrough(t *testing.T) {
 	i := is.New(t)
-	w, err := workload.New("job", "queue", "text", []workload.Step{{Count: 2}, {Count: 3}})
+	w, err := workload.New("job", "text", []workload.Step{{Count: 2}, {Count: 3}})
 	i.NoErr(err)
 	i.Equal(w.Tasks(), 5)
 	step, index := w.Task(1)
@@ -48,7 +48,7 @@
 
 func TestChainFollowsTheLongestWay(t *testing.T) {
 	i := is.New(t)
-	w, err := workload.New("job", "queue", "", []workload.Step{{Count: 1}, {Count: 1}, {Count: 1, After: []int{0, 1}}})
+	w, err := workload.New("job", "", []workload.Step{{Count: 1}, {Count: 1}, {Count: 1, After: []int{0, 1}}})
 	i.NoErr(err)
 	times := []time.Duration{3 * time.Second, time.Second, 2 * time.Second}
 	i.Equal(w.Chain(func(step int) time.Duration { return times[step] }), 5*time.Second)
