--- a/process/scheduler/events.go
+++ b/process/scheduler/events.go
@@ -4,7 +4,6 @@
 	"sort"
 	"time"
 
-	"github.com/corianderhook/corianderhook/process/health"
 	"github.com/corianderhook/corianderhook/process/placement"
 	"github.com/corianderhook/corianderhook/request/answer"
 	"github.com/corianderhook/corianderhook/request/outcome"
@@ -238,14 +237,3 @@
 		s.giveUp(j, "suspended", reason)
 	}
 }
-
-// overdue counts a task that runs for too long against its endpoint.
-func (s *Scheduler) overdue(p *placed, now time.Time) {
-	ran := now.Sub(p.started)
-	s.fleet.Speeds().Overdue(p.agent, float64(ran)/float64(max(p.expected, time.Millisecond)), now)
-	step, _ := p.job.work.Task(p.number)
-	s.fleet.Health().Observe(health.Observation{
-		Agent: p.agent, Kind: p.job.queue.Name, Job: p.job.work.ID(), Index: uint32(p.number),
-		Seconds: float64(ran) / float64(max(s.expect(p.job, step), time.Millisecond)),
-	}, now)
-}
--- a/process/scheduler/scheduler.go
+++ b/process/scheduler/scheduler.go
@@ -4,13 +4,13 @@
 package scheduler
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
 
 	"github.com/corianderhook/corianderhook/process/fleet"
 	"github.com/corianderhook/corianderhook/process/forecast"
-	"github.com/corianderhook/corianderhook/process/health"
 	"github.com/corianderhook/corianderhook/process/placement"
 	"github.com/corianderhook/corianderhook/process/speed"
 	"github.com/corianderhook/corianderhook/request/answer"
@@ -194,12 +194,10 @@
 		return
 	}
 	ends := placement.Latest(choices)
-	allowed := min(j.objective, r.Budget-answerMargin)
-	crowded := backlog > admitted(r.Queue.Urgency) && placement.Longest(choices) > 0
-	if crowded || ends > allowed {
+	if !admit(r, j.objective, choices, backlog) {
 		s.host.Decided("CH1022 job refused", id, "reason", "overload", "queue", r.Queue.Name, "backlog", backlog,
 			"limit", admitted(r.Queue.Urgency), "ends", ends, "objective", j.objective, "budget", r.Budget, "endpoints", len(s.candidates), "version", r.Version)
-		r.Reply(refusal("overload", "the job could not end in time", max(backlog, ends-allowed)))
+		r.Reply(refusal("overload", "the job could not end in time", max(backlog, ends-j.objective)))
 		return
 	}
 	s.jobs[id] = j
@@ -216,6 +214,17 @@
 	return len(s.candidates) == 0 && (now.Sub(s.began) < settleTime || s.fleet.Lately(service, now))
 }
 
+// admit decides whether a job is taken. One whose tasks all start at once takes nothing
+// from others and is taken as long as its caller waits; else it has to be on time, and
+// the backlog within the limit of its urgency.
+func admit(r Request, objective time.Duration, choices []placement.Choice, backlog time.Duration) bool {
+	ends := placement.Latest(choices)
+	if ends > r.Budget-answerMargin {
+		return false
+	}
+	return placement.Longest(choices) == 0 || ends <= objective && backlog <= admitted(r.Queue.Urgency)
+}
+
 // admitted is the backlog up to which jobs of an urgency are taken where some task
 // has to wait. Each level is shed at its own backlog, so that the less urgent goes
 // first and none goes wholly.
@@ -245,108 +254,6 @@
 	return s.forecast.Expect(j.queue.Name, j.work.Steps()[step].Estimate)
 }
 
-// choose gives the job's ready tasks endpoints; false where one fits nowhere. The
-// backlog is what it found.
-func (s *Scheduler) choose(j *job) (choices []placement.Choice, backlog time.Duration, fits bool) {
-	now := s.host.Now()
-	s.candidates = s.fleet.Candidates(j.queue.Service, now, s.candidates[:0])
-	ready := j.progress.Ready()
-	requests := make([]placement.Request, 0, len(ready))
-	last := -1
-	for _, number := range ready {
-		step, _ := j.work.Task(number)
-		spec := j.work.Steps()[step]
-		if step != last {
-			last = step
-			s.countTaken(j, step, spec.Spread)
-		}
-		requests = append(requests, placement.Request{
-			Number: number, Size: spec.Size, Slack: s.slack(j, s.expect(j, step)), Expected: s.expect(j, step),
-			Label: spec.Label, Near: spec.Near, Spread: spec.Spread,
-		})
-	}
-	backlog = placement.Backlog(s.candidates)
-	choices, fits = placement.Choose(requests, s.candidates)
-	return choices, backlog, fits
-}
-
-func (s *Scheduler) countTaken(j *job, step, spread int) {
-	for i := range s.candidates {
-		s.candidates[i].Taken = 0
-		if spread > 0 {
-			s.candidates[i].Taken = j.progress.On(step, s.candidates[i].Name)
-		}
-	}
-}
-
-// send offers chosen tasks to their agents, those of one agent together.
-func (s *Scheduler) send(j *job, choices []placement.Choice) {
-	now := s.host.Now()
-	slices.SortStableFunc(choices, func(a, b placement.Choice) int {
-		switch {
-		case a.Agent < b.Agent:
-			return -1
-		case a.Agent > b.Agent:
-			return 1
-		}
-		return 0
-	})
-	for len(choices) > 0 {
-		agent := choices[0].Agent
-		count := slices.IndexFunc(choices, func(c placement.Choice) bool { return c.Agent != agent })
-		if count < 0 {
-			count = len(choices)
-		}
-		s.offer(j, agent, choices[:count], now)
-		choices = choices[count:]
-	}
-}
-
-func (s *Scheduler) offer(j *job, agent string, choices []placement.Choice, now time.Time) {
-	offer := &wire.Offer{
-		Job: j.work.ID(), Payload: j.work.Payload(), Urgency: uint32(max(0, j.queue.Urgency)),
-	}
-	slowness := s.fleet.Speeds().Slowness(agent, now)
-	for _, c := range choices {
-		step, index := j.work.Task(c.Number)
-		spec := j.work.Steps()[step]
-		expected := s.expect(j, step)
-		run := j.progress.Place(c.Number, agent)
-		s.lastRef++
-		p := &placed{
-			job: j, number: c.Number, agent: agent, ref: s.lastRef, sentAt: now, wait: c.Wait,
-			expected: time.Duration(float64(expected) * slowness),
-		}
-		s.refs[p.ref] = p
-		j.placed[c.Number] = p
-		offer.Tasks = append(offer.Tasks, &wire.OfferedTask{
-			Ref: p.ref, Step: uint32(step), Index: uint32(index), Run: j.firstRun + uint64(run),
-			ExpectedMs: uint32(expected.Milliseconds()),
-			Size:       &wire.Size{Cpu: uint32(spec.Size.CPU), Memory: uint32(spec.Size.Memory), Accelerators: uint32(spec.Size.Accelerators)},
-		})
-		within := s.useful(j).Sub(now) - p.expected
-		offer.OnTimeWithinMs = s.slack(j, p.expected).Milliseconds()
-		offer.StartWithinMs = uint32(max(1, within.Milliseconds()))
-	}
-	number, sent := s.host.Send(agent, offer)
-	s.host.Decided("CH1027 tasks offered", j.work.ID(), "agent", agent, "tasks", len(choices), "sent", sent, "wait", choices[0].Wait,
-		"heard", s.fleet.Age(agent, now), "slowness", slowness, "first", offer.GetTasks()[0].GetIndex())
-	for _, c := range choices {
-		if !sent {
-			s.takeBack(j.placed[c.Number])
-			j.parked = true
-			continue
-		}
-		step, _ := j.work.Task(c.Number)
-		s.fleet.Sent(agent, number, s.slack(j, s.expect(j, step)), j.work.Steps()[step].Size, s.expect(j, step))
-	}
-}
-
-// slack is the time that is left for a start after which the job is still on time.
-func (s *Scheduler) slack(j *job, run time.Duration) time.Duration {
-	return j.begun.Add(j.objective - run - onTimeMargin).Sub(s.host.Now())
-}
-
 // useful is the time until which an answer is of use to the caller.
 func (s *Scheduler) useful(j *job) time.Time {
 	late := j.begun.Add(lateFactor * j.objective)
@@ -397,7 +304,7 @@
 // finish cancels what is left of a job and answers.
 func (s *Scheduler) finish(j *job, a answer.Answer) {
 	now := s.host.Now()
-	for _, number := range sortedKeys(j.placed) {
+	for _, number := range slices.Sorted(maps.Keys(j.placed)) {
 		p := j.placed[number]
 		s.host.Cancel(p.agent, p.ref)
 		delete(s.refs, p.ref)
@@ -414,51 +321,3 @@
 		reply(a)
 	}
 }
-
-func sortedKeys(m map[int]*placed) []int {
-	keys := make([]int, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
-
-// observe learns from the end of a task.
-func (s *Scheduler) observe(p *placed, failed bool, ran time.Duration) {
-	step, _ := p.job.work.Task(p.number)
-	expected := s.expect(p.job, step)
-	ratio := float64(ran) / float64(max(expected, time.Millisecond))
-	now := s.host.Now()
-	verdict := s.fleet.Health().Observe(health.Observation{
-		Agent: p.agent, Kind: p.job.queue.Name, Job: p.job.work.ID(), Index: uint32(p.number), Failed: failed, Seconds: ratio,
-	}, now)
-	if verdict != health.Keep {
-		s.host.Decided("CH1041 agent judged", p.job.work.ID(), "agent", p.agent, "verdict", verdict, "failed", failed, "ran", ran, "expected", expected)
-	}
-	if !failed {
-		s.stretch(p.job, step, time.Duration(float64(ran)/s.fleet.Speeds().Slowness(p.agent, now)))
-		p.job.runs[step] = append(p.job.runs[step], speed.Run{Agent: p.agent, Ran: ran})
-	}
-}
-
-// stretch lets the objective grow where a job's first tasks ran for longer than its
-// caller had estimated: the others will, too.
-func (s *Scheduler) stretch(j *job, step int, ran time.Duration) {
-	more := ran - s.expect(j, step)
-	if more <= j.more[step] {
-		return
-	}
-	j.objective += time.Duration(j.queue.Stretch * float64(more-j.more[step]))
-	j.more[step] = more
-}
-
-// learn takes the run times of a job that has ended well.
-func (s *Scheduler) learn(j *job) {
-	now := s.host.Now()
-	for step, runs := range j.runs {
-		if len(runs) > 0 {
-			s.forecast.Observe(j.queue.Name, j.work.Steps()[step].Estimate, s.fleet.Speeds().Job(runs, now))
-		}
-	}
-}
--- a/process/scheduler/scheduler_test.go
+++ b/process/scheduler/scheduler_test.go
@@ -256,6 +256,20 @@
 	i.Equal(len(h.offers["a"]), 2)
 }
 
+// With room for every task at once a job is taken although its endpoints are slow.
+func TestNothingIsRefusedWhileThereIsRoom(t *testing.T) {
+	i := is.New(t)
+	s, h := newScheduler("a")
+	for range 10 {
+		s.Fleet().Speeds().Overdue("a", 8, h.now)
+	}
+	join(s, "b")
+	s.Detached("b")
+	answers := submit(t, s, "job", 2, 3*time.Second)
+	i.Equal(len(*answers), 0)
+	i.Equal(len(h.refs("a")), 2)
+}
+
 func TestStepsWaitForEachOther(t *testing.T) {
 	i := is.New(t)
 	s, h := newScheduler("a")
