--- /dev/null
+++ b/commands/process_test.go
@@ -0,0 +1,76 @@
+package commands
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/corianderhook/corianderhook/version/config"
+)
+
+const sidecarText = `[process]
+name = a1
+zone = z1
+[store]
+address = 127.0.0.1:1
+[sidecar]
+endpoint = 127.0.0.1:2
+announcements = 127.0.0.1:3
+[runtime]
+resubmission = RESUBMISSION
+`
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "sidecar.ini")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// A resubmission that is sooner than lost tasks are stopped could run a task twice.
+func TestResubmissionMustLeaveTimeToStop(t *testing.T) {
+	i := is.New(t)
+	_, err := readSettingsFile(write(t, strings.Replace(sidecarText, "RESUBMISSION", "1s", 1)), config.RoleSidecar)
+	i.True(err != nil)
+	i.True(strings.Contains(err.Error(), `sidecar.ini: [runtime] resubmission = "1s"`))
+	_, err = readSettingsFile(write(t, strings.Replace(sidecarText, "RESUBMISSION", "1300ms", 1)), config.RoleSidecar)
+	i.NoErr(err)
+}
+
+func TestMissingKeysAreNamed(t *testing.T) {
+	i := is.New(t)
+	_, err := readSettingsFile(write(t, strings.Replace(sidecarText, "RESUBMISSION", "1300ms", 1)), config.RoleDispatcher)
+	i.True(strings.Contains(err.Error(), "[dispatcher]"))
+	i.True(strings.Contains(err.Error(), "the dispatcher cannot do without this key"))
+}
+
+// A file that turns faulty leaves the former settings in force; a good one is taken.
+func TestChangedSettingsAreReadAgain(t *testing.T) {
+	i := is.New(t)
+	good := strings.Replace(sidecarText, "RESUBMISSION", "1300ms", 1)
+	path := write(t, good)
+	taken := make(chan *config.Config, 4)
+	go watchSettings(t.Context(), path, config.RoleSidecar, func(c *config.Config) { taken <- c })
+	time.Sleep(100 * time.Millisecond)
+	i.NoErr(os.WriteFile(path, []byte(strings.Replace(good, "zone = z1", "zone = two words", 1)), 0o600))
+	i.NoErr(os.Chtimes(path, time.Now(), time.Now().Add(time.Second)))
+	select {
+	case <-taken:
+		t.Fatal("faulty settings were taken")
+	case <-time.After(1500 * time.Millisecond):
+	}
+	i.NoErr(os.WriteFile(path, []byte(strings.Replace(good, "z1", "z2", 1)), 0o600))
+	i.NoErr(os.Chtimes(path, time.Now(), time.Now().Add(2*time.Second)))
+	select {
+	case c := <-taken:
+		i.Equal(c.Process().Zone, "z2")
+	case <-time.After(5 * time.Second):
+		t.Fatal("changed settings were not read again")
+	}
+}
--- a/process/ledger/ledger_test.go
+++ b/process/ledger/ledger_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 
+	"github.com/corianderhook/corianderhook/common/seeded"
+
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
@@ -10,6 +12,9 @@
 	"github.com/corianderhook/corianderhook/request/size"
 )
 
+// TestMain fixes the seed and the number of runs unless the command line does.
+func TestMain(m *testing.M) { seeded.Main(m, 100) }
+
 func TestTakenRoomStaysWithinCapacity(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		l := ledger.New()
--- a/process/owner/invariants_test.go
+++ b/process/owner/invariants_test.go
@@ -1,33 +1,18 @@
 package owner_test
 
 import (
-	"flag"
-	"fmt"
-	"os"
 	"strings"
 	"testing"
 
+	"github.com/corianderhook/corianderhook/common/seeded"
+
 	"pgregory.net/rapid"
 
 	"github.com/corianderhook/corianderhook/version/ownership"
 )
 
 // TestMain fixes the seed and the number of runs unless the command line does.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "3000"} {
-		if given[name] {
-			continue
-		}
-		if err := flag.Set(name, value); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			os.Exit(2)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m, 3000) }
 
 const (
 	healRounds = 150
--- a/process/replay/faults_test.go
+++ b/process/replay/faults_test.go
@@ -4,10 +4,15 @@
 	"testing"
 	"time"
 
+	"github.com/corianderhook/corianderhook/common/seeded"
+
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 )
 
+// TestMain fixes the seed and the number of runs unless the command line does.
+func TestMain(m *testing.M) { seeded.Main(m, 100) }
+
 // Whatever freezes, dies or answers late: no endpoint takes more than its capacity
 // and no task runs twice at a time (both are checked at each start), and every
 // caller gets an answer.
