--- a/node/sidecar/actor.go
+++ b/node/sidecar/actor.go
@@ -165,10 +165,7 @@
 	}
 	s := &wire.EndpointState{
 		Instance: current.Instance, Service: current.Service, Labels: current.Labels, Accepting: reason == "", Reason: reason,
-		Capacity: &wire.Size{
-			Cpu: uint32(max(0, current.Capacity.CPU)), Memory: uint32(max(0, current.Capacity.Memory)),
-			Accelerators: uint32(max(0, current.Capacity.Accelerators)),
-		},
+		Capacity: current.Capacity.Wire(),
 	}
 	if s.GetReason() != a.state.GetReason() || s.GetInstance() != a.state.GetInstance() {
 		klog.InfoS("CH1111 endpoint state", "agent", a.sidecar.deps.Name, "instance", s.GetInstance(), "accepting", s.GetAccepting(), "reason", reason,
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -110,7 +110,7 @@
 	a.labels = s.GetLabels()
 	a.accepting = s.GetAccepting()
 	a.reason = s.GetReason()
-	a.capacity = sizeOf(s.GetCapacity())
+	a.capacity = size.FromWire(s.GetCapacity())
 	kind := ""
 	if len(a.labels) > 0 {
 		kind = a.labels[0]
@@ -118,10 +118,6 @@
 	f.speeds.Set(name, kind)
 }
 
-func sizeOf(s *wire.Size) size.Size {
-	return size.Size{CPU: int(s.GetCpu()), Memory: int(s.GetMemory()), Accelerators: int(s.GetAccelerators())}
-}
-
 // Heard notes a sign of life.
 func (f *Fleet) Heard(name string, now time.Time) {
 	if a, known := f.agents[name]; known {
@@ -135,7 +131,7 @@
 	if !known {
 		return
 	}
-	a.free = sizeOf(room.GetFree())
+	a.free = size.FromWire(room.GetFree())
 	a.queued = [backlog.Bands]float64{}
 	for i, work := range room.GetQueued() {
 		a.queued[min(i, backlog.Bands-1)] += float64(work)
--- a/process/runner/report.go
+++ b/process/runner/report.go
@@ -145,9 +145,8 @@
 
 // Room returns what the runner can take now.
 func (r *Runner) Room() *wire.Room {
-	free := r.ledger.Free()
 	room := &wire.Room{
-		Free:    &wire.Size{Cpu: uint32(max(0, free.CPU)), Memory: uint32(max(0, free.Memory)), Accelerators: uint32(max(0, free.Accelerators))},
+		Free:    r.ledger.Free().Wire(),
 		Queued:  r.backlog.Queued(r.host.Now()),
 		Waiting: uint32(r.backlog.Len()),
 	}
--- a/process/runner/runner.go
+++ b/process/runner/runner.go
@@ -211,7 +211,7 @@
 		}
 		t := &task{
 			name: n, dispatcher: dispatcher, ref: offered.GetRef(), offered: now,
-			size:     sizeOf(offered.GetSize()),
+			size:     size.FromWire(offered.GetSize()),
 			expected: time.Duration(offered.GetExpectedMs()) * time.Millisecond,
 			order: Order{
 				Job: o.GetJob(), Step: int(offered.GetStep()), Index: int(offered.GetIndex()),
@@ -232,10 +232,6 @@
 	r.fill()
 }
 
-func sizeOf(s *wire.Size) size.Size {
-	return size.Size{CPU: int(s.GetCpu()), Memory: int(s.GetMemory()), Accelerators: int(s.GetAccelerators())}
-}
-
 // Cancel stops a task that its dispatcher has given up.
 func (r *Runner) Cancel(dispatcher, ref uint64) {
 	if t, known := r.tasks[name(dispatcher, ref)]; known {
--- a/process/scheduler/offers.go
+++ b/process/scheduler/offers.go
@@ -78,7 +78,7 @@
 		offer.Tasks = append(offer.Tasks, &wire.OfferedTask{
 			Ref: p.ref, Step: uint32(step), Index: uint32(index), Run: j.firstRun + uint64(run),
 			ExpectedMs: uint32(expected.Milliseconds()),
-			Size:       &wire.Size{Cpu: uint32(spec.Size.CPU), Memory: uint32(spec.Size.Memory), Accelerators: uint32(spec.Size.Accelerators)},
+			Size:       spec.Size.Wire(),
 		})
 		within := s.useful(j).Sub(now) - p.expected
 		offer.OnTimeWithinMs = s.slack(j, p.expected).Milliseconds()
--- a/request/size/size.go
+++ b/request/size/size.go
@@ -1,7 +1,11 @@
 // Package size holds what a task needs of an endpoint, and what an endpoint has.
 package size
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/corianderhook/corianderhook/wire"
+)
 
 // Size is an amount of the resources that are counted.
 type Size struct {
@@ -32,3 +36,13 @@
 func (s Size) String() string {
 	return fmt.Sprintf("%dm/%dMiB/%d", s.CPU, s.Memory, s.Accelerators)
 }
+
+// FromWire reads the form that goes between processes.
+func FromWire(s *wire.Size) Size {
+	return Size{CPU: int(s.GetCpu()), Memory: int(s.GetMemory()), Accelerators: int(s.GetAccelerators())}
+}
+
+// Wire returns the form that goes between processes; what is below zero becomes zero.
+func (s Size) Wire() *wire.Size {
+	return &wire.Size{Cpu: uint32(max(0, s.CPU)), Memory: uint32(max(0, s.Memory)), Accelerators: uint32(max(0, s.Accelerators))}
+}
--- a/request/size/size_test.go
+++ b/request/size/size_test.go
@@ -22,3 +22,11 @@
 	i.True(!size.Size{Accelerators: 2}.Fits(free))
 	i.Equal(free.Plus(free).Minus(free), free)
 }
+
+func TestWireFormReadsBack(t *testing.T) {
+	i := is.New(t)
+	s := size.Size{CPU: 3000, Memory: 64, Accelerators: 1}
+	i.Equal(size.FromWire(s.Wire()), s)
+	i.Equal(size.FromWire(size.Size{CPU: -5}.Wire()), size.Size{})
+	i.Equal(size.FromWire(nil), size.Size{})
+}
