Dial by the one function that the project has; drop a list that nothing read

Found by reading the whole change once more. Dispatchers and sidecars opened their connections by hand where connection/peer has Dial. The options are those of Dial now: the same windows on sessions, and its windows and message limit on exchanges between dispatchers, which went by the library's defaults before. In the replay a list was made and not used; the assertions are as they were. Ran: linter, tests of platform, stand-ins and replay with the race detector, all passed.

--- a/node/dispatcher/peers.go
+++ b/node/dispatcher/peers.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"k8s.io/klog/v2"
 
+	"github.com/corianderhook/corianderhook/connection/peer"
 	"github.com/corianderhook/corianderhook/wire"
 )
 
@@ -196,9 +197,9 @@
 	if c, open := p.conns[address]; open {
 		return c, nil
 	}
-	c, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	c, err := peer.Dial(address, insecure.NewCredentials())
 	if err != nil {
-		return nil, errors.Wrap(err, "dispatcher "+address)
+		return nil, err
 	}
 	p.conns[address] = c
 	return c, nil
--- a/node/sidecar/links.go
+++ b/node/sidecar/links.go
@@ -119,11 +119,9 @@
 func (l *links) session(ctx context.Context, address string, within time.Duration) (opened bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	conn, err := grpc.NewClient("passthrough:///"+address,
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithInitialWindowSize(peer.WindowBytes), grpc.WithInitialConnWindowSize(peer.WindowBytes))
+	conn, err := peer.Dial(address, insecure.NewCredentials())
 	if err != nil {
-		return false, errors.Wrap(err, "dispatcher "+address)
+		return false, err
 	}
 	defer conn.Close()
 	k := &link{address: address, out: outbox.New()}
--- a/process/replay/sidecar_test.go
+++ b/process/replay/sidecar_test.go
@@ -284,18 +284,14 @@
 			s.runner.Stopped(name, true)
 			asked := s.world.now.Add(time.Microsecond)
 			s.world.after(runner.Reset, func() {
-				var listed []runner.RunName
-				if s.runs[runKey(n)] {
-					listed = append(listed, n)
-				}
-				s.settle(asked, listed)
+				s.settle(asked)
 			})
 		})
 	})
 }
 
 // settle has the runner see a whole list of the endpoint.
-func (s *sidecar) settle(asked time.Time, _ []runner.RunName) {
+func (s *sidecar) settle(asked time.Time) {
 	s.runner.Report(runner.Report{Asked: asked, Running: s.list(), Whole: true})
 	s.flush()
 }
