Do not run a task that is cancelled in the frame that offers it

Cause: a dispatcher whose caller leaves at once cancels what it has just offered; both go out in one frame. The sidecar took cancellations first and offers after them, so that the cancellation met nothing and the task ran on with nobody to hear of it. When the caller sent its job again, the task ran twice at a time.

Ruled out: run numbers of clocks that are apart (the second sending's were higher), a late order of the endpoint.

Change: Runner.Take decides the order within a frame: cancellations, offers without what they name, withdrawals. Room that a cancellation frees still goes to an offer of the same frame.

Test: TestCancellationInTheFrameOfItsOffer fails on the former order.

--- a/node/sidecar/actor.go
+++ b/node/sidecar/actor.go
@@ -259,15 +259,7 @@
 	if f.GetNumber() > 0 {
 		l.seen = f.GetNumber()
 	}
-	for _, ref := range f.GetCancels() {
-		a.runner.Cancel(l.dispatcher, ref)
-	}
-	for _, ref := range f.GetWithdraws() {
-		a.runner.Withdraw(l.dispatcher, ref)
-	}
-	for _, o := range f.GetOffers() {
-		a.runner.Offer(l.dispatcher, o)
-	}
+	a.runner.Take(l.dispatcher, f)
 }
 
 // flush sends what cannot wait for the next tick.
--- a/process/runner/runner.go
+++ b/process/runner/runner.go
@@ -11,6 +11,7 @@
 package runner
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -201,6 +202,23 @@
 	delete(r.sessions, dispatcher)
 }
 
+// Take takes a frame of a dispatcher, which may hold all that it has said since the
+// last one: an offer can be canceled in the frame that brings it.
+func (r *Runner) Take(dispatcher uint64, f *wire.DispatcherFrame) {
+	canceled := make(map[uint64]bool, len(f.GetCancels()))
+	for _, ref := range f.GetCancels() {
+		canceled[ref] = true
+		r.Cancel(dispatcher, ref)
+	}
+	for _, o := range f.GetOffers() {
+		o.Tasks = slices.DeleteFunc(o.GetTasks(), func(t *wire.OfferedTask) bool { return canceled[t.GetRef()] })
+		r.Offer(dispatcher, o)
+	}
+	for _, ref := range f.GetWithdraws() {
+		r.Withdraw(dispatcher, ref)
+	}
+}
+
 // Offer takes tasks of a job from a dispatcher.
 func (r *Runner) Offer(dispatcher uint64, o *wire.Offer) {
 	now := r.host.Now()
--- a/process/runner/runner_test.go
+++ b/process/runner/runner_test.go
@@ -217,3 +217,28 @@
 		t.Fatalf("tasks start on a sign of %s, and are stopped after %s", Fresh, Silence)
 	}
 }
+
+// A dispatcher whose caller leaves at once cancels what it has just offered: both may
+// come in one frame.
+func TestCancellationInTheFrameOfItsOffer(t *testing.T) {
+	i := is.New(t)
+	r, h := newRunner()
+	r.Take(dispatcher, &wire.DispatcherFrame{Offers: []*wire.Offer{offer(1, 2, 1000)}, Cancels: []uint64{1}})
+	i.Equal(len(h.starts), 1)
+	i.Equal(h.starts[0].Index, 1)
+	r.Take(dispatcher, &wire.DispatcherFrame{Offers: []*wire.Offer{offer(3, 1, 1000)}, Withdraws: []uint64{3}, Cancels: []uint64{2, 3}})
+	i.Equal(len(h.starts), 1)
+	i.Equal(len(h.stops), 1)
+	i.Equal(r.Held(dispatcher), []uint64{2})
+}
+
+// Room that a cancellation frees goes to an offer of the same frame.
+func TestCancellationMakesRoomForAnOfferOfTheSameFrame(t *testing.T) {
+	i := is.New(t)
+	r, h := newRunner()
+	r.Accept(size.Size{CPU: 1000, Memory: 1000})
+	r.Offer(dispatcher, offer(1, 2, 1000))
+	i.Equal(len(h.starts), 1)
+	r.Take(dispatcher, &wire.DispatcherFrame{Offers: []*wire.Offer{offer(3, 1, 1000)}, Cancels: []uint64{2}})
+	i.Equal(r.Held(dispatcher), []uint64{1, 3})
+}
