--- a/commands/commands.go
+++ b/commands/commands.go
@@ -56,6 +56,8 @@
 type Streams struct {
 	Out io.Writer
 	Err io.Writer
+	// HangUps brings hang-up signals, also those from before a process was set up.
+	HangUps <-chan os.Signal
 }
 
 // usageError marks an error of flags or settings.
@@ -64,6 +66,9 @@
 // Main runs the command line and returns the exit code: 0 for success, 1 where
 // the command failed, 2 for wrong flags or settings.
 func Main(args []string, out, errOut io.Writer) int {
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
+	defer signal.Stop(hangUps)
 	var app App
 	code := -1
 	parser, err := kong.New(&app,
@@ -87,7 +92,10 @@
 	}
 	setUpLogs(app.Verbose)
 	defer klog.Flush()
-	if err := command.Run(&Streams{Out: out, Err: errOut}); err != nil {
+	if !readsAgain(command.Command()) {
+		signal.Stop(hangUps)
+	}
+	if err := command.Run(&Streams{Out: out, Err: errOut, HangUps: hangUps}); err != nil {
 		fmt.Fprintln(errOut, "corianderhook:", err)
 		var usage usageError
 		if errors.As(err, &usage) {
@@ -98,6 +106,10 @@
 	return exitOK
 }
 
+// readsAgain reports whether a command reads its settings again on a hang-up; the
+// others end.
+func readsAgain(command string) bool { return command == "dispatcher" || command == "sidecar" }
+
 // setUpLogs sends klog to standard error.
 func setUpLogs(verbose int) {
 	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
@@ -125,7 +137,8 @@
 }
 
 // signals returns a context that ends with the first SIGTERM or SIGINT, and one
-// that ends with the second.
+// that ends with an interrupt after that. A process manager may ask twice: a second
+// SIGTERM cuts nothing short.
 func signals() (first, second context.Context, stop func()) {
 	first, cancelFirst := context.WithCancel(context.Background())
 	second, cancelSecond := context.WithCancel(context.Background())
@@ -134,11 +147,17 @@
 	go func() {
 		<-caught
 		cancelFirst()
-		<-caught
-		cancelSecond()
+		for s := range caught {
+			if s == syscall.SIGINT {
+				cancelSecond()
+				return
+			}
+			klog.InfoS("CH0006 stopping already", "signal", s)
+		}
 	}()
 	return first, second, func() {
 		signal.Stop(caught)
+		close(caught)
 		cancelFirst()
 		cancelSecond()
 	}
--- a/commands/demo_platform.go
+++ b/commands/demo_platform.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -11,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/corianderhook/corianderhook/platform/standin/caller"
 	"github.com/corianderhook/corianderhook/platform/standin/site"
 )
 
@@ -40,7 +40,12 @@
 	for n := range platformJobs {
 		e := small.Entries()[n%platformEntries]
 		group.Go(func() {
-			status := submitToPlatform(e, fmt.Sprintf("%016x", n+1))
+			c := caller.New(e.Callers, realClock())
+			defer c.Close()
+			sent := c.Submit(context.Background(), caller.Job{
+				ID: fmt.Sprintf("%016x", n+1), Tasks: platformTasks, Takes: platformRun, CPU: platformCPU, Budget: platformBudget,
+			})
+			status := sent[len(sent)-1].Status
 			mu.Lock()
 			defer mu.Unlock()
 			counts[status]++
@@ -59,23 +64,3 @@
 	}
 	return nil
 }
-
-// submitToPlatform returns the status of one job, 0 where none came.
-func submitToPlatform(e *site.Entry, id string) int {
-	ctx, cancel := context.WithTimeout(context.Background(), platformBudget)
-	defer cancel()
-	body := site.Job(platformTasks, platformRun, platformCPU)
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.Callers+site.Prefix+id, strings.NewReader(body))
-	if err != nil {
-		return 0
-	}
-	r.Host = site.Host
-	response, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return 0
-	}
-	defer response.Body.Close()
-	// The status says it all; the body is read so that the connection is kept.
-	_, _ = io.Copy(io.Discard, response.Body)
-	return response.StatusCode
-}
--- a/commands/entry.go
+++ b/commands/entry.go
@@ -95,7 +95,7 @@
 }
 
 // runUntilSignal runs a process. The first signal, or an operator, drains it;
-// the second signal, or the end of the drain time, stops it at once.
+// an interrupt after it, or the end of the drain time, stops it at once.
 func runUntilSignal(l lifecycle) error {
 	first, second, stop := signals()
 	defer stop()
--- a/commands/process.go
+++ b/commands/process.go
@@ -8,10 +8,8 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"path/filepath"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -63,10 +61,7 @@
 
 // watchSettings hands on the settings whenever their file has changed, or a hang-up
 // signal says so. A file with faults changes nothing.
-func watchSettings(ctx context.Context, path string, role config.Role, apply func(*config.Config)) {
-	hangUp := make(chan os.Signal, 1)
-	signal.Notify(hangUp, syscall.SIGHUP)
-	defer signal.Stop(hangUp)
+func watchSettings(ctx context.Context, path string, role config.Role, hangUps <-chan os.Signal, apply func(*config.Config)) {
 	ticker := time.NewTicker(lookEvery)
 	defer ticker.Stop()
 	last := changedAt(path)
@@ -75,7 +70,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-hangUp:
+		case <-hangUps:
 			cause = "hang-up signal"
 		case <-ticker.C:
 			if changedAt(path).Equal(last) {
@@ -170,7 +165,7 @@
 }
 
 // runProcess runs a process until it fails or a signal ends it. The first signal
-// drains it; the second, or the end of the grace time, stops it at once.
+// drains it; an interrupt after it, or the end of the grace time, stops it at once.
 func runProcess(s *Streams, p process) error {
 	defer startLogs(s.Out)()
 	limitMemory(p.settings.Runtime().Memory)
@@ -179,7 +174,7 @@
 	ctx, cancel := context.WithCancel(second)
 	defer cancel()
 	go serveMetrics(ctx, p.settings.Runtime().Metrics, p.metrics)
-	go watchSettings(ctx, p.file, p.role, p.reload)
+	go watchSettings(ctx, p.file, p.role, s.HangUps, p.reload)
 	ended := make(chan error, 1)
 	go func() { ended <- p.run(ctx) }()
 	select {
--- a/commands/process_test.go
+++ b/commands/process_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -12,6 +13,23 @@
 	"github.com/corianderhook/corianderhook/version/config"
 )
 
+// Whoever stops a process may ask again while it drains; that must not cut what it
+// still serves. The keyboard's second interrupt ends it at once.
+func TestRepeatedTerminationCutsNothing(t *testing.T) {
+	i := is.New(t)
+	first, second, stop := signals()
+	defer stop()
+	i.NoErr(syscall.Kill(os.Getpid(), syscall.SIGTERM))
+	<-first.Done()
+	for range 3 {
+		i.NoErr(syscall.Kill(os.Getpid(), syscall.SIGTERM))
+		time.Sleep(20 * time.Millisecond)
+	}
+	i.NoErr(second.Err())
+	i.NoErr(syscall.Kill(os.Getpid(), syscall.SIGINT))
+	<-second.Done()
+}
+
 const sidecarText = `[process]
 name = a1
 zone = z1
@@ -56,7 +74,7 @@
 	good := strings.Replace(sidecarText, "RESUBMISSION", "1300ms", 1)
 	path := write(t, good)
 	taken := make(chan *config.Config, 4)
-	go watchSettings(t.Context(), path, config.RoleSidecar, func(c *config.Config) { taken <- c })
+	go watchSettings(t.Context(), path, config.RoleSidecar, make(chan os.Signal), func(c *config.Config) { taken <- c })
 	time.Sleep(100 * time.Millisecond)
 	i.NoErr(os.WriteFile(path, []byte(strings.Replace(good, "zone = z1", "zone = two words", 1)), 0o600))
 	i.NoErr(os.Chtimes(path, time.Now(), time.Now().Add(time.Second)))
@@ -74,3 +92,19 @@
 		t.Fatal("changed settings were not read again")
 	}
 }
+
+// A hang-up that comes while a process starts neither ends it nor is forgotten.
+func TestHangUpDuringTheStartCounts(t *testing.T) {
+	i := is.New(t)
+	path := write(t, strings.Replace(sidecarText, "RESUBMISSION", "1300ms", 1))
+	hangUps := make(chan os.Signal, 1)
+	hangUps <- syscall.SIGHUP
+	taken := make(chan *config.Config, 1)
+	go watchSettings(t.Context(), path, config.RoleSidecar, hangUps, func(c *config.Config) { taken <- c })
+	select {
+	case <-taken:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the settings were not read again")
+	}
+	i.True(readsAgain("dispatcher") && readsAgain("sidecar") && !readsAgain("demo"))
+}
--- a/node/dispatcher/actor.go
+++ b/node/dispatcher/actor.go
@@ -19,7 +19,8 @@
 		request scheduler.Request
 		sentAt  time.Time
 	}
-	leave struct{ job string }
+	leave  struct{ job string }
+	stopBy struct{ at time.Time }
 	// attached, detached and received come from the sessions of sidecars.
 	attached struct {
 		session *session
@@ -61,6 +62,8 @@
 		a.scheduler.Submit(m.request)
 	case leave:
 		a.scheduler.Leave(m.job)
+	case stopBy:
+		a.scheduler.StopBy(m.at)
 	case attached:
 		a.attach(m)
 	case detached:
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -240,11 +240,12 @@
 	}
 }
 
-// StopBy begins a planned stop: callers should go elsewhere, and no job is taken
-// that cannot end by the given steady time.
+// StopBy begins a planned stop: callers should go elsewhere, no job is taken that
+// cannot end by the given steady time, and those under way are given up then.
 func (d *Dispatcher) StopBy(at time.Time) {
 	d.draining.Store(true)
 	d.stopsAt.Store(&at)
+	d.deps.System.Root.Send(d.scheduler, stopBy{at: at})
 	klog.InfoS("CH1004 dispatcher drains", "entry", d.deps.Name, "jobs", d.jobs.Load(), "within", at.Sub(d.deps.Clock.Now()))
 }
 
--- a/process/scheduler/events.go
+++ b/process/scheduler/events.go
@@ -230,6 +230,15 @@
 	return list
 }
 
+// StopBy bounds the time of every job that is under way: this process ends then.
+func (s *Scheduler) StopBy(at time.Time) {
+	for _, j := range s.jobs {
+		if j.deadline.After(at) {
+			j.deadline = at
+		}
+	}
+}
+
 // Suspended ends every job after this process stood still: their agents have
 // stopped them.
 func (s *Scheduler) Suspended(reason string) {
--- a/process/scheduler/scheduler_test.go
+++ b/process/scheduler/scheduler_test.go
@@ -308,3 +308,18 @@
 	s.Frame(at, event(ref, wire.TaskEventKind_TASK_EVENT_KIND_LOST))
 	i.Equal(len(h.offers[other]), 1)
 }
+
+// A planned stop gives up what outlasts it while there is time for the answer.
+func TestPlannedStopEndsWhatOutlastsIt(t *testing.T) {
+	i := is.New(t)
+	s, h := newScheduler("a")
+	answers := submit(t, s, "job", 1, time.Minute)
+	s.StopBy(h.now.Add(time.Second))
+	h.now = h.now.Add(990 * time.Millisecond)
+	s.Tick()
+	i.Equal(len(*answers), 0)
+	h.now = h.now.Add(20 * time.Millisecond)
+	s.Tick()
+	i.Equal((*answers)[0].Outcome(), outcome.Unknown)
+	i.Equal(h.cancels, h.refs("a"))
+}
--- a/version/config/config.go
+++ b/version/config/config.go
@@ -66,10 +66,19 @@
 
 // Dispatcher is what a dispatcher is told. Addresses are ip:port.
 type Dispatcher struct {
-	Callers string
-	Ready   string
-	Listen  string
-	Peers   []string
+	Callers   string
+	Ready     string
+	Listen    string
+	Advertise string
+	Peers     []string
+}
+
+// Address is where others reach the dispatcher.
+func (d Dispatcher) Address() string {
+	if d.Advertise != "" {
+		return d.Advertise
+	}
+	return d.Listen
 }
 
 // Sidecar is what a sidecar is told. Addresses are ip:port.
--- a/version/config/fields.go
+++ b/version/config/fields.go
@@ -48,6 +48,7 @@
 			{Key: "callers", Unit: "ip:port", Doc: "Address for callers.", set: setAddress(func(b *builder) *string { return &b.c.dispatcher.Callers })},
 			{Key: "ready", Unit: "ip:port", Doc: "Address where the balancer asks for readiness.", set: setAddress(func(b *builder) *string { return &b.c.dispatcher.Ready })},
 			{Key: "listen", Unit: "ip:port", Doc: "Address for sidecars and other dispatchers.", set: setAddress(func(b *builder) *string { return &b.c.dispatcher.Listen })},
+			{Key: "advertise", Unit: "ip:port", Doc: "Address that the others use; the listen address where it is empty.", set: setAddress(func(b *builder) *string { return &b.c.dispatcher.Advertise })},
 			{Key: "peers", Unit: "ip:port, ...", Doc: "Some other dispatchers; they may be out of date.", set: setAddresses(func(b *builder) *[]string { return &b.c.dispatcher.Peers })},
 		}},
 		{Name: "sidecar", Fields: []Field{
