Add a fault soak: real processes on loopback, harmed from outside

corianderhook soak runs dispatchers and sidecars as processes of their own with stand-ins for everything else, through proxies that delay, reset, cut either way, silence and refuse, and with signals that kill, freeze, stop and hang up; store, endpoints and the time of day misbehave; configuration and planned stops come in series.

--- a/commands/dispatcher.go
+++ b/commands/dispatcher.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"time"
 
+	"github.com/corianderhook/corianderhook/common/shifted"
 	"github.com/corianderhook/corianderhook/platform"
 	"github.com/corianderhook/corianderhook/version/config"
 )
@@ -10,6 +12,8 @@
 // DispatcherCommand runs a dispatcher.
 type DispatcherCommand struct {
 	Settings string `required:"" env:"CORIANDERHOOK_NODE_FILE" placeholder:"FILE" help:"Settings file in INI; read again when it changes."`
+	// ClockOffset is for the soak.
+	ClockOffset time.Duration `hidden:"" help:"How far the time of day is off."`
 }
 
 // Run runs the dispatcher until a signal ends it.
@@ -23,7 +27,7 @@
 	if err != nil {
 		return usageError{err}
 	}
-	e := platform.NewEntry(settings, realClock(), newSystem())
+	e := platform.NewEntry(settings, shifted.New(realClock(), c.ClockOffset), newSystem())
 	return runProcess(s, process{
 		settings: settings, file: c.Settings, role: config.RoleDispatcher,
 		metrics: e.Dispatcher().Metrics().Handler(), reload: e.Reload,
--- a/commands/sidecar.go
+++ b/commands/sidecar.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"time"
 
+	"github.com/corianderhook/corianderhook/common/shifted"
 	"github.com/corianderhook/corianderhook/platform"
 	"github.com/corianderhook/corianderhook/version/config"
 )
@@ -10,6 +12,8 @@
 // SidecarCommand runs a sidecar.
 type SidecarCommand struct {
 	Settings string `required:"" env:"CORIANDERHOOK_NODE_FILE" placeholder:"FILE" help:"Settings file in INI; read again when it changes."`
+	// ClockOffset is for the soak.
+	ClockOffset time.Duration `hidden:"" help:"How far the time of day is off."`
 }
 
 // Run runs the sidecar until a signal ends it.
@@ -22,7 +26,7 @@
 	if err != nil {
 		return usageError{err}
 	}
-	a := platform.NewAgent(settings, realClock(), newSystem())
+	a := platform.NewAgent(settings, shifted.New(realClock(), c.ClockOffset), newSystem())
 	return runProcess(s, process{
 		settings: settings, file: c.Settings, role: config.RoleSidecar,
 		metrics: a.Sidecar().Metrics().Handler(), reload: a.Reload,
--- /dev/null
+++ b/lab/program/program_test.go
@@ -0,0 +1,59 @@
+package program
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func newProgram(t *testing.T, script string) (*Program, []string) {
+	t.Helper()
+	return New("p", "/bin/sh", t.TempDir()), []string{"-c", script}
+}
+
+func TestOutputGoesToAFileForEachLife(t *testing.T) {
+	i := is.New(t)
+	p, args := newProgram(t, "echo hello; exec sleep 60")
+	i.NoErr(p.Start(args...))
+	i.NoErr(p.Start(args...)) // It runs already.
+	i.Equal(p.Lives(), 1)
+	path := filepath.Join(p.dir, "p.1.log")
+	for began := time.Now(); time.Since(began) < 10*time.Second; time.Sleep(5 * time.Millisecond) {
+		if text, _ := os.ReadFile(path); strings.Contains(string(text), "hello") {
+			break
+		}
+	}
+	p.Kill()
+	text, err := os.ReadFile(path)
+	i.NoErr(err)
+	i.Equal(string(text), "hello\n")
+	i.Equal(len(p.Surprises()), 0)
+}
+
+func TestStopWaitsForTheEnd(t *testing.T) {
+	i := is.New(t)
+	p, args := newProgram(t, "exec sleep 60")
+	i.NoErr(p.Start(args...))
+	i.True(p.Stop(10 * time.Second))
+	i.NoErr(p.Start("-c", "trap '' TERM; echo deaf; while :; do sleep 0.05; done"))
+	for began := time.Now(); time.Since(began) < 10*time.Second; time.Sleep(5 * time.Millisecond) {
+		if text, _ := os.ReadFile(filepath.Join(p.dir, "p.2.log")); len(text) > 0 {
+			break
+		}
+	}
+	i.True(!p.Stop(50 * time.Millisecond))
+}
+
+func TestEndByItselfIsASurprise(t *testing.T) {
+	i := is.New(t)
+	p, args := newProgram(t, "exit 3")
+	i.NoErr(p.Start(args...))
+	for began := time.Now(); len(p.Surprises()) == 0 && time.Since(began) < 10*time.Second; time.Sleep(5 * time.Millisecond) {
+	}
+	i.True(strings.Contains(strings.Join(p.Surprises(), ""), "exit status 3"))
+	p.Kill()
+}
