--- a/commands/commands.go
+++ b/commands/commands.go
@@ -46,6 +46,7 @@
 	Status     StatusCommand     `cmd:"" help:"Show what processes say of themselves."`
 	Drain      DrainCommand      `cmd:"" help:"Stop a process as planned: no new work, nothing cut."`
 	Bench      BenchCommand      `cmd:"" help:"Run an experiment on loopback."`
+	Explain    ExplainCommand    `cmd:"" help:"Tell what became of a request, from the logs of dispatchers and sidecars."`
 	Soak       SoakCommand       `cmd:"" help:"Run the real programs on loopback, harm them, and check what callers and endpoints see."`
 	Eject      EjectCommand      `cmd:"" help:"Give an agent no more tasks until it is readmitted."`
 	Readmit    ReadmitCommand    `cmd:"" help:"Give an agent tasks again that an operator has ejected."`
--- a/lab/soak/load.go
+++ b/lab/soak/load.go
@@ -21,6 +21,8 @@
 	answerSlack = 400 * time.Millisecond
 	// flowing is the share of a second's jobs that are completed when work flows.
 	flowing = 0.8
+	// longEach is which part of the jobs is long.
+	longEach = 8
 	// queueEvery is the time between two looks at configuration.
 	queueEvery = 200 * time.Millisecond
 	queueTime  = 500 * time.Millisecond
@@ -59,15 +61,27 @@
 	return l
 }
 
+// drawJob draws a job: many quick ones, and one in longEach whose tasks outlast the time
+// after which a caller without an answer sends its job again.
+func drawJob(r *rand.Rand) caller.Job {
+	j := caller.Job{
+		ID: fmt.Sprintf("%016x", r.Uint64()), Tasks: 1 + r.IntN(6), Takes: between(r, 20*time.Millisecond, 200*time.Millisecond),
+		CPU: 500 + r.IntN(3500), Budget: between(r, 1500*time.Millisecond, 3500*time.Millisecond),
+	}
+	if r.IntN(longEach) == 0 {
+		j.Tasks, j.CPU = 1+r.IntN(3), 500+r.IntN(1000)
+		j.Takes = between(r, time.Second, 3*time.Second)
+		j.Budget = j.Takes + between(r, time.Second, 4*time.Second)
+	}
+	return j
+}
+
 // run sends jobs until the context ends, and waits for their answers.
 func (l *load) run(ctx context.Context) {
 	random := rand.New(rand.NewPCG(l.world.settings.Seed, 3))
 	var group sync.WaitGroup
 	for ctx.Err() == nil {
-		j := caller.Job{
-			ID: fmt.Sprintf("%016x", random.Uint64()), Tasks: 1 + random.IntN(6), Takes: time.Duration(20+random.IntN(180)) * time.Millisecond,
-			CPU: 500 + random.IntN(3500), Budget: time.Duration(1500+random.IntN(2000)) * time.Millisecond,
-		}
+		j := drawJob(random)
 		c := l.callers[random.IntN(len(l.callers))]
 		group.Go(func() {
 			f := fate{job: j, attempts: c.Submit(context.WithoutCancel(ctx), j), ended: l.world.clock.Now()}
