--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc/credentials"
 	"k8s.io/klog/v2"
 
+	"github.com/corianderhook/corianderhook/common/pause"
 	"github.com/corianderhook/corianderhook/process/membership"
 	"github.com/corianderhook/corianderhook/version/ownership"
 	"github.com/corianderhook/corianderhook/wire"
@@ -104,10 +105,7 @@
 			return
 		}
 		klog.V(1).InfoS("CH0201 peer connection lost", "peer", name, "error", err)
-		select {
-		case <-ctx.Done():
-		case <-p.settings.Clock.After(redial):
-		}
+		pause.For(ctx, p.settings.Clock, redial)
 	}
 }
 
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -20,6 +20,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/corianderhook/corianderhook/common/instance"
+	"github.com/corianderhook/corianderhook/common/pause"
 	"github.com/corianderhook/corianderhook/common/stopper"
 	"github.com/corianderhook/corianderhook/connection/endpoint"
 	"github.com/corianderhook/corianderhook/connection/guard"
@@ -153,21 +154,14 @@
 		if left == 0 {
 			break
 		}
-		a.pause(ctx, tickEvery)
+		pause.For(ctx, a.deps.Clock, tickEvery)
 	}
-	a.pause(ctx, lastWord)
+	pause.For(ctx, a.deps.Clock, lastWord)
 	a.Kill()
 	klog.InfoS("CH0013 agent stopped", "agent", a.id)
 	return nil
 }
 
-func (a *Agent) pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-a.deps.Clock.After(d):
-	}
-}
-
 func (a *Agent) running(ctx context.Context) (int, error) {
 	s, err := a.Status(ctx)
 	return s.Running, err
@@ -272,7 +266,7 @@
 		return
 	}
 	if record.GetState() == wire.TaskState_TASK_STATE_NOT_STARTED {
-		a.pause(ctx, restAfterRefusal)
+		pause.For(ctx, a.deps.Clock, restAfterRefusal)
 	}
 	a.deps.System.Root.Send(a.executor, finished{task: t, record: record})
 }
--- a/node/agent/links.go
+++ b/node/agent/links.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"github.com/corianderhook/corianderhook/common/pause"
 	"github.com/corianderhook/corianderhook/connection/outbox"
 	"github.com/corianderhook/corianderhook/connection/peer"
 	"github.com/corianderhook/corianderhook/wire"
@@ -119,7 +120,7 @@
 			return
 		}
 		klog.V(1).InfoS("CH0111 entry session ended", "agent", l.agent.id, "address", at, "error", err)
-		l.agent.pause(ctx, redial)
+		pause.For(ctx, l.agent.deps.Clock, redial)
 	}
 }
 
--- a/node/entry/config.go
+++ b/node/entry/config.go
@@ -6,6 +6,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/corianderhook/corianderhook/common/pause"
 	"github.com/corianderhook/corianderhook/version/publication"
 	"github.com/corianderhook/corianderhook/wire"
 )
@@ -22,7 +23,7 @@
 		batch, err := e.deps.Log.Read(ctx, publication.Stream, from, readWait)
 		if err != nil {
 			klog.V(1).InfoS("CH0301 log read failed", "entry", e.self.Instance, "error", err)
-			e.pause(ctx, retryRead)
+			pause.For(ctx, e.deps.Clock, retryRead)
 			continue
 		}
 		for i, raw := range batch.Records {
--- a/node/entry/steer.go
+++ b/node/entry/steer.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/corianderhook/corianderhook/common/pause"
 	"github.com/corianderhook/corianderhook/process/audit"
 	"github.com/corianderhook/corianderhook/process/membership"
 	"github.com/corianderhook/corianderhook/process/owner"
@@ -41,7 +42,7 @@
 		batch, err := e.deps.Log.Read(ctx, ownership.Stream, table.Next(), readWait)
 		if err != nil {
 			klog.V(1).InfoS("CH0301 log read failed", "entry", e.self.Instance, "error", err)
-			e.pause(ctx, retryRead)
+			pause.For(ctx, e.deps.Clock, retryRead)
 			continue
 		}
 		e.fold(ctx, table, batch.First, batch.From, batch.Records)
@@ -64,18 +65,11 @@
 	e.deps.System.Root.Send(e.owner, follow{table: &state})
 }
 
-func (e *Entry) pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-e.deps.Clock.After(d):
-	}
-}
-
 // steer appends what membership asks for.
 func (e *Entry) steer(ctx context.Context) {
 	m := membership.New(e.deps.Clock.Now())
 	for ctx.Err() == nil {
-		e.pause(ctx, steerEvery)
+		pause.For(ctx, e.deps.Clock, steerEvery)
 		var list []membership.Agent
 		if e.onOwner(ctx, func(o *owner.Owner) { list = agents(o) }) != nil {
 			return
@@ -90,7 +84,7 @@
 		})
 		if err := e.carryOut(ctx, m, plan); err != nil && ctx.Err() == nil {
 			klog.V(1).InfoS("CH0303 log append failed", "entry", e.self.Instance, "error", err)
-			e.pause(ctx, retryRead)
+			pause.For(ctx, e.deps.Clock, retryRead)
 		}
 	}
 }
@@ -210,7 +204,7 @@
 	defer cancel()
 	offset, err := e.deps.Log.Append(ctx, ownership.Stream, raw)
 	if err != nil {
-		e.pause(ctx, retryRead)
+		pause.For(ctx, e.deps.Clock, retryRead)
 		if offset, err = e.deps.Log.Append(ctx, ownership.Stream, raw); err != nil {
 			return err
 		}
@@ -219,7 +213,7 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		e.pause(ctx, time.Millisecond)
+		pause.For(ctx, e.deps.Clock, time.Millisecond)
 	}
 	return nil
 }
--- a/node/sidecar/keeper.go
+++ b/node/sidecar/keeper.go
@@ -8,6 +8,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/corianderhook/corianderhook/common/pause"
 	"github.com/corianderhook/corianderhook/process/runner"
 )
 
@@ -79,7 +80,7 @@
 func (k *keeper) stop(name string, run runner.RunName) {
 	acknowledged := k.sidecar.deps.Endpoint.Stop(context.Background(), k.life(), run)
 	if !acknowledged {
-		k.sidecar.pause(context.Background(), stopPause)
+		pause.For(context.Background(), k.sidecar.deps.Clock, stopPause)
 	}
 	if name != "" {
 		k.sidecar.deps.System.Root.Send(k.sidecar.runner, stopped{name: name, acknowledged: acknowledged})
@@ -108,7 +109,7 @@
 		list, err := k.sidecar.deps.Endpoint.List(ctx, k.life(), k.last, 0)
 		switch {
 		case err != nil:
-			k.sidecar.pause(ctx, listPause)
+			pause.For(ctx, k.sidecar.deps.Clock, listPause)
 		case list.Fenced:
 			k.fence.Add(step)
 			klog.InfoS("CH1131 fence raised", "agent", k.sidecar.deps.Name, "fence", k.fence.Load())
@@ -119,7 +120,7 @@
 			for _, run := range list.Running {
 				go k.stop("", run)
 			}
-			k.sidecar.pause(ctx, listPause)
+			pause.For(ctx, k.sidecar.deps.Clock, listPause)
 		default:
 			k.last = list.Last
 			k.born = list.Born
@@ -161,7 +162,7 @@
 			if now.After(k.sidecar.deps.Endpoint.LeaseEnds().Add(runner.LapsedAfter() - runner.Lease)) {
 				k.tell(lapsed{})
 			}
-			k.sidecar.pause(ctx, listPause)
+			pause.For(ctx, k.sidecar.deps.Clock, listPause)
 			continue
 		case list.Fenced || !list.Born.Equal(k.born):
 			klog.InfoS("CH1135 endpoint is another or has another sidecar", "agent", k.sidecar.deps.Name, "born", list.Born, "fenced", list.Fenced)
--- a/node/sidecar/links.go
+++ b/node/sidecar/links.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"github.com/corianderhook/corianderhook/common/pause"
 	"github.com/corianderhook/corianderhook/connection/outbox"
 	"github.com/corianderhook/corianderhook/connection/peer"
 	"github.com/corianderhook/corianderhook/wire"
@@ -107,11 +108,11 @@
 			answered = clock.Now()
 			klog.InfoS("CH1141 session with dispatcher lost", "agent", l.sidecar.deps.Name, "dispatcher", address, "error", err, "lasted", answered.Sub(began))
 		}
-		pause := redial
+		again := redial
 		if clock.Since(answered) > dropAfter {
-			pause = slowRedial
+			again = slowRedial
 		}
-		l.sidecar.pause(ctx, pause)
+		pause.For(ctx, clock, again)
 	}
 }
 
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -13,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 	"k8s.io/klog/v2"
 
+	"github.com/corianderhook/corianderhook/common/pause"
 	"github.com/corianderhook/corianderhook/process/metrics"
 	"github.com/corianderhook/corianderhook/process/registration"
 	"github.com/corianderhook/corianderhook/process/runner"
@@ -183,20 +184,13 @@
 	case <-ctx.Done():
 	}
 	for ctx.Err() == nil && s.tasks.Load() > 0 {
-		s.pause(ctx, tickEvery)
+		pause.For(ctx, s.deps.Clock, tickEvery)
 	}
 	// The last ends go out to the dispatchers.
-	s.pause(ctx, 2*tickEvery)
+	pause.For(ctx, s.deps.Clock, 2*tickEvery)
 	klog.InfoS("CH1103 sidecar stopped", "agent", s.deps.Name, "tasks", s.tasks.Load())
 }
 
-func (s *Sidecar) pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-s.deps.Clock.After(d):
-	}
-}
-
 // stamp is the steady time of this process in microseconds.
 func (s *Sidecar) stamp() uint64 { return uint64(s.deps.Clock.Since(s.began).Microseconds()) + 1 }
 
--- a/process/audit/audit.go
+++ b/process/audit/audit.go
@@ -13,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 	"k8s.io/klog/v2"
 
+	"github.com/corianderhook/corianderhook/common/pause"
 	"github.com/corianderhook/corianderhook/version/publication"
 )
 
@@ -126,10 +127,8 @@
 		}
 		if err := t.append(ctx, r); err != nil {
 			klog.V(1).InfoS("CH0402 audit record waits for the log", "waiting", t.Waiting(), "error", err)
-			select {
-			case <-ctx.Done():
+			if !pause.For(ctx, t.clock, retry) {
 				return
-			case <-t.clock.After(retry):
 			}
 			continue
 		}
--- a/process/registration/registration.go
+++ b/process/registration/registration.go
@@ -24,18 +24,20 @@
 	Draining bool
 }
 
+//go:generate stringer -type=Verdict -linecomment
+
 // Verdict is what follows from an announcement.
 type Verdict uint8
 
 const (
 	// Stale means that the announcement is older than what is known.
-	Stale Verdict = iota
+	Stale Verdict = iota // stale
 	// Same means that nothing has changed.
-	Same
+	Same // same
 	// Changed means that the same life has changed what it says.
-	Changed
+	Changed // changed
 	// Reborn means that a new life has begun.
-	Reborn
+	Reborn // reborn
 )
 
 // Registration is what is known of the endpoint. It is not safe for concurrent use.
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -9,6 +9,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/corianderhook/corianderhook/common/pause"
 	"github.com/corianderhook/corianderhook/request/answer"
 	"github.com/corianderhook/corianderhook/request/outcome"
 	"github.com/corianderhook/corianderhook/request/submission"
@@ -17,8 +18,8 @@
 )
 
 const (
-	// pause is the time before an owner is looked up again.
-	pause = 20 * time.Millisecond
+	// restTime is the time before an owner is looked up again.
+	restTime = 20 * time.Millisecond
 	// outOfReach is the Retry-After where the owner of a key cannot be reached.
 	outOfReach = 2 * time.Second
 )
@@ -124,12 +125,7 @@
 }
 
 func (r *Router) rest(ctx context.Context) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-r.deps.Clock.After(pause):
-		return true
-	}
+	return pause.For(ctx, r.deps.Clock, restTime)
 }
 
 // unreached is the truth where no owner has answered: earlier attempts of the
--- a/process/runner/report.go
+++ b/process/runner/report.go
@@ -13,11 +13,11 @@
 
 const (
 	// EndedWell means that the task did its work.
-	EndedWell How = iota
+	EndedWell How = iota // well
 	// EndedFailed means a failure through the task's own fault or the endpoint's.
-	EndedFailed
+	EndedFailed // failed
 	// EndedOtherwise means that the run was stopped, or its lease ran out.
-	EndedOtherwise
+	EndedOtherwise // otherwise
 )
 
 // RunName is how an endpoint lists a run.
--- a/process/runner/runner.go
+++ b/process/runner/runner.go
@@ -61,16 +61,18 @@
 	Decided(event string, o Order, details ...any)
 }
 
+//go:generate stringer -type=Result,How -linecomment
+
 // Result is what became of a start order.
 type Result uint8
 
 const (
 	// Running means that the endpoint has taken the order.
-	Running Result = iota
+	Running Result = iota // running
 	// Refused means that the endpoint has done nothing, and never will for the order.
-	Refused
+	Refused // refused
 	// Doubtful means no answer: the order may be carried out later.
-	Doubtful
+	Doubtful // doubtful
 )
 
 type phase uint8
