Take memory and grace time while a process runs; name what waits for a restart

A changed settings file was read again, but only addresses of dispatchers were taken and nothing said so of the rest. Memory and grace time are taken now; CH1304 names the keys that wait for a restart. TestKeysThatWaitForARestartAreNamed.

--- a/commands/dispatcher.go
+++ b/commands/dispatcher.go
@@ -34,6 +34,6 @@
 		run: func(ctx context.Context) error {
 			return e.Run(ctx, platform.EntryListeners{Processes: sockets[0], Callers: sockets[1], Ready: sockets[2]})
 		},
-		drain: func(ctx context.Context) { e.Drain(ctx, settings.Runtime().Grace-exitMargin) },
+		drain: e.Drain,
 	})
 }
--- a/commands/process.go
+++ b/commands/process.go
@@ -10,6 +10,8 @@
 	"os"
 	"path/filepath"
 	"runtime/debug"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -155,13 +157,30 @@
 
 // process is how a dispatcher or sidecar is run and stopped.
 type process struct {
+	// settings are those of the start.
 	settings *config.Config
 	file     string
 	role     config.Role
 	metrics  http.Handler
 	run      func(context.Context) error
 	reload   func(*config.Config)
-	drain    func(context.Context)
+	drain    func(ctx context.Context, within time.Duration)
+}
+
+// liveKeys are taken while a process runs; the others need a restart.
+func liveKeys() []string {
+	return []string{"runtime memory", "runtime grace", "dispatcher peers", "sidecar dispatchers"}
+}
+
+// apply takes what can be taken of changed settings, and names the rest.
+func (p process) apply(inForce *atomic.Pointer[config.Config], c *config.Config) {
+	inForce.Store(c)
+	limitMemory(c.Runtime().Memory)
+	p.reload(c)
+	waiting := slices.DeleteFunc(c.Changed(p.settings), func(key string) bool { return slices.Contains(liveKeys(), key) })
+	if len(waiting) > 0 {
+		klog.InfoS("CH1304 settings wait for a restart", "file", p.file, "keys", waiting)
+	}
 }
 
 // runProcess runs a process until it fails or a signal ends it. The first signal
@@ -174,7 +193,9 @@
 	ctx, cancel := context.WithCancel(second)
 	defer cancel()
 	go serveMetrics(ctx, p.settings.Runtime().Metrics, p.metrics)
-	go watchSettings(ctx, p.file, p.role, s.HangUps, p.reload)
+	var inForce atomic.Pointer[config.Config]
+	inForce.Store(p.settings)
+	go watchSettings(ctx, p.file, p.role, s.HangUps, func(c *config.Config) { p.apply(&inForce, c) })
 	ended := make(chan error, 1)
 	go func() { ended <- p.run(ctx) }()
 	select {
@@ -182,9 +203,10 @@
 		return err
 	case <-first.Done():
 	}
-	klog.InfoS("CH0004 stopping as planned", "bound", p.settings.Runtime().Grace)
-	draining, cancelDrain := context.WithTimeout(ctx, p.settings.Runtime().Grace-exitMargin)
+	within := inForce.Load().Runtime().Grace - exitMargin
+	klog.InfoS("CH0004 stopping as planned", "bound", within)
+	draining, cancelDrain := context.WithTimeout(ctx, within)
 	defer cancelDrain()
-	p.drain(draining)
+	p.drain(draining, within)
 	return nil
 }
--- a/commands/process_test.go
+++ b/commands/process_test.go
@@ -3,12 +3,15 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"k8s.io/klog/v2"
 
 	"github.com/corianderhook/corianderhook/version/config"
 )
@@ -108,3 +111,29 @@
 	}
 	i.True(readsAgain("dispatcher") && readsAgain("sidecar") && !readsAgain("demo"))
 }
+
+// Memory, grace and addresses of dispatchers are taken while a process runs; a changed
+// address of its own waits for a restart and is named.
+func TestKeysThatWaitForARestartAreNamed(t *testing.T) {
+	i := is.New(t)
+	good := strings.Replace(sidecarText, "RESUBMISSION", "1300ms", 1)
+	former, err := readSettingsFile(write(t, good), config.RoleSidecar)
+	i.NoErr(err)
+	newer, err := readSettingsFile(write(t, strings.Replace(good, "127.0.0.1:3", "127.0.0.1:4\ndispatchers = 127.0.0.1:9", 1)+"grace = 3s\n"), config.RoleSidecar)
+	i.NoErr(err)
+	changed := newer.Changed(former)
+	slices.Sort(changed)
+	i.Equal(changed, []string{"runtime grace", "sidecar announcements", "sidecar dispatchers"})
+	var log strings.Builder
+	klog.SetOutput(&log)
+	klog.LogToStderr(false)
+	defer klog.LogToStderr(true)
+	var inForce atomic.Pointer[config.Config]
+	reloaded := false
+	p := process{settings: former, file: "sidecar.ini", reload: func(*config.Config) { reloaded = true }}
+	p.apply(&inForce, newer)
+	klog.Flush()
+	i.True(reloaded)
+	i.Equal(inForce.Load().Runtime().Grace, 3*time.Second)
+	i.True(strings.Contains(log.String(), `CH1304 settings wait for a restart" file="sidecar.ini" keys=["sidecar announcements"]`))
+}
--- a/commands/sidecar.go
+++ b/commands/sidecar.go
@@ -31,6 +31,6 @@
 		settings: settings, file: c.Settings, role: config.RoleSidecar,
 		metrics: a.Sidecar().Metrics().Handler(), reload: a.Reload,
 		run:   func(ctx context.Context) error { return a.Run(ctx, sockets[0]) },
-		drain: a.Drain,
+		drain: func(ctx context.Context, _ time.Duration) { a.Drain(ctx) },
 	})
 }
--- a/version/config/config.go
+++ b/version/config/config.go
@@ -165,6 +165,22 @@
 // Values returns every value in force, in the order of section and key.
 func (c *Config) Values() []Value { return c.values }
 
+// Changed lists the keys whose values differ from those of former settings, as
+// "section key".
+func (c *Config) Changed(former *Config) []string {
+	old := map[string]string{}
+	for _, v := range former.values {
+		old[v.Section+" "+v.Key] = v.Value
+	}
+	var keys []string
+	for _, v := range c.values {
+		if key := v.Section + " " + v.Key; old[key] != v.Value {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
 // Ejected reports whether an operator has taken the agent of a process name out.
 func (c *Config) Ejected(name string) bool {
 	_, out := c.ejected[name]
