Shed by urgency in halves, and let long jobs wait in their own slack

Change: plan.limit is half as much backlog for each level of urgency, or 0.15 of the job's own slack where that is more. Admission is a file of its own (plan.go).

--- a/process/replay/loads_test.go
+++ b/process/replay/loads_test.go
@@ -97,7 +97,7 @@
 		s.speed /= 3
 	}
 	w.play(5 * time.Second)
-	w.score = map[string]*tally{}
+	w.recount()
 	w.load(kinds(), 15*time.Second)
 	w.play(20 * time.Second)
 	i.True(served(t, w) > 0.97)
@@ -114,8 +114,9 @@
 	}
 }
 
-// bursts plays a burst of five seconds over some seeds and returns the mean worth.
-func bursts(t *testing.T, name string, times float64) (worth float64, all map[string]*tally) {
+// bursts plays a burst of five seconds over some seeds and returns the mean worth, and
+// what could be earned at most.
+func bursts(t *testing.T, name string, times float64) (worth, most float64, all map[string]*tally) {
 	t.Helper()
 	const seeds = 3
 	all = map[string]*tally{}
@@ -123,10 +124,11 @@
 		w := site(t, seed+1)
 		w.load(kinds(), 3*time.Second)
 		w.play(3 * time.Second)
-		w.score = map[string]*tally{}
+		w.recount()
 		w.load(burst(kinds(), name, times), 5*time.Second)
 		w.play(10 * time.Second)
 		worth += served(t, w) / seeds
+		most += bound(w.arrivals, w.cores()) / seeds
 		for kind, one := range w.score {
 			if all[kind] == nil {
 				all[kind] = &tally{}
@@ -134,19 +136,26 @@
 			all[kind].add(*one)
 		}
 	}
-	return worth, all
+	t.Logf("worth %.3f, %.3f of what a scheduler earns at most that knows everything", worth, worth/most)
+	return worth, most, all
 }
 
+// aim is the share of what can be earned at most; not reached at 2.5 times the load.
+const aim = 0.92
+
 // More comes than fits: every kind keeps a share, and little is run in vain.
 func TestBurstOfEverything(t *testing.T) {
 	for _, c := range []struct {
 		times, least float64
-	}{{1.6, 0.97}, {2, 0.9}, {2.5, 0.72}} {
+	}{{1.6, 0.97}, {2, 0.95}, {2.5, 0.8}} {
 		t.Run(fmt.Sprint(c.times), func(t *testing.T) {
 			i := is.New(t)
-			worth, all := bursts(t, "", c.times)
-			t.Logf("worth %.3f", worth)
+			worth, most, all := bursts(t, "", c.times)
 			i.True(worth > c.least)
+			i.True(worth <= most)
+			if c.times <= 2 {
+				i.True(worth >= aim*most)
+			}
 			for _, k := range kinds() {
 				// No kind is shed wholly, and hardly any job is run in vain.
 				i.True(all[k.name].served() > 0.5)
@@ -159,7 +168,7 @@
 // Three times the long, less urgent jobs leave the short urgent ones quick.
 func TestBurstOfLongJobs(t *testing.T) {
 	i := is.New(t)
-	worth, all := bursts(t, "hold", 3)
+	worth, _, all := bursts(t, "hold", 3)
 	i.True(worth > 0.95)
 	i.True(all["check"].served() > 0.93)
 }
--- a/process/replay/world_test.go
+++ b/process/replay/world_test.go
@@ -61,6 +61,9 @@
 	running map[string]int
 	works   map[string]job
 	score   map[string]*tally
+	// arrivals are the jobs since origin, the last start of a count.
+	arrivals []arrival
+	origin   time.Time
 }
 
 // kind is a queue with the load that is sent to it.
@@ -112,7 +115,7 @@
 func newWorld(t *testing.T, seed uint64, entries int, speeds []float64) *world {
 	w := &world{
 		t: t, now: time.Unix(1_700_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)),
-		running: map[string]int{}, works: map[string]job{}, score: map[string]*tally{},
+		running: map[string]int{}, works: map[string]job{},
 	}
 	for i := range entries {
 		w.entries = append(w.entries, newEntry(w, uint64(i+1)))
@@ -120,6 +123,7 @@
 	for i, speed := range speeds {
 		w.sidecars = append(w.sidecars, newSidecar(w, fmt.Sprintf("agent-%02d", i), speed))
 	}
+	w.recount()
 	w.every(tickEvery, func() {
 		for _, s := range w.sidecars {
 			s.tick()
@@ -190,6 +194,11 @@
 	return w.score[name]
 }
 
+// recount forgets what has been counted.
+func (w *world) recount() {
+	w.score, w.arrivals, w.origin = map[string]*tally{}, nil, w.now
+}
+
 func (w *world) submit(j job) {
 	work, err := workload.New(j.id, "", []workload.Step{{
 		Count: j.tasks, Size: size.Size{CPU: j.cpu, Memory: 64}, Estimate: j.estimate,
@@ -198,6 +207,7 @@
 		w.t.Fatal(err)
 	}
 	w.works[j.id] = j
+	w.arrivals = append(w.arrivals, arrival{job: j, at: w.now.Sub(w.origin)})
 	w.tally(j.kind.name).asked++
 	w.send(work, j, w.now)
 }
--- a/process/scheduler/events.go
+++ b/process/scheduler/events.go
@@ -4,7 +4,6 @@
 	"sort"
 	"time"
 
-	"github.com/corianderhook/corianderhook/process/placement"
 	"github.com/corianderhook/corianderhook/request/answer"
 	"github.com/corianderhook/corianderhook/request/outcome"
 	"github.com/corianderhook/corianderhook/wire"
@@ -126,16 +125,16 @@
 // next places what is ready of a job that is under way.
 func (s *Scheduler) next(j *job, reason string) {
 	now := s.host.Now()
-	choices, _, fits := s.choose(j)
+	p, fits := s.choose(j)
 	switch {
 	case !fits && now.Before(s.hopeful(j)):
 		// Agents may be back within the caller's time.
 		j.parked = true
-	case !fits || now.Add(placement.Latest(choices)).After(s.useful(j)):
+	case !fits || now.Add(p.ends()).After(s.useful(j)):
 		s.giveUp(j, "out-of-time", reason)
 	default:
 		j.parked = false
-		s.send(j, choices)
+		s.send(j, p.choices)
 	}
 }
 
--- a/process/scheduler/offers.go
+++ b/process/scheduler/offers.go
@@ -9,9 +9,8 @@
 	"github.com/corianderhook/corianderhook/wire"
 )
 
-// choose gives the job's ready tasks endpoints; false where one fits nowhere. The
-// backlog is what it found.
-func (s *Scheduler) choose(j *job) (choices []placement.Choice, backlog time.Duration, fits bool) {
+// choose plans endpoints for the job's ready tasks; false where one fits nowhere.
+func (s *Scheduler) choose(j *job) (p plan, fits bool) {
 	now := s.host.Now()
 	s.candidates = s.fleet.Candidates(j.queue.Service, now, s.candidates[:0])
 	ready := j.progress.Ready()
@@ -29,9 +28,14 @@
 			Label: spec.Label, Near: spec.Near, Spread: spec.Spread,
 		})
 	}
-	backlog = placement.Backlog(s.candidates)
-	choices, fits = placement.Choose(requests, s.candidates)
-	return choices, backlog, fits
+	p.backlog = placement.Backlog(s.candidates)
+	for i, r := range requests {
+		if i == 0 || r.Slack < p.slack {
+			p.slack = r.Slack
+		}
+	}
+	p.choices, fits = placement.Choose(requests, s.candidates)
+	return p, fits
 }
 
 func (s *Scheduler) countTaken(j *job, step, spread int) {
--- a/process/scheduler/scheduler.go
+++ b/process/scheduler/scheduler.go
@@ -5,7 +5,6 @@
 
 import (
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -30,11 +29,6 @@
 	remembered = 30 * time.Second
 	// settleTime is how long after its start a dispatcher may lack sessions.
 	settleTime = 1500 * time.Millisecond
-	// mostBacklog is the backlog up to which the most urgent jobs are taken: what waits
-	// starts within the slack of the shortest jobs, of some 100 ms.
-	mostBacklog = 100 * time.Millisecond
-	// shedStep is how much less backlog each further level of urgency may find.
-	shedStep = 0.8
 	// TickEvery is how often Tick has to be called; a time that is over is seen that late.
 	TickEvery = 20 * time.Millisecond
 	// wayBack is how long an answer takes to a caller in another region at the most.
@@ -186,7 +180,7 @@
 		return
 	}
 	j := s.newJob(r)
-	choices, backlog, fits := s.choose(j)
+	p, fits := s.choose(j)
 	if !fits && s.settling(r.Queue.Service) {
 		s.host.Decided("CH1023 job parked", id, "queue", r.Queue.Name, "tasks", r.Work.Tasks(), "objective", j.objective, "budget", r.Budget)
 		s.jobs[id] = j
@@ -197,17 +191,16 @@
 		s.refuse(r, "no-endpoint", "no endpoint can take the job", 0)
 		return
 	}
-	ends := placement.Latest(choices)
-	if !admit(r, j.objective, choices, backlog) {
-		s.host.Decided("CH1022 job refused", id, "reason", "overload", "queue", r.Queue.Name, "backlog", backlog,
-			"limit", admitted(r.Queue.Urgency), "ends", ends, "objective", j.objective, "budget", r.Budget, "endpoints", len(s.candidates), "version", r.Version)
-		r.Reply(refusal("overload", "the job could not end in time", max(backlog, ends-j.objective)))
+	if !p.admit(r.Queue.Urgency, j.objective, r.Budget) {
+		s.host.Decided("CH1022 job refused", id, "reason", "overload", "queue", r.Queue.Name, "backlog", p.backlog,
+			"limit", p.limit(r.Queue.Urgency), "ends", p.ends(), "objective", j.objective, "budget", r.Budget, "endpoints", len(s.candidates), "version", r.Version)
+		r.Reply(refusal("overload", "the job could not end in time", max(p.backlog, p.ends()-j.objective)))
 		return
 	}
 	s.jobs[id] = j
-	s.host.Decided("CH1021 job accepted", id, "queue", r.Queue.Name, "tasks", r.Work.Tasks(), "ends", ends,
-		"objective", j.objective, "budget", r.Budget, "backlog", backlog, "endpoints", len(s.candidates), "version", r.Version)
-	s.send(j, choices)
+	s.host.Decided("CH1021 job accepted", id, "queue", r.Queue.Name, "tasks", r.Work.Tasks(), "ends", p.ends(),
+		"objective", j.objective, "budget", r.Budget, "backlog", p.backlog, "endpoints", len(s.candidates), "version", r.Version)
+	s.send(j, p.choices)
 }
 
 // settling reports whether endpoints are missing that should be there in a moment:
@@ -218,24 +211,6 @@
 	return len(s.candidates) == 0 && (now.Sub(s.began) < settleTime || s.fleet.Lately(service, now))
 }
 
-// admit decides whether a job is taken. One whose tasks all start at once takes nothing
-// from others and is taken as long as its caller waits; else it has to be on time, and
-// the backlog within the limit of its urgency.
-func admit(r Request, objective time.Duration, choices []placement.Choice, backlog time.Duration) bool {
-	ends := placement.Latest(choices)
-	if ends > r.Budget-answerMargin {
-		return false
-	}
-	return placement.Longest(choices) == 0 || ends <= objective && backlog <= admitted(r.Queue.Urgency)
-}
-
-// admitted is the backlog up to which jobs of an urgency are taken where some task
-// has to wait. Each level is shed at its own backlog, so that the less urgent goes
-// first and none goes wholly.
-func admitted(urgency int) time.Duration {
-	return time.Duration(float64(mostBacklog) * math.Pow(shedStep, float64(urgency)))
-}
-
 func (s *Scheduler) refuse(r Request, reason, detail string, after time.Duration) {
 	s.host.Decided("CH1022 job refused", r.Work.ID(), "reason", reason, "queue", r.Queue.Name, "endpoints", len(s.candidates), "version", r.Version)
 	r.Reply(refusal(reason, detail, after))
