--- a/commands/config.go
+++ b/commands/config.go
@@ -19,14 +19,15 @@
 	Rollback ConfigRollbackCommand `cmd:"" help:"Publish an old text of a file as a new change."`
 }
 
-// ConfigCheckCommand checks a folder.
+// ConfigCheckCommand checks a folder, or the file of a dispatcher or sidecar.
 type ConfigCheckCommand struct {
-	Folder string `arg:"" help:"Settings folder."`
+	Path string `arg:"" help:"Settings folder, or with --role the settings file of a dispatcher or sidecar."`
+	Role string `enum:"none,dispatcher,sidecar" default:"none" help:"Check a file for the process that reads it: ${enum}."`
 }
 
 // Run prints how much was read, or every fault.
 func (c *ConfigCheckCommand) Run(s *Streams) error {
-	merged, err := mergeFolder(c.Folder)
+	merged, err := c.merged()
 	if err != nil {
 		return err
 	}
@@ -35,6 +36,16 @@
 	return nil
 }
 
+func (c *ConfigCheckCommand) merged() (*config.Config, error) {
+	switch c.Role {
+	case "dispatcher":
+		return readSettingsFile(c.Path, config.RoleDispatcher)
+	case "sidecar":
+		return readSettingsFile(c.Path, config.RoleSidecar)
+	}
+	return mergeFolder(c.Path)
+}
+
 func mergeFolder(folder string) (*config.Config, error) {
 	files, err := config.ReadFolder(folder)
 	if err != nil {
