Let no package import from a longer life span

connection/peer, request/gateway and version/config imported small types of process/. What an entry knows of another is connection/contact now, a request's receipt is request/receipt, and admission goes by the settings' own Kind and Team, of which it had copies.

--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -15,7 +15,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/corianderhook/corianderhook/common/pause"
-	"github.com/corianderhook/corianderhook/process/membership"
+	"github.com/corianderhook/corianderhook/connection/contact"
 	"github.com/corianderhook/corianderhook/version/ownership"
 	"github.com/corianderhook/corianderhook/wire"
 )
@@ -67,7 +67,7 @@
 	address string
 	cancel  context.CancelFunc
 	conn    *grpc.ClientConn
-	peer    membership.Peer
+	peer    contact.Contact
 	clock   uint64
 }
 
@@ -232,7 +232,7 @@
 		Config:   &wire.ConfigVersion{Version: p.settings.Config.ConfigVersion()},
 	}
 	for name, l := range p.links {
-		if p.settings.Clock.Since(l.peer.LastHeard) <= membership.Suspicion {
+		if p.settings.Clock.Since(l.peer.LastHeard) <= contact.Suspicion {
 			beat.Hears = append(beat.Hears, name)
 		}
 	}
@@ -252,10 +252,10 @@
 }
 
 // Known returns what is known of each peer.
-func (p *Peers) Known() map[string]membership.Peer {
+func (p *Peers) Known() map[string]contact.Contact {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	known := make(map[string]membership.Peer, len(p.links))
+	known := make(map[string]contact.Contact, len(p.links))
 	for name, l := range p.links {
 		if !l.peer.LastHeard.IsZero() {
 			known[name] = l.peer
--- a/node/entry/actor.go
+++ b/node/entry/actor.go
@@ -10,10 +10,10 @@
 
 	"github.com/corianderhook/corianderhook/process/membership"
 	"github.com/corianderhook/corianderhook/process/owner"
-	"github.com/corianderhook/corianderhook/process/router"
 	"github.com/corianderhook/corianderhook/request/answer"
 	"github.com/corianderhook/corianderhook/request/job"
 	"github.com/corianderhook/corianderhook/request/outcome"
+	"github.com/corianderhook/corianderhook/request/receipt"
 	"github.com/corianderhook/corianderhook/request/submission"
 	"github.com/corianderhook/corianderhook/version/ownership"
 	"github.com/corianderhook/corianderhook/version/slot"
@@ -307,7 +307,7 @@
 
 // Submit decides an attempt at this entry. It is false where this entry does
 // not own the slot.
-func (e *Entry) Submit(ctx context.Context, s *submission.Submission, at router.Receipt, until time.Time) (answer.Answer, bool) {
+func (e *Entry) Submit(ctx context.Context, s *submission.Submission, at receipt.Receipt, until time.Time) (answer.Answer, bool) {
 	w := newWaiter()
 	e.deps.System.Root.Send(e.owner, submit{attempt: slot.Attempt{Body: s, Waiter: w, Owner: at.Owner, Reading: at.Reading}})
 	return e.wait(ctx, w, until)
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -19,13 +19,13 @@
 
 	"github.com/corianderhook/corianderhook/common/instance"
 	"github.com/corianderhook/corianderhook/common/stopper"
+	"github.com/corianderhook/corianderhook/connection/contact"
 	"github.com/corianderhook/corianderhook/connection/guard"
 	"github.com/corianderhook/corianderhook/connection/logclient"
 	"github.com/corianderhook/corianderhook/connection/peer"
 	"github.com/corianderhook/corianderhook/connection/security"
 	"github.com/corianderhook/corianderhook/process/audit"
 	"github.com/corianderhook/corianderhook/process/dispatch"
-	"github.com/corianderhook/corianderhook/process/membership"
 	"github.com/corianderhook/corianderhook/process/metrics"
 	"github.com/corianderhook/corianderhook/process/router"
 	"github.com/corianderhook/corianderhook/request/gateway"
@@ -291,7 +291,7 @@
 func (e *Entry) alone() bool {
 	now := e.deps.Clock.Now()
 	for _, p := range e.peers.Known() {
-		if !p.Draining && now.Sub(p.LastHeard) <= membership.Suspicion {
+		if !p.Draining && now.Sub(p.LastHeard) <= contact.Suspicion {
 			return false
 		}
 	}
--- a/node/entry/service.go
+++ b/node/entry/service.go
@@ -12,8 +12,8 @@
 	"k8s.io/klog/v2"
 
 	"github.com/corianderhook/corianderhook/connection/outbox"
-	"github.com/corianderhook/corianderhook/process/router"
 	"github.com/corianderhook/corianderhook/request/answer"
+	"github.com/corianderhook/corianderhook/request/receipt"
 	"github.com/corianderhook/corianderhook/request/submission"
 	"github.com/corianderhook/corianderhook/version/ownership"
 	"github.com/corianderhook/corianderhook/wire"
@@ -214,7 +214,7 @@
 	body := submission.New(r.GetTeam(), r.GetJob(), r.GetKind(),
 		time.Duration(r.GetDeadlineMs())*time.Millisecond, r.GetPayloads())
 	until := s.entry.deps.Clock.Now().Add(time.Duration(r.GetWaitMs()) * time.Millisecond)
-	a, owned := s.entry.Submit(ctx, body, router.Receipt{Owner: r.GetOwner(), Reading: r.GetOwnerClock()}, until)
+	a, owned := s.entry.Submit(ctx, body, receipt.Receipt{Owner: r.GetOwner(), Reading: r.GetOwnerClock()}, until)
 	return s.reply(a, owned), nil
 }
 
--- a/process/admission/admission.go
+++ b/process/admission/admission.go
@@ -10,6 +10,7 @@
 
 	"github.com/corianderhook/corianderhook/request/answer"
 	"github.com/corianderhook/corianderhook/request/outcome"
+	"github.com/corianderhook/corianderhook/version/config"
 )
 
 const (
@@ -31,20 +32,6 @@
 	freeQueue = 16
 )
 
-// Team is a team's quota. Zero means no limit.
-type Team struct {
-	// Rate is in tasks per second over all entries.
-	Rate float64
-	// Concurrent is the number of tasks that wait or run over all entries.
-	Concurrent int
-}
-
-// Kind is what holds for a kind of work.
-type Kind struct {
-	// MaxDelay is how long a task of the kind may be expected to wait.
-	MaxDelay time.Duration
-}
-
 type bucket struct {
 	tokens float64
 	at     time.Time
@@ -96,9 +83,9 @@
 // Request is a job that asks to be admitted.
 type Request struct {
 	Team      string
-	TeamQuota Team
+	TeamQuota config.Team
 	Kind      string
-	KindRule  Kind
+	KindRule  config.Kind
 	Tasks     int
 	// Waiting is the number of the team's tasks of the kind that wait at this entry.
 	Waiting int
@@ -131,7 +118,7 @@
 	return answer.Answer{}, true
 }
 
-func (m *Admission) bucket(team string, q Team, now time.Time) *bucket {
+func (m *Admission) bucket(team string, q config.Team, now time.Time) *bucket {
 	e, known := m.teams[team]
 	full := q.Rate * m.share * burst.Seconds()
 	if !known {
--- a/process/admission/admission_test.go
+++ b/process/admission/admission_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/corianderhook/corianderhook/process/admission"
 	"github.com/corianderhook/corianderhook/request/outcome"
+	"github.com/corianderhook/corianderhook/version/config"
 )
 
 // alone is where one team of weight 1 waits.
@@ -20,7 +21,7 @@
 	is := is.New(t)
 	m := admission.New(1)
 	m.SetEntries(2)
-	r := admission.Request{Team: "t", TeamQuota: admission.Team{Concurrent: 20}, Kind: "k", Tasks: 6}
+	r := admission.Request{Team: "t", TeamQuota: config.Team{Concurrent: 20}, Kind: "k", Tasks: 6}
 	_, ok := m.Admit(r, now)
 	is.True(ok)
 	refused, ok := m.Admit(r, now) // 12 of this entry's 10
@@ -35,7 +36,7 @@
 func TestRateIsRefilled(t *testing.T) {
 	is := is.New(t)
 	m := admission.New(1)
-	r := admission.Request{Team: "t", TeamQuota: admission.Team{Rate: 10}, Kind: "k", Tasks: 10}
+	r := admission.Request{Team: "t", TeamQuota: config.Team{Rate: 10}, Kind: "k", Tasks: 10}
 	admitted := 0
 	for range 5 {
 		if _, ok := m.Admit(r, now); ok {
@@ -57,7 +58,7 @@
 	m := admission.New(1)
 	m.Served("k", "t", 0.05)
 	r := admission.Request{
-		Team: "t", Kind: "k", KindRule: admission.Kind{MaxDelay: 5 * time.Second},
+		Team: "t", Kind: "k", KindRule: config.Kind{MaxDelay: 5 * time.Second},
 		Tasks: 1, Waiting: 200, Slots: 32, KindShare: 0.5, Weight: 1, Others: alone,
 	}
 	_, ok := m.Admit(r, now.Add(6*time.Second)) // nothing started for 6 s
@@ -79,7 +80,7 @@
 		m.Served("k", "short", 0.005)
 	}
 	r := admission.Request{
-		Kind: "k", KindRule: admission.Kind{MaxDelay: 5 * time.Second}, Tasks: 4, Slots: 32, KindShare: 0.5,
+		Kind: "k", KindRule: config.Kind{MaxDelay: 5 * time.Second}, Tasks: 4, Slots: 32, KindShare: 0.5,
 		Weight: 1, Others: func() float64 { return 2 },
 	}
 	r.Team, r.Waiting = "long", 2000
@@ -100,7 +101,7 @@
 		m.Served("k", teams[i], 0.05)
 	}
 	r := admission.Request{
-		Kind: "k", KindRule: admission.Kind{MaxDelay: 5 * time.Second}, Tasks: 4, Waiting: 20, Slots: 4096, KindShare: 0.5,
+		Kind: "k", KindRule: config.Kind{MaxDelay: 5 * time.Second}, Tasks: 4, Waiting: 20, Slots: 4096, KindShare: 0.5,
 		Weight: 1, Others: func() float64 { return 640 },
 	}
 	b.ReportAllocs()
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -8,14 +8,13 @@
 	"slices"
 	"time"
 
+	"github.com/corianderhook/corianderhook/connection/contact"
 	"github.com/corianderhook/corianderhook/version/ownership"
 )
 
 const (
 	// Witnesses is how many agents remember the keys of a slot.
 	Witnesses = 3
-	// Suspicion is how long an entry may be unheard before its slots are claimed.
-	Suspicion = 1500 * time.Millisecond
 	// settle is how long an entry has to be heard before it is handed slots.
 	settle = 2 * time.Second
 	// witnessGrace is how long a witness may be detached before it is replaced.
@@ -35,16 +34,6 @@
 	firstSets = 8
 )
 
-// Peer is what is known of another entry.
-type Peer struct {
-	// LastHeard and FirstHeard are when a heartbeat of this run came in last and first.
-	LastHeard  time.Time
-	FirstHeard time.Time
-	// Hears are the entries that the peer heard lately.
-	Hears    []string
-	Draining bool
-}
-
 // Agent is an agent that is attached or was lately.
 type Agent struct {
 	Instance string
@@ -59,7 +48,7 @@
 	Self     ownership.Entry
 	Draining bool
 	Table    ownership.State
-	Peers    map[string]Peer
+	Peers    map[string]contact.Contact
 	Agents   []Agent
 }
 
@@ -134,7 +123,7 @@
 	alive := map[string]bool{v.Self.Instance: true}
 	heard := map[string]bool{v.Self.Instance: true}
 	for name, p := range v.Peers {
-		if v.Now.Sub(p.LastHeard) <= Suspicion {
+		if v.Now.Sub(p.LastHeard) <= contact.Suspicion {
 			heard[name] = true
 			for _, other := range p.Hears {
 				alive[other] = true
@@ -144,7 +133,7 @@
 	for name := range v.Table.Entries {
 		peer, known := v.Peers[name]
 		fresh := !known && v.Now.Sub(m.started) < settle
-		if heard[name] || fresh || known && v.Now.Sub(peer.LastHeard) <= Suspicion {
+		if heard[name] || fresh || known && v.Now.Sub(peer.LastHeard) <= contact.Suspicion {
 			alive[name] = true
 		}
 	}
@@ -224,7 +213,7 @@
 
 func (m *Membership) settled(v View, target string) bool {
 	peer, known := v.Peers[target]
-	return known && v.Now.Sub(peer.LastHeard) <= Suspicion && v.Now.Sub(peer.FirstHeard) >= settle
+	return known && v.Now.Sub(peer.LastHeard) <= contact.Suspicion && v.Now.Sub(peer.FirstHeard) >= settle
 }
 
 func (m *Membership) decideLeaves(v View, p *Plan) {
--- a/process/membership/membership_test.go
+++ b/process/membership/membership_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/corianderhook/corianderhook/connection/contact"
 	"github.com/corianderhook/corianderhook/process/membership"
 	"github.com/corianderhook/corianderhook/version/ownership"
 )
@@ -19,7 +20,7 @@
 		Now:   start.Add(at),
 		Self:  ownership.Entry{Instance: "e1", Cell: "main"},
 		Table: ownership.New().Snapshot(),
-		Peers: map[string]membership.Peer{},
+		Peers: map[string]contact.Contact{},
 		Agents: []membership.Agent{
 			{Instance: "a1", Zone: "z1"},
 			{Instance: "a2", Zone: "z2"},
@@ -31,7 +32,7 @@
 	for _, name := range all {
 		v.Table.Entries[name] = ownership.Entry{Instance: name, Cell: "main"}
 		if name != "e1" {
-			v.Peers[name] = membership.Peer{FirstHeard: start, LastHeard: v.Now}
+			v.Peers[name] = contact.Contact{FirstHeard: start, LastHeard: v.Now}
 		}
 	}
 	for i := range v.Table.Slots {
@@ -41,7 +42,7 @@
 }
 
 func silent(v membership.View, name string) membership.View {
-	v.Peers[name] = membership.Peer{FirstHeard: start, LastHeard: start}
+	v.Peers[name] = contact.Contact{FirstHeard: start, LastHeard: start}
 	return v
 }
 
@@ -88,7 +89,7 @@
 	v := silent(view(10*time.Second), "e3")
 	first := len(m.Decide(v).Claim)
 	v.Now = v.Now.Add(3 * time.Second)
-	v.Peers["e2"] = membership.Peer{FirstHeard: start, LastHeard: v.Now}
+	v.Peers["e2"] = contact.Contact{FirstHeard: start, LastHeard: v.Now}
 	is.True(len(m.Decide(v).Claim) > first)
 }
 
--- a/process/owner/models_test.go
+++ b/process/owner/models_test.go
@@ -4,11 +4,11 @@
 	"strconv"
 	"time"
 
-	"github.com/corianderhook/corianderhook/process/admission"
 	"github.com/corianderhook/corianderhook/process/executor"
 	"github.com/corianderhook/corianderhook/process/owner"
 	"github.com/corianderhook/corianderhook/request/answer"
 	"github.com/corianderhook/corianderhook/request/job"
+	"github.com/corianderhook/corianderhook/version/config"
 	"github.com/corianderhook/corianderhook/version/ownership"
 	"github.com/corianderhook/corianderhook/version/slot"
 	"github.com/corianderhook/corianderhook/wire"
@@ -194,9 +194,9 @@
 
 type policy struct{ w *world }
 
-func (p policy) Kind(string) (admission.Kind, bool) { return admission.Kind{}, p.w.admit }
+func (p policy) Kind(string) (config.Kind, bool) { return config.Kind{}, p.w.admit }
 
-func (p policy) Team(string) (admission.Team, bool) { return admission.Team{}, true }
+func (p policy) Team(string) (config.Team, bool) { return config.Team{}, true }
 
 func (p policy) KindShare(string) float64 { return 1 }
 
--- a/process/owner/owner.go
+++ b/process/owner/owner.go
@@ -13,6 +13,7 @@
 	"github.com/corianderhook/corianderhook/process/health"
 	"github.com/corianderhook/corianderhook/request/answer"
 	"github.com/corianderhook/corianderhook/request/job"
+	"github.com/corianderhook/corianderhook/version/config"
 	"github.com/corianderhook/corianderhook/version/ownership"
 	"github.com/corianderhook/corianderhook/version/slot"
 	"github.com/corianderhook/corianderhook/wire"
@@ -44,8 +45,8 @@
 
 // Policy is what the configuration says.
 type Policy interface {
-	Kind(name string) (admission.Kind, bool)
-	Team(name string) (admission.Team, bool)
+	Kind(name string) (config.Kind, bool)
+	Team(name string) (config.Team, bool)
 	// KindShare returns the kind's weight over the weights of all kinds.
 	KindShare(kind string) float64
 	// TeamWeight returns the team's share within a kind.
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -12,6 +12,7 @@
 	"github.com/corianderhook/corianderhook/common/pause"
 	"github.com/corianderhook/corianderhook/request/answer"
 	"github.com/corianderhook/corianderhook/request/outcome"
+	"github.com/corianderhook/corianderhook/request/receipt"
 	"github.com/corianderhook/corianderhook/request/submission"
 	"github.com/corianderhook/corianderhook/version/ownership"
 	"github.com/corianderhook/corianderhook/wire"
@@ -24,12 +25,6 @@
 	outOfReach = 2 * time.Second
 )
 
-// Receipt is what the receiving entry knew when a request came in.
-type Receipt struct {
-	Owner   string
-	Reading uint64
-}
-
 // Table says who owns a slot.
 type Table interface {
 	Owner(slot uint32) (instance string, epoch uint64)
@@ -44,7 +39,7 @@
 // Local is the owner part of this entry. Its calls report false where this
 // entry does not own the slot.
 type Local interface {
-	Submit(ctx context.Context, s *submission.Submission, r Receipt, until time.Time) (answer.Answer, bool)
+	Submit(ctx context.Context, s *submission.Submission, r receipt.Receipt, until time.Time) (answer.Answer, bool)
 	Find(ctx context.Context, job string, cancel bool, until time.Time) (answer.Answer, bool)
 }
 
@@ -66,14 +61,14 @@
 func New(deps Dependencies) *Router { return &Router{deps: deps} }
 
 // Receipt notes what is known as a request for a job comes in.
-func (r *Router) Receipt(job string) Receipt {
+func (r *Router) Receipt(job string) receipt.Receipt {
 	owner, _ := r.deps.Table.Owner(ownership.Slot(job))
-	return Receipt{Owner: owner, Reading: r.deps.Peers.Reading(owner)}
+	return receipt.Receipt{Owner: owner, Reading: r.deps.Peers.Reading(owner)}
 }
 
 // Submit returns the answer to a submission, or Pending where the job is still
 // under way at the given time. The context bounds the search for the owner.
-func (r *Router) Submit(ctx context.Context, s *submission.Submission, at Receipt, until time.Time) answer.Answer {
+func (r *Router) Submit(ctx context.Context, s *submission.Submission, at receipt.Receipt, until time.Time) answer.Answer {
 	slot := ownership.Slot(s.Job())
 	for {
 		owner, epoch := r.deps.Table.Owner(slot)
@@ -86,7 +81,7 @@
 	}
 }
 
-func (r *Router) try(ctx context.Context, s *submission.Submission, at Receipt, owner string, epoch uint64, until time.Time) (answer.Answer, bool) {
+func (r *Router) try(ctx context.Context, s *submission.Submission, at receipt.Receipt, owner string, epoch uint64, until time.Time) (answer.Answer, bool) {
 	if owner == r.deps.Self {
 		return r.deps.Local.Submit(ctx, s, at, until)
 	}
--- a/process/router/router_test.go
+++ b/process/router/router_test.go
@@ -13,6 +13,7 @@
 	"github.com/corianderhook/corianderhook/process/router"
 	"github.com/corianderhook/corianderhook/request/answer"
 	"github.com/corianderhook/corianderhook/request/outcome"
+	"github.com/corianderhook/corianderhook/request/receipt"
 	"github.com/corianderhook/corianderhook/request/submission"
 	"github.com/corianderhook/corianderhook/wire"
 )
@@ -45,7 +46,7 @@
 
 type local struct{ w *world }
 
-func (l local) Submit(context.Context, *submission.Submission, router.Receipt, time.Time) (answer.Answer, bool) {
+func (l local) Submit(context.Context, *submission.Submission, receipt.Receipt, time.Time) (answer.Answer, bool) {
 	l.w.locals++
 	return answer.New(outcome.Complete, "complete", ""), true
 }
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -12,9 +12,9 @@
 	"github.com/pkg/errors"
 
 	"github.com/corianderhook/corianderhook/common/bearer"
-	"github.com/corianderhook/corianderhook/process/router"
 	"github.com/corianderhook/corianderhook/request/answer"
 	"github.com/corianderhook/corianderhook/request/outcome"
+	"github.com/corianderhook/corianderhook/request/receipt"
 	"github.com/corianderhook/corianderhook/request/submission"
 	"github.com/corianderhook/corianderhook/wire"
 )
@@ -38,8 +38,8 @@
 
 // Routes brings a submission to its owner.
 type Routes interface {
-	Receipt(job string) router.Receipt
-	Submit(ctx context.Context, s *submission.Submission, at router.Receipt, until time.Time) answer.Answer
+	Receipt(job string) receipt.Receipt
+	Submit(ctx context.Context, s *submission.Submission, at receipt.Receipt, until time.Time) answer.Answer
 	Find(ctx context.Context, job string, cancel bool, until time.Time) answer.Answer
 }
 
--- a/request/gateway/gateway_test.go
+++ b/request/gateway/gateway_test.go
@@ -12,10 +12,10 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
-	"github.com/corianderhook/corianderhook/process/router"
 	"github.com/corianderhook/corianderhook/request/answer"
 	"github.com/corianderhook/corianderhook/request/gateway"
 	"github.com/corianderhook/corianderhook/request/outcome"
+	"github.com/corianderhook/corianderhook/request/receipt"
 	"github.com/corianderhook/corianderhook/request/submission"
 	"github.com/corianderhook/corianderhook/version/access"
 	"github.com/corianderhook/corianderhook/wire"
@@ -37,9 +37,9 @@
 	return nil
 }
 
-func (r *routes) Receipt(string) router.Receipt { return router.Receipt{} }
+func (r *routes) Receipt(string) receipt.Receipt { return receipt.Receipt{} }
 
-func (r *routes) Submit(context.Context, *submission.Submission, router.Receipt, time.Time) answer.Answer {
+func (r *routes) Submit(context.Context, *submission.Submission, receipt.Receipt, time.Time) answer.Answer {
 	r.sent++
 	return r.answer
 }
--- a/version/config/config.go
+++ b/version/config/config.go
@@ -5,7 +5,6 @@
 import (
 	"time"
 
-	"github.com/corianderhook/corianderhook/process/admission"
 	"github.com/corianderhook/corianderhook/version/access"
 )
 
@@ -205,16 +204,16 @@
 // TeamNames returns the names of the teams in order.
 func (c *Config) TeamNames() []string { return sortedKeys(c.teams) }
 
-// Kind returns the admission rule of a kind.
-func (c *Config) Kind(name string) (admission.Kind, bool) {
+// Kind returns what holds for a kind.
+func (c *Config) Kind(name string) (Kind, bool) {
 	k, known := c.kinds[name]
-	return admission.Kind{MaxDelay: k.MaxDelay}, known
+	return k, known
 }
 
 // Team returns the quota of a team.
-func (c *Config) Team(name string) (admission.Team, bool) {
+func (c *Config) Team(name string) (Team, bool) {
 	t, known := c.teams[name]
-	return admission.Team{Rate: t.Rate, Concurrent: t.Concurrent}, known
+	return t, known
 }
 
 // KindWeight returns the weight of a kind; 1 for one that is not configured,
