Show how old each belief is, runs in doubt and lapsed leases as metrics

Gauges for the age of the configuration, of the oldest word of an agent and of the endpoint's last list, for dispatchers known and runs in doubt, and a counter of leases that must have run out. OPERATIONS.md lists them. Tests: TestOldestWord, and the doubt of TestOrderWithoutAnswerIsRepeatedThenStopped.

--- a/node/dispatcher/actor.go
+++ b/node/dispatcher/actor.go
@@ -56,6 +56,7 @@
 	switch m := c.Message().(type) {
 	case tick:
 		a.scheduler.Tick()
+		a.dispatcher.oldest.Store(int64(a.scheduler.Fleet().Oldest(a.Now())))
 	case submit:
 		now := a.Now()
 		a.dispatcher.pressure.Observe(now.Sub(m.sentAt), now)
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -78,6 +78,10 @@
 	// stopsAt is when a planned stop ends.
 	stopsAt atomic.Pointer[time.Time]
 	agents  atomic.Int64
+	// oldest is the age of the oldest last word of an agent, adopted when the
+	// configuration in force was, in nanoseconds of the clock.
+	oldest  atomic.Int64
+	adopted atomic.Int64
 }
 
 // New returns a dispatcher that has not started.
@@ -89,6 +93,16 @@
 	}
 	d.metrics.Watch("corianderhook_jobs_under_way", "Jobs that have been taken and not answered.", func() float64 { return float64(d.jobs.Load()) })
 	d.metrics.Watch("corianderhook_agents_attached", "Agents with a session.", func() float64 { return float64(d.agents.Load()) })
+	d.metrics.Watch("corianderhook_agent_word_age_seconds", "Age of the oldest last word of an agent that takes tasks.", func() float64 {
+		return time.Duration(d.oldest.Load()).Seconds()
+	})
+	d.metrics.Watch("corianderhook_config_age_seconds", "Time since the configuration in force was adopted.", func() float64 {
+		return time.Duration(deps.Clock.Now().UnixNano() - d.adopted.Load()).Seconds()
+	})
+	d.metrics.Watch("corianderhook_dispatchers_known", "Dispatchers that are known by address, this one included.", func() float64 {
+		return float64(len(d.peers.addresses()))
+	})
+	d.adopted.Store(deps.Clock.Now().UnixNano())
 	d.peers = newPeers(d)
 	d.scheduler = deps.System.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return newSchedulerActor(d) }))
 	return d
@@ -123,6 +137,7 @@
 		}
 	}
 	d.metrics.Config(c.Version())
+	d.adopted.Store(d.deps.Clock.Now().UnixNano())
 	klog.InfoS("CH1001 configuration in force", "entry", d.deps.Name, "version", c.Version(), "queues", c.Queues(), "source", source)
 	d.peers.tell()
 }
--- a/node/sidecar/actor.go
+++ b/node/sidecar/actor.go
@@ -101,6 +101,7 @@
 	switch m := c.Message().(type) {
 	case tick:
 		a.runner.Tick()
+		a.sidecar.doubts.Store(int64(a.runner.InDoubt()))
 		a.tick()
 	case drain:
 		a.drains = true
@@ -215,6 +216,7 @@
 }
 
 func (a *runnerActor) listed(p runner.Report) {
+	a.sidecar.listedAt.Store(a.sidecar.stamp())
 	if a.reach != "" {
 		a.reach = ""
 		a.open()
--- a/node/sidecar/keeper.go
+++ b/node/sidecar/keeper.go
@@ -136,7 +136,7 @@
 // follow renews the lease and brings the ends until another life has begun.
 func (k *keeper) follow(ctx context.Context) {
 	var lost time.Time
-	missed := 0
+	missed, lapse := 0, false
 	for ctx.Err() == nil {
 		select {
 		case born := <-k.announced:
@@ -160,7 +160,12 @@
 				k.tell(silent{reason: "the endpoint does not answer"})
 			}
 			if now.After(k.sidecar.deps.Endpoint.LeaseEnds().Add(runner.LapsedAfter() - runner.Lease)) {
+				// Results of orders may still come: what they name has lapsed too.
 				k.tell(lapsed{})
+				if !lapse {
+					k.sidecar.metrics.Lapsed()
+				}
+				lapse = true
 			}
 			pause.For(ctx, k.sidecar.deps.Clock, listPause)
 			continue
@@ -170,7 +175,7 @@
 			k.sidecar.deps.Endpoint.Reset()
 			return
 		}
-		missed = 0
+		missed, lapse = 0, false
 		if !lost.IsZero() {
 			klog.InfoS("CH1136 endpoint answers again", "agent", k.sidecar.deps.Name, "after", now.Sub(lost))
 			lost = time.Time{}
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -88,6 +88,9 @@
 	keeper      *keeper
 	// tasks is the number of tasks that wait or may run.
 	tasks atomic.Int64
+	// doubts is the number of runs in doubt, listedAt the stamp of the last list.
+	doubts   atomic.Int64
+	listedAt atomic.Uint64
 }
 
 // New returns a sidecar that has not started.
@@ -100,6 +103,10 @@
 	}
 	s.metrics.Watch("corianderhook_tasks_held", "Tasks that wait or may run at the endpoint.", func() float64 { return float64(s.tasks.Load()) })
 	s.metrics.Watch("corianderhook_fence", "Fence of the orders to the endpoint.", func() float64 { return float64(s.keeper.fence.Load()) })
+	s.metrics.Watch("corianderhook_runs_in_doubt", "Runs whose order to start or stop has had no answer.", func() float64 { return float64(s.doubts.Load()) })
+	s.metrics.Watch("corianderhook_endpoint_word_age_seconds", "Time since the endpoint last listed what it runs.", func() float64 {
+		return deps.Clock.Since(s.stamped(max(1, s.listedAt.Load()))).Seconds()
+	})
 	s.links = newLinks(s)
 	s.keeper = newKeeper(s)
 	s.runner = deps.System.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return newRunnerActor(s) }))
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -162,6 +162,17 @@
 	return 0
 }
 
+// Oldest returns the age of the oldest last word of the agents that take tasks.
+func (f *Fleet) Oldest(now time.Time) time.Duration {
+	oldest := time.Duration(0)
+	for _, a := range f.order {
+		if a.accepting {
+			oldest = max(oldest, now.Sub(a.heard))
+		}
+	}
+	return oldest
+}
+
 // Lately reports whether an endpoint of a service was usable a moment ago, so that it
 // may be again in a moment.
 func (f *Fleet) Lately(service string, now time.Time) bool {
--- a/process/fleet/fleet_test.go
+++ b/process/fleet/fleet_test.go
@@ -88,3 +88,18 @@
 		})
 	}
 }
+
+func TestOldestWord(t *testing.T) {
+	i := is.New(t)
+	f := fleet.New("z1")
+	for n, name := range []string{"a", "b", "c"} {
+		f.Attach(name, "z1", now().Add(time.Duration(n)*time.Second))
+		f.Endpoint(name, &wire.EndpointState{Service: "s", Accepting: name != "a"})
+	}
+	i.Equal(f.Oldest(now().Add(5*time.Second)), 4*time.Second)
+	f.Heard("b", now().Add(5*time.Second))
+	i.Equal(f.Oldest(now().Add(5*time.Second)), 3*time.Second)
+	f.Detach("b")
+	f.Detach("c")
+	i.Equal(f.Oldest(now().Add(5*time.Second)), time.Duration(0))
+}
--- a/process/metrics/metrics.go
+++ b/process/metrics/metrics.go
@@ -28,6 +28,7 @@
 	taskRun   prometheus.Histogram
 	calls     *prometheus.CounterVec
 	callTime  *prometheus.HistogramVec
+	lapsed    prometheus.Counter
 	mu        sync.Mutex
 	lastWaste map[string]uint64
 }
@@ -136,9 +137,15 @@
 	m.callTime = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Name: "corianderhook_call_seconds", Help: "Time of calls to the store and to the endpoint.", Buckets: buckets(),
 	}, []string{"target", "call"})
-	m.registry.MustRegister(m.taskEnds, m.taskWait, m.taskRun, m.calls, m.callTime)
+	m.lapsed = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "corianderhook_leases_lapsed_total", Help: "Times that the endpoint's lease must have run out.",
+	})
+	m.registry.MustRegister(m.lapsed, m.taskEnds, m.taskWait, m.taskRun, m.calls, m.callTime)
 }
 
+// Lapsed counts a lease at the endpoint that must have run out.
+func (m *Metrics) Lapsed() { m.lapsed.Inc() }
+
 // Task counts an event of a task.
 func (m *Metrics) Task(event string) { m.taskEnds.WithLabelValues(event).Inc() }
 
--- a/process/runner/report.go
+++ b/process/runner/report.go
@@ -137,6 +137,18 @@
 	return held
 }
 
+// InDoubt counts runs of which it is not known whether the endpoint has them: an order
+// to start or stop them has had no answer.
+func (r *Runner) InDoubt() int {
+	count := 0
+	for _, t := range r.tasks {
+		if t.phase == starting && t.tries > 1 || t.phase == stopping {
+			count++
+		}
+	}
+	return count
+}
+
 // Free reports the room that is left.
 func (r *Runner) Free() size.Size { return r.ledger.Free() }
 
--- a/process/runner/runner_test.go
+++ b/process/runner/runner_test.go
@@ -94,6 +94,7 @@
 		r.Started(h.name(), Doubtful, "no answer")
 	}
 	i.Equal(len(h.starts), startTries)
+	i.Equal(r.InDoubt(), 1)
 	for _, o := range h.starts {
 		i.Equal(o, h.starts[0])
 	}
@@ -102,6 +103,7 @@
 	r.Stopped(h.names[0], false)
 	i.Equal(len(h.stops), 2)
 	r.Stopped(h.names[0], true)
+	i.Equal(r.InDoubt(), 0)
 	h.advance(time.Millisecond)
 	r.Report(Report{Asked: h.now, Whole: true})
 	i.Equal(r.Free().CPU, 4000)
