Forget an address for good: hearsay does not bring it back

A dispatcher that had not answered for a minute was forgotten, and learned again from another one that still had it, who in turn learned it from the first: addresses of replaced VMs stayed for ever, with an exchange a second each. A forgotten address is not learned by hearsay for three minutes; one that speaks for itself is known at once. Connections between dispatchers are closed at the end. TestForgottenAddressIsNotLearnedByHearsay.

--- a/common/eventlog/eventlog_test.go
+++ b/common/eventlog/eventlog_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bytes"
+	"io"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"k8s.io/klog/v2"
 
 	"github.com/corianderhook/corianderhook/common/eventlog"
 )
@@ -60,3 +62,17 @@
 	l.Close(5 * time.Second)
 	i.Equal(r.text.String(), "one\ntwo\nthree\n")
 }
+
+// BenchmarkLine is what a decision's line costs the one who logs it.
+func BenchmarkLine(b *testing.B) {
+	l := eventlog.New(io.Discard)
+	defer l.Close(time.Second)
+	klog.LogToStderr(false)
+	klog.SetOutput(l)
+	defer klog.LogToStderr(true)
+	b.ReportAllocs()
+	for b.Loop() {
+		klog.InfoS("CH1021 job accepted", "job", "18b6e0d34394263f", "queue", "checks", "tasks", 7, "ends", 96*time.Millisecond,
+			"objective", 213*time.Millisecond, "budget", 1934*time.Millisecond, "backlog", time.Duration(0), "endpoints", 11, "version", uint64(2))
+	}
+}
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -154,6 +154,7 @@
 	defer server.Stop()
 	go d.tick(ctx)
 	go d.peers.run(ctx)
+	defer d.peers.close()
 	d.peers.learn(d.deps.Peers)
 	klog.InfoS("CH1002 dispatcher started", "entry", d.deps.Name, "incarnation", d.incarnation, "address", d.deps.Address, "zone", d.deps.Zone)
 	select {
--- a/node/dispatcher/peers.go
+++ b/node/dispatcher/peers.go
@@ -27,6 +27,9 @@
 	remindEvery = time.Second
 	// forgetAfter is how long an address that does not answer is kept.
 	forgetAfter = time.Minute
+	// shunFor is how long a forgotten address is not learned again by hearsay: until
+	// every other dispatcher has forgotten it too.
+	shunFor = 3 * forgetAfter
 )
 
 // peers are the other dispatchers that are known by address. They pass on the
@@ -37,14 +40,16 @@
 	mu         sync.Mutex
 	// answered is when an address last answered, or was learned.
 	answered map[string]time.Time
-	sessions map[*session]bool
-	conns    map[string]*grpc.ClientConn
-	news     chan struct{}
+	// forgotten is when an address was forgotten.
+	forgotten map[string]time.Time
+	sessions  map[*session]bool
+	conns     map[string]*grpc.ClientConn
+	news      chan struct{}
 }
 
 func newPeers(d *Dispatcher) *peers {
 	return &peers{
-		dispatcher: d, answered: map[string]time.Time{}, sessions: map[*session]bool{},
+		dispatcher: d, answered: map[string]time.Time{}, forgotten: map[string]time.Time{}, sessions: map[*session]bool{},
 		conns: map[string]*grpc.ClientConn{}, news: make(chan struct{}, 1),
 	}
 }
@@ -56,12 +61,19 @@
 	return append([]string{p.dispatcher.deps.Address}, slices.Sorted(maps.Keys(p.answered))...)
 }
 
+// learn adds addresses that others have told of.
 func (p *peers) learn(addresses []string) {
 	p.mu.Lock()
 	changed := false
 	now := p.dispatcher.deps.Clock.Now()
+	for a, at := range p.forgotten {
+		if now.Sub(at) > shunFor {
+			delete(p.forgotten, a)
+		}
+	}
 	for _, a := range addresses {
-		if _, known := p.answered[a]; !known && a != "" && a != p.dispatcher.deps.Address {
+		_, shunned := p.forgotten[a]
+		if _, known := p.answered[a]; !known && !shunned && a != "" && a != p.dispatcher.deps.Address {
 			p.answered[a] = now
 			changed = true
 		}
@@ -118,6 +130,7 @@
 
 // hear takes what another dispatcher knows.
 func (p *peers) hear(k *wire.Knowledge, from string) {
+	p.met(k.GetAddress())
 	p.learn(append(k.GetDispatchers(), k.GetAddress()))
 	c := p.dispatcher.Catalog()
 	if len(k.GetCatalog()) == 0 || c != nil && k.GetCatalogVersion() <= c.Version() {
@@ -205,6 +218,22 @@
 	return c, nil
 }
 
+// met notes a sign of life of an address itself.
+func (p *peers) met(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.forgotten, address)
+}
+
+// close closes every connection.
+func (p *peers) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.conns {
+		c.Close()
+	}
+}
+
 // missed closes the connection, which may have gone silent, and forgets an address
 // that has not answered for long.
 func (p *peers) missed(address string) {
@@ -214,7 +243,10 @@
 		c.Close()
 		delete(p.conns, address)
 	}
-	if p.dispatcher.deps.Clock.Since(p.answered[address]) > forgetAfter {
+	at, known := p.answered[address]
+	if known && p.dispatcher.deps.Clock.Since(at) > forgetAfter {
 		delete(p.answered, address)
+		p.forgotten[address] = p.dispatcher.deps.Clock.Now()
+		klog.InfoS("CH1009 dispatcher forgotten", "address", address, "unheard", p.dispatcher.deps.Clock.Since(at))
 	}
 }
--- /dev/null
+++ b/node/dispatcher/peers_test.go
@@ -0,0 +1,31 @@
+package dispatcher
+
+import (
+	"testing"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"github.com/corianderhook/corianderhook/process/metrics"
+	"github.com/corianderhook/corianderhook/wire"
+)
+
+// An address that is gone for good is forgotten by all, though each hears of it from
+// another; one that comes back makes itself known.
+func TestForgottenAddressIsNotLearnedByHearsay(t *testing.T) {
+	i := is.New(t)
+	clock := clockwork.NewFakeClock()
+	d := New(Dependencies{Name: "d1", Address: "10.0.0.1:1", Clock: clock, System: actor.NewActorSystem(), Metrics: metrics.New()})
+	others := &wire.Knowledge{Address: "10.0.0.2:1", Dispatchers: []string{"10.0.0.3:1"}}
+	d.peers.hear(others, "10.0.0.2:1")
+	i.Equal(len(d.peers.addresses()), 3)
+	clock.Advance(forgetAfter + time.Second)
+	d.peers.missed("10.0.0.3:1")
+	i.Equal(len(d.peers.addresses()), 2)
+	d.peers.hear(others, "10.0.0.2:1")
+	i.Equal(len(d.peers.addresses()), 2)
+	d.peers.hear(&wire.Knowledge{Address: "10.0.0.3:1"}, "10.0.0.3:1")
+	i.Equal(len(d.peers.addresses()), 3)
+}
