Let half of the soak's callers wait beyond their time

A caller that leaves at the end of its time misses an answer whose request was on its way for longer than the answer's margin. Half of the callers wait 0.8 s longer now and must get an answer within 0.4 s of their time in calm, as before; the others still leave on time, for what follows from that.

--- a/lab/soak/load.go
+++ b/lab/soak/load.go
@@ -68,6 +68,9 @@
 		ID: fmt.Sprintf("%016x", r.Uint64()), Tasks: 1 + r.IntN(6), Takes: between(r, 20*time.Millisecond, 200*time.Millisecond),
 		CPU: 500 + r.IntN(3500), Budget: between(r, 1500*time.Millisecond, 3500*time.Millisecond),
 	}
+	if r.IntN(2) == 0 {
+		j.Patience = 2 * answerSlack
+	}
 	if r.IntN(longEach) == 0 {
 		j.Tasks, j.CPU = 1+r.IntN(3), 500+r.IntN(1000)
 		j.Takes = between(r, time.Second, 3*time.Second)
@@ -186,7 +189,9 @@
 		if a.Completed() && done != f.job.Tasks {
 			w.breaks("job %s is said to be completed, %d of %d tasks have ended well", f.job.ID, done, f.job.Tasks)
 		}
-		calm := a.Sent.After(l.calmFrom)
+		// A caller who leaves at the end of its time misses an answer whose request was
+		// on its way for longer than the answer's margin; one with patience does not.
+		calm := a.Sent.After(l.calmFrom) && f.job.Patience > 0
 		// A connection may end before a request was read, as a process ends.
 		read := a.Took > lossSlack || w.record.Started(f.job.ID, a.Sent, a.Sent.Add(a.Took))
 		if a.Status == 0 && (calm || w.settings.Planned && read) {
