--- a/process/scheduler/events.go
+++ b/process/scheduler/events.go
@@ -191,7 +191,7 @@
 		p.recalled = true
 		s.host.Decided("CH1034 task withdrawn", p.job.work.ID(), "agent", p.agent, "task", p.number, "since", now.Sub(p.sentAt), "foretold", p.wait)
 		s.host.Withdraw(p.agent, p.ref)
-	case !p.started.IsZero() && now.Sub(p.started) > max(overdueFactor*p.expected, overdueLeast) &&
+	case !p.started.IsZero() && now.Sub(p.started) > p.patience() &&
 		now.Add(stopTime+p.expected).Before(s.useful(p.job)):
 		p.recalled = true
 		s.overdue(p, now)
@@ -200,6 +200,13 @@
 	}
 }
 
+// patience is how long the task is left alone. A caller who says that it takes long is
+// believed by half, whatever the queue's other jobs take.
+func (p *placed) patience() time.Duration {
+	step, _ := p.job.work.Task(p.number)
+	return max(overdueFactor*max(p.expected, p.job.work.Steps()[step].Estimate/2), overdueLeast)
+}
+
 // room reports whether another endpoint could start the task at once. What is free is
 // looked up once a tick, and not twice for one place.
 func (s *Scheduler) room(p *placed) bool {
--- a/process/scheduler/scheduler_test.go
+++ b/process/scheduler/scheduler_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -339,3 +340,41 @@
 		i.True(h.now.Sub(began) <= budget-wayBack)
 	}
 }
+
+// A queue's short jobs say nothing of one that its caller calls long: it is not stopped
+// as overdue while it does what was foretold.
+func TestLongTaskOfAShortQueueIsLeftAlone(t *testing.T) {
+	i := is.New(t)
+	s, h := newScheduler("a", "b")
+	queue := catalog.Queue{Name: "mixed", Service: "checks", Attempts: 2, Stretch: 1.6, Latency: 300 * time.Millisecond}
+	send := func(id string, estimate time.Duration) {
+		work, err := workload.New(id, "", []workload.Step{{Count: 1, Size: size.Size{CPU: 2000, Memory: 10}, Estimate: estimate}})
+		i.NoErr(err)
+		s.Submit(Request{Work: work, Budget: 10 * time.Second, Reply: func(answer.Answer) {}, Queue: queue})
+	}
+	finish := func(ran time.Duration) {
+		for _, agent := range []string{"a", "b"} {
+			for _, ref := range h.refs(agent) {
+				s.Frame(agent, &wire.SidecarFrame{
+					Events: []*wire.TaskEvent{{Ref: ref, Kind: wire.TaskEventKind_TASK_EVENT_KIND_DONE, RanMs: uint32(ran.Milliseconds())}},
+					Room:   &wire.Room{Free: &wire.Size{Cpu: 8000, Memory: 1000}}, Seen: h.number,
+				})
+			}
+		}
+	}
+	for n := range 20 {
+		send(fmt.Sprint("short", n), 100*time.Millisecond)
+		finish(100 * time.Millisecond)
+	}
+	h.offers = map[string][]*wire.Offer{}
+	send("long", 2800*time.Millisecond)
+	for _, agent := range []string{"a", "b"} {
+		for _, ref := range h.refs(agent) {
+			s.Frame(agent, event(ref, wire.TaskEventKind_TASK_EVENT_KIND_STARTED))
+		}
+	}
+	i.Equal(s.Jobs(), 1)
+	h.now = h.now.Add(2300 * time.Millisecond)
+	s.Tick()
+	i.Equal(len(h.cancels), 0)
+}
