Keep tasks away from endpoints where they failed, and work from those that fail

Cause: an endpoint that fails everything after 30 ms is always free and drew the work of every entry that had not ejected it; a task that failed there was sent there again, since it was free, until its attempts were spent and the job failed.

Change: a task goes where it has not failed, even to wait (placement.Request.Avoid); an endpoint's run time counts 1/(1-p) times where a share p of its tasks fails; for failing, half of the agents may be ejected. A probe is placed as before.

--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -206,7 +206,12 @@
 		if a.service != service || !a.usable(now) || f.health.Ejected(a.name) && !f.health.Due(a.name, now) {
 			continue
 		}
-		list = append(list, a.candidate(f.zone, f.speeds.Slowness(a.name, now)))
+		c := a.candidate(f.zone, f.speeds.Slowness(a.name, now))
+		if !f.health.Ejected(a.name) {
+			// A probe has to be given its task.
+			c.Failing = f.health.Failing(a.name)
+		}
+		list = append(list, c)
 	}
 	return list
 }
--- a/process/health/health.go
+++ b/process/health/health.go
@@ -36,8 +36,10 @@
 	// over at least leastSlow tasks in a row.
 	slowFactor = 4
 	leastSlow  = 2
-	// ejectedMost is the share of the agents that may be ejected at once.
+	// ejectedMost is the share of the agents that may be ejected at once, failingMost
+	// where the next one fails what it is given: a slow one still does some good.
 	ejectedMost = 1.0 / 3
+	failingMost = 1.0 / 2
 	// firstRest and longestRest bound the time until an ejected agent is probed;
 	// each failed probe doubles it.
 	firstRest   = 4 * time.Second
@@ -93,6 +95,22 @@
 // Ejected reports whether an agent is ejected.
 func (h *Health) Ejected(agent string) bool { return h.record(agent).ejected }
 
+// Failing returns the share of an agent's last tasks that failed, as if there had been
+// one more of each.
+func (h *Health) Failing(agent string) float64 {
+	r := h.record(agent)
+	failed := 0
+	for _, o := range r.last {
+		if o.failed {
+			failed++
+		}
+	}
+	if failed == 0 {
+		return 0
+	}
+	return float64(failed+1) / float64(len(r.last)+2)
+}
+
 // Due reports whether an ejected agent may be probed now.
 func (h *Health) Due(agent string, now time.Time) bool {
 	r := h.record(agent)
@@ -115,10 +133,15 @@
 	if r.ejected {
 		return h.judgeProbe(r, o.Failed || slow, now)
 	}
-	if !h.failing(o.Agent, r) && r.slow < leastSlow {
+	failing := h.failing(o.Agent, r)
+	if !failing && r.slow < leastSlow {
 		return Keep
 	}
-	if !h.mayEject() {
+	most := ejectedMost
+	if failing {
+		most = failingMost
+	}
+	if !h.mayEject(most) {
 		return Keep
 	}
 	h.eject(r, now)
@@ -135,7 +158,7 @@
 // ObserveOverdue takes how many tasks of an agent are overdue now.
 func (h *Health) ObserveOverdue(agent string, count int, now time.Time) Verdict {
 	r := h.record(agent)
-	if r.ejected || count < leastSlow || !h.mayEject() {
+	if r.ejected || count < leastSlow || !h.mayEject(ejectedMost) {
 		return Keep
 	}
 	h.eject(r, now)
@@ -220,14 +243,14 @@
 }
 
 // mayEject bounds the share of agents that are ejected.
-func (h *Health) mayEject() bool {
+func (h *Health) mayEject(most float64) bool {
 	ejected := 0
 	for _, r := range h.agents {
 		if r.ejected {
 			ejected++
 		}
 	}
-	return float64(ejected+1) <= max(1, ejectedMost*float64(len(h.agents))) && len(h.agents) > 1
+	return float64(ejected+1) <= max(1, most*float64(len(h.agents))) && len(h.agents) > 1
 }
 
 // Forget drops an agent that has ended.
--- a/process/health/health_test.go
+++ b/process/health/health_test.go
@@ -95,3 +95,26 @@
 	is.Equal(h.ObserveOverdue("slow", 1, start), health.Keep)
 	is.Equal(h.ObserveOverdue("slow", 2, start), health.Eject)
 }
+
+// Agents that were slow for a while do not keep one that fails everything in work.
+func TestFailingAgentIsEjectedBesideSlowOnes(t *testing.T) {
+	is := is.New(t)
+	h := health.New()
+	for i := range 6 {
+		observe(h, fmt.Sprintf("good-%d", i), 20, false, 0.05)
+	}
+	for i := range 3 {
+		is.Equal(observe(h, fmt.Sprintf("slow-%d", i), 4, false, 5), health.Eject)
+	}
+	is.Equal(observe(h, "bad", 4, true, 0), health.Eject)
+}
+
+func TestFailingShare(t *testing.T) {
+	is := is.New(t)
+	h := health.New()
+	is.Equal(h.Failing("a"), 0.0)
+	observe(h, "a", 3, false, 0.05)
+	is.Equal(h.Failing("a"), 0.0)
+	observe(h, "a", 1, true, 0)
+	is.Equal(h.Failing("a"), 2.0/6)
+}
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -36,6 +36,8 @@
 	Far      bool
 	// Taken is how many tasks of the step it has.
 	Taken int
+	// Failing is the share of its last tasks that failed.
+	Failing float64
 }
 
 // Add counts a task that is on its way to the candidate.
@@ -83,6 +85,9 @@
 	Expected time.Duration
 	Label    string
 	Near     string
+	// Avoid are endpoints where the task has failed: it goes there only where no other
+	// can take it.
+	Avoid []string
 	// Spread is the most tasks of the step on one endpoint; 0 is no limit.
 	Spread int
 }
@@ -131,19 +136,28 @@
 
 func pick(r Request, candidates []Candidate) (best int, found bool) {
 	var least time.Duration
+	avoided := true
 	for i := range candidates {
 		c := &candidates[i]
 		if !c.allows(r) {
 			continue
 		}
-		cost := waitWeight*c.Wait(r.Size, r.Slack) + c.run(r)
-		if !found || cost < least {
-			best, least, found = i, cost, true
+		avoid := slices.Contains(r.Avoid, c.Name)
+		cost := c.cost(r)
+		if !found || avoided && !avoid || avoid == avoided && cost < least {
+			best, least, found, avoided = i, cost, true, avoid
 		}
 	}
 	return best, found
 }
 
+// cost is what a request has to expect of an endpoint. Where p of the tasks fail, it
+// takes 1/(1-p) runs until one ends well: an endpoint that fails at once is always
+// free, and would draw all work.
+func (c *Candidate) cost(r Request) time.Duration {
+	return waitWeight*c.Wait(r.Size, r.Slack) + time.Duration(float64(c.run(r))/(1-c.Failing))
+}
+
 func (c *Candidate) allows(r Request) bool {
 	return r.Size.Fits(c.Capacity) &&
 		(r.Label == "" || slices.Contains(c.Labels, r.Label)) &&
--- a/process/placement/placement_test.go
+++ b/process/placement/placement_test.go
@@ -102,3 +102,27 @@
 		placement.Choose(list, work)
 	}
 }
+
+// A task that has failed somewhere goes elsewhere, even to wait; only where nothing
+// else can take it does it go there again.
+func TestFailedTaskAvoidsWhereItFailed(t *testing.T) {
+	i := is.New(t)
+	one := tasks(1)
+	one[0].Avoid = []string{"free"}
+	choices, fits := placement.Choose(one, []placement.Candidate{candidate("free", 32000), candidate("full", 0)})
+	i.True(fits)
+	i.Equal(choices[0].Agent, "full")
+	choices, fits = placement.Choose(one, []placement.Candidate{candidate("free", 32000)})
+	i.True(fits)
+	i.Equal(choices[0].Agent, "free")
+}
+
+// An endpoint that fails at once is always free.
+func TestEndpointThatFailsDrawsNoWork(t *testing.T) {
+	i := is.New(t)
+	failing := candidate("failing", 32000)
+	failing.Failing = 0.8
+	choices, fits := placement.Choose(tasks(3), []placement.Candidate{failing, candidate("sound", 0)})
+	i.True(fits)
+	i.Equal(agents(choices), map[string]int{"sound": 3})
+}
--- a/process/replay/faults_test.go
+++ b/process/replay/faults_test.go
@@ -70,6 +70,34 @@
 	i.True(served(t, w) > 0.93)
 }
 
+// Two endpoints fail all that they start, and soon: they are always free. Some other
+// endpoints were slow before, and are not trusted yet.
+func TestEndpointsThatFailEverythingFailFewJobs(t *testing.T) {
+	i := is.New(t)
+	w := newWorld(t, 5, 4, speeds(11))
+	w.load(kinds(), 12*time.Second)
+	for _, s := range w.sidecars[6:9] {
+		s.speed *= 8
+	}
+	w.play(3 * time.Second)
+	for _, s := range w.sidecars[6:9] {
+		s.speed /= 8
+	}
+	w.recount()
+	for _, s := range w.sidecars[:2] {
+		s.fails = true
+	}
+	w.play(5 * time.Second)
+	failed, asked := 0, 0
+	for _, k := range kinds() {
+		failed += w.tally(k.name).failed
+		asked += w.tally(k.name).asked
+	}
+	t.Logf("%d of %d jobs failed", failed, asked)
+	served(t, w)
+	i.True(failed*100 < asked)
+}
+
 // A fifth of the endpoints turn slow: work goes elsewhere, and comes back after.
 func TestSlowEndpointsAreAvoided(t *testing.T) {
 	i := is.New(t)
--- a/process/replay/sidecar_test.go
+++ b/process/replay/sidecar_test.go
@@ -25,8 +25,9 @@
 	// speed is how long runs take, 1 for ordinary; frozen loses every message.
 	speed  float64
 	frozen bool
-	// hangs: what starts never ends.
+	// hangs: what starts never ends. fails: it fails soon.
 	hangs bool
+	fails bool
 	runs  map[string]bool
 	// doubtful is the share of start orders that get no answer; late ones are carried
 	// out after lateBy.
@@ -171,7 +172,10 @@
 	if s.world.running[taskName(n)] > 1 {
 		s.world.t.Errorf("%s: task %s runs twice at a time", s.world.now, taskName(n))
 	}
-	if !s.hangs {
+	switch {
+	case s.fails:
+		s.world.after(failsAfter, func() { s.finish(n, runner.EndedFailed) })
+	case !s.hangs:
 		s.world.after(time.Duration(float64(j.run)*s.speed), func() { s.finish(n, runner.EndedWell) })
 	}
 	return true
--- a/process/replay/world_test.go
+++ b/process/replay/world_test.go
@@ -26,6 +26,8 @@
 	orderHop  = 300 * time.Microsecond
 	tickEvery = 25 * time.Millisecond
 	heartbeat = 150 * time.Millisecond
+	// failsAfter is how soon an endpoint fails that fails everything.
+	failsAfter = 30 * time.Millisecond
 )
 
 type event struct {
--- a/process/scheduler/offers.go
+++ b/process/scheduler/offers.go
@@ -25,7 +25,7 @@
 		}
 		requests = append(requests, placement.Request{
 			Number: number, Size: spec.Size, Slack: s.slack(j, s.expect(j, step)), Expected: s.expect(j, step),
-			Label: spec.Label, Near: spec.Near, Spread: spec.Spread,
+			Label: spec.Label, Near: spec.Near, Spread: spec.Spread, Avoid: j.progress.FailedAt(number),
 		})
 	}
 	p.backlog = placement.Backlog(s.candidates)
--- a/request/progress/progress.go
+++ b/request/progress/progress.go
@@ -22,6 +22,8 @@
 	runs     int
 	failures int
 	agent    string
+	// failedAt are the agents where it failed.
+	failedAt []string
 }
 
 // Progress is the state of one workload. It is not safe for concurrent use.
@@ -97,14 +99,20 @@
 
 // Fail takes a placed task back that has run and failed.
 func (p *Progress) Fail(number int) {
-	p.Return(number)
 	t := &p.tasks[number]
+	if t.state == placed {
+		t.failedAt = append(t.failedAt, t.agent)
+	}
+	p.Return(number)
 	t.failures++
 	if t.failures >= p.attempts {
 		p.failed = true
 	}
 }
 
+// FailedAt returns the agents where a task has failed.
+func (p *Progress) FailedAt(number int) []string { return p.tasks[number].failedAt }
+
 // Done notes that a placed task has ended well.
 func (p *Progress) Done(number int) {
 	t := &p.tasks[number]
--- a/request/progress/progress_test.go
+++ b/request/progress/progress_test.go
@@ -54,8 +54,10 @@
 	p.Fail(0)
 	i.True(!p.Failed())
 	i.Equal(p.Place(0, "b"), 3)
+	i.Equal(p.FailedAt(0), []string{"a"})
 	p.Fail(0)
 	i.True(p.Failed())
+	i.Equal(p.FailedAt(0), []string{"a", "b"})
 }
 
 func TestTasksPerAgent(t *testing.T) {
