--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -87,7 +87,7 @@
 	watchers.Go(func() { w.probe(watching) })
 	l := newLoad(w)
 	watchers.Go(func() { l.run(watching) })
-	report.Strikes = w.strike(ctx, rand.New(rand.NewPCG(s.Seed, 2)))
+	report.Strikes = w.disturb(ctx, rand.New(rand.NewPCG(s.Seed, 2)))
 	report.Recovered = l.recover(ctx)
 	if report.Recovered > recovery {
 		w.breaks("work does not flow %s after the end of all faults", recovery)
@@ -145,14 +145,14 @@
 	for _, p := range w.programs() {
 		all = append(all, p.Surprises()...)
 	}
-	return append(all, w.outcries()...)
+	return append(all, w.crashes()...)
 }
 
-// distress are words with which a Go program ends in disorder.
-func distress() []string { return []string{"panic:", "fatal error:", "DATA RACE"} }
+// crashMarks are what a Go program prints as it crashes, or the race detector.
+func crashMarks() []string { return []string{"panic:", "fatal error:", "DATA RACE"} }
 
-func cries(text string) bool {
-	for _, word := range distress() {
+func crashed(text string) bool {
+	for _, word := range crashMarks() {
 		if strings.Contains(text, word) {
 			return true
 		}
--- a/lab/soak/strikes.go
+++ b/lab/soak/strikes.go
@@ -34,9 +34,9 @@
 	end   func()
 }
 
-// strike plays strikes that the seed draws, overlapping, and returns what they were
+// disturb plays strikes that the seed draws, overlapping, and returns what they were
 // when all are over.
-func (w *world) strike(ctx context.Context, r *rand.Rand) []string {
+func (w *world) disturb(ctx context.Context, r *rand.Rand) []string {
 	var group sync.WaitGroup
 	var all []string
 	began := w.clock.Now()
--- a/lab/soak/world.go
+++ b/lab/soak/world.go
@@ -333,8 +333,8 @@
 	}
 }
 
-// outcries are the logs with signs of disorder.
-func (w *world) outcries() []string {
+// crashes lists the logs of processes that crashed.
+func (w *world) crashes() []string {
 	var all []string
 	logs, err := filepath.Glob(filepath.Join(w.settings.Dir, "*.log"))
 	if err != nil {
@@ -344,8 +344,8 @@
 		text, err := os.ReadFile(path)
 		if err != nil {
 			all = append(all, err.Error())
-		} else if cries(string(text)) {
-			all = append(all, "a process ended in disorder, log "+filepath.Base(path))
+		} else if crashed(string(text)) {
+			all = append(all, "a process crashed, log "+filepath.Base(path))
 		}
 	}
 	return all
