Try an endpoint again that failed a while ago

The share of failed tasks that keeps work away from an endpoint was of its last 16 tasks, however old: one that was avoided and not ejected, since as many were as may be, would have stayed avoided for ever. Tasks count for 3 s (TestFailingShare).

Tried and reverted: sidecars tell the share of failed runs of all dispatchers with their room.

--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -209,7 +209,7 @@
 		c := a.candidate(f.zone, f.speeds.Slowness(a.name, now))
 		if !f.health.Ejected(a.name) {
 			// A probe has to be given its task.
-			c.Failing = f.health.Failing(a.name)
+			c.Failing = f.health.Failing(a.name, now)
 		}
 		list = append(list, c)
 	}
--- a/process/health/health.go
+++ b/process/health/health.go
@@ -40,6 +40,8 @@
 	// where the next one fails what it is given: a slow one still does some good.
 	ejectedMost = 1.0 / 3
 	failingMost = 1.0 / 2
+	// failingAge is how long a task counts towards the share of failed ones.
+	failingAge = 3 * time.Second
 	// firstRest and longestRest bound the time until an ejected agent is probed;
 	// each failed probe doubles it.
 	firstRest   = 4 * time.Second
@@ -61,6 +63,7 @@
 type outcome struct {
 	job    string
 	failed bool
+	at     time.Time
 }
 
 type record struct {
@@ -96,11 +99,14 @@
 func (h *Health) Ejected(agent string) bool { return h.record(agent).ejected }
 
 // Failing returns the share of an agent's last tasks that failed, as if there had been
-// one more of each.
-func (h *Health) Failing(agent string) float64 {
-	r := h.record(agent)
-	failed := 0
-	for _, o := range r.last {
+// one more of each. An agent that is avoided is tried again after a while.
+func (h *Health) Failing(agent string, now time.Time) float64 {
+	failed, all := 0, 0
+	for _, o := range h.record(agent).last {
+		if now.Sub(o.at) > failingAge {
+			continue
+		}
+		all++
 		if o.failed {
 			failed++
 		}
@@ -108,7 +114,7 @@
 	if failed == 0 {
 		return 0
 	}
-	return float64(failed+1) / float64(len(r.last)+2)
+	return float64(failed+1) / float64(all+2)
 }
 
 // Due reports whether an ejected agent may be probed now.
@@ -125,7 +131,7 @@
 // Observe takes how a task ended and returns what follows for its agent.
 func (h *Health) Observe(o Observation, now time.Time) Verdict {
 	r := h.record(o.Agent)
-	r.last = append(r.last, outcome{job: o.Job, failed: o.Failed})
+	r.last = append(r.last, outcome{job: o.Job, failed: o.Failed, at: now})
 	if len(r.last) > window {
 		r.last = r.last[1:]
 	}
--- a/process/health/health_test.go
+++ b/process/health/health_test.go
@@ -112,9 +112,10 @@
 func TestFailingShare(t *testing.T) {
 	is := is.New(t)
 	h := health.New()
-	is.Equal(h.Failing("a"), 0.0)
+	is.Equal(h.Failing("a", start), 0.0)
 	observe(h, "a", 3, false, 0.05)
-	is.Equal(h.Failing("a"), 0.0)
+	is.Equal(h.Failing("a", start), 0.0)
 	observe(h, "a", 1, true, 0)
-	is.Equal(h.Failing("a"), 2.0/6)
+	is.Equal(h.Failing("a", start), 2.0/6)
+	is.Equal(h.Failing("a", start.Add(4*time.Second)), 0.0)
 }
--- a/process/replay/faults_test.go
+++ b/process/replay/faults_test.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -73,8 +74,14 @@
 // Two endpoints fail all that they start, and soon: they are always free. Some other
 // endpoints were slow before, and are not trusted yet.
 func TestEndpointsThatFailEverythingFailFewJobs(t *testing.T) {
+	for _, entries := range []int{4, 11} {
+		t.Run(fmt.Sprint(entries, " entries"), func(t *testing.T) { playFailingEndpoints(t, entries) })
+	}
+}
+
+func playFailingEndpoints(t *testing.T, entries int) {
 	i := is.New(t)
-	w := newWorld(t, 5, 4, speeds(11))
+	w := newWorld(t, 5, entries, speeds(11))
 	w.load(kinds(), 12*time.Second)
 	for _, s := range w.sidecars[6:9] {
 		s.speed *= 8
@@ -88,12 +95,15 @@
 		s.fails = true
 	}
 	w.play(5 * time.Second)
-	failed, asked := 0, 0
+	failed, asked, runs := 0, 0, 0
+	for _, e := range w.entries {
+		runs += e.decided["CH1032 task failed"]
+	}
 	for _, k := range kinds() {
 		failed += w.tally(k.name).failed
 		asked += w.tally(k.name).asked
 	}
-	t.Logf("%d of %d jobs failed", failed, asked)
+	t.Logf("%d of %d jobs failed, %d runs", failed, asked, runs)
 	served(t, w)
 	i.True(failed*100 < asked)
 }
