--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"github.com/corianderhook/corianderhook/common/pause"
 )
 
 const (
@@ -122,12 +124,7 @@
 	group.Wait()
 }
 
-func (w *world) pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-w.clock.After(d):
-	}
-}
+func (w *world) pause(ctx context.Context, d time.Duration) { pause.For(ctx, w.clock, d) }
 
 // breaks notes a promise that was not kept.
 func (w *world) breaks(format string, details ...any) {
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -78,10 +78,10 @@
 	// stopsAt is when a planned stop ends.
 	stopsAt atomic.Pointer[time.Time]
 	agents  atomic.Int64
-	// oldest is the age of the oldest last word of an agent, adopted when the
-	// configuration in force was, in nanoseconds of the clock.
+	// oldest is the age of the oldest last word of an agent in nanoseconds, adopted the
+	// steady time at which the configuration in force was, or of the start.
 	oldest  atomic.Int64
-	adopted atomic.Int64
+	adopted atomic.Pointer[time.Time]
 }
 
 // New returns a dispatcher that has not started.
@@ -97,12 +97,13 @@
 		return time.Duration(d.oldest.Load()).Seconds()
 	})
 	d.metrics.Watch("corianderhook_config_age_seconds", "Time since the configuration in force was adopted.", func() float64 {
-		return time.Duration(deps.Clock.Now().UnixNano() - d.adopted.Load()).Seconds()
+		return deps.Clock.Since(*d.adopted.Load()).Seconds()
 	})
 	d.metrics.Watch("corianderhook_dispatchers_known", "Dispatchers that are known by address, this one included.", func() float64 {
 		return float64(len(d.peers.addresses()))
 	})
-	d.adopted.Store(deps.Clock.Now().UnixNano())
+	now := deps.Clock.Now()
+	d.adopted.Store(&now)
 	d.peers = newPeers(d)
 	d.scheduler = deps.System.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return newSchedulerActor(d) }))
 	return d
@@ -137,7 +138,8 @@
 		}
 	}
 	d.metrics.Config(c.Version())
-	d.adopted.Store(d.deps.Clock.Now().UnixNano())
+	now := d.deps.Clock.Now()
+	d.adopted.Store(&now)
 	klog.InfoS("CH1001 configuration in force", "entry", d.deps.Name, "version", c.Version(), "queues", c.Queues(), "source", source)
 	d.peers.tell()
 }
