--- a/lab/soak/load.go
+++ b/lab/soak/load.go
@@ -21,8 +21,10 @@
 	answerSlack = 400 * time.Millisecond
 	// flowing is the share of a second's jobs that are completed when work flows.
 	flowing = 0.8
-	// longEach is which part of the jobs is long.
-	longEach = 8
+	// longEach is which part of the jobs is long, leavesEach which part is broken off by
+	// its caller, and sent again.
+	longEach   = 8
+	leavesEach = 8
 	// queueEvery is the time between two looks at configuration.
 	queueEvery = 200 * time.Millisecond
 	queueTime  = 500 * time.Millisecond
@@ -76,6 +78,9 @@
 		j.Takes = between(r, time.Second, 3*time.Second)
 		j.Budget = j.Takes + between(r, time.Second, 4*time.Second)
 	}
+	if r.IntN(leavesEach) == 0 {
+		j.Leaves = between(r, 20*time.Millisecond, 400*time.Millisecond)
+	}
 	return j
 }
 
@@ -162,7 +167,7 @@
 			r.Unknown++
 		}
 		l.truth(f)
-		if f.attempts[0].Sent.After(l.calmFrom) {
+		if f.attempts[0].Sent.After(l.calmFrom) && !f.attempts[0].Left {
 			calm++
 			if len(f.attempts) == 1 && last.Completed() {
 				served++
@@ -194,7 +199,7 @@
 		calm := a.Sent.After(l.calmFrom) && f.job.Patience > 0
 		// A connection may end before a request was read, as a process ends.
 		read := a.Took > lossSlack || w.record.Started(f.job.ID, a.Sent, a.Sent.Add(a.Took))
-		if a.Status == 0 && (calm || w.settings.Planned && read) {
+		if a.Status == 0 && !a.Left && (calm || w.settings.Planned && read) {
 			w.breaks("job %s gets no answer: %s after %s", f.job.ID, a.Fault, a.Took)
 		}
 		if calm && a.Took > f.job.Budget+answerSlack {
