--- a/lab/program/program.go
+++ b/lab/program/program.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -19,6 +20,7 @@
 	name string
 	path string
 	dir  string
+	args []string
 	mu   sync.Mutex
 	life *life
 	// lives counts the starts.
@@ -38,13 +40,15 @@
 }
 
 // New returns a program that is not running. Its output goes to files in dir.
-func New(name, path, dir string) *Program { return &Program{name: name, path: path, dir: dir} }
+func New(name, path, dir string, args ...string) *Program {
+	return &Program{name: name, path: path, dir: dir, args: args}
+}
 
 // Name returns the name.
 func (p *Program) Name() string { return p.name }
 
-// Start starts a process unless one is running.
-func (p *Program) Start(args ...string) error {
+// Start starts a process, with further arguments for this one, unless one is running.
+func (p *Program) Start(further ...string) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.life != nil {
@@ -57,7 +61,7 @@
 		return errors.Wrapf(err, "log of %q", p.name)
 	}
 	defer log.Close()
-	command := exec.Command(p.path, args...)
+	command := exec.Command(p.path, slices.Concat(p.args, further)...)
 	command.Stdout, command.Stderr = log, log
 	if err := command.Start(); err != nil {
 		return errors.Wrapf(err, "program %q", p.name)
--- a/lab/soak/world.go
+++ b/lab/soak/world.go
@@ -42,7 +42,6 @@
 // dispatcher is one dispatcher process with the proxies around it.
 type dispatcher struct {
 	program *program.Program
-	args    []string
 	callers string
 	ready   string
 	caller  *caller.Caller
@@ -54,7 +53,6 @@
 // sidecar is one sidecar process with its endpoint and the proxies around it.
 type sidecar struct {
 	program  *program.Program
-	args     []string
 	endpoint *endpoint.Endpoint
 	// orders is between it and its endpoint, announcements the other way.
 	orders        *proxy.Proxy
@@ -177,8 +175,7 @@
 	file, err := w.settingsFile(name, zoneOf(i), d.store.Address(), fmt.Sprintf(
 		"[dispatcher]\ncallers = %s\nready = %s\nlisten = %s\nadvertise = %s\npeers = %s\n[runtime]\nmetrics = %s\ngrace = %s\n",
 		d.callers, d.ready, listen, d.control.Address(), w.seeds(), w.address(1, i, portMetrics), grace))
-	d.args = []string{"dispatcher", "--settings", file}
-	d.program = program.New(name, w.settings.Binary, w.settings.Dir)
+	d.program = program.New(name, w.settings.Binary, w.settings.Dir, "dispatcher", "--settings", file)
 	d.caller = caller.New(d.callers, w.clock)
 	return err
 }
@@ -213,8 +210,7 @@
 	file, err := w.settingsFile(name, zoneOf(i), s.store.Address(), fmt.Sprintf(
 		"[sidecar]\nendpoint = %s\nannouncements = %s\ndispatchers = %s\n[runtime]\nmetrics = %s\ngrace = %s\n",
 		s.orders.Address(), listen, w.seeds(), w.address(2, i, portMetrics), grace))
-	s.args = []string{"sidecar", "--settings", file}
-	s.program = program.New(name, w.settings.Binary, w.settings.Dir)
+	s.program = program.New(name, w.settings.Binary, w.settings.Dir, "sidecar", "--settings", file)
 	w.group.Go(func() { s.endpoint.Announce(w.ctx, s.announcements.Address(), operator.Service, zoneOf(i)) })
 	return err
 }
@@ -232,21 +228,10 @@
 
 // run starts a process, with a time of day that is off.
 func (w *world) run(p *program.Program) error {
-	var args []string
-	for _, d := range w.dispatchers {
-		if d.program == p {
-			args = d.args
-		}
-	}
-	for _, s := range w.sidecars {
-		if s.program == p {
-			args = s.args
-		}
-	}
 	w.mu.Lock()
 	off := time.Duration(w.random.Int64N(int64(2*clockError))) - clockError
 	w.mu.Unlock()
-	return p.Start(append(args, "--clock-offset="+off.Truncate(time.Millisecond).String())...)
+	return p.Start("--clock-offset=" + off.Truncate(time.Millisecond).String())
 }
 
 // pick is the balancer's choice for a new connection.
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -203,11 +203,15 @@
 	for i := range f.order {
 		// Each call begins with another agent, so that equals share the work.
 		a := f.order[(i+f.turn)%len(f.order)]
-		if a.service != service || !a.usable(now) || f.health.Ejected(a.name) && !f.health.Due(a.name, now) {
+		if a.service != service || !a.usable(now) {
+			continue
+		}
+		ejected := f.health.Ejected(a.name)
+		if ejected && !f.health.Due(a.name, now) {
 			continue
 		}
 		c := a.candidate(f.zone, f.speeds.Slowness(a.name, now))
-		if !f.health.Ejected(a.name) {
+		if !ejected {
 			// A probe has to be given its task.
 			c.Failing = f.health.Failing(a.name, now)
 		}
--- a/process/health/health.go
+++ b/process/health/health.go
@@ -67,12 +67,14 @@
 }
 
 type record struct {
-	last    []outcome
-	slow    int
-	ejected bool
-	due     time.Time
-	rest    time.Duration
-	probed  bool
+	last []outcome
+	// failedAt is when a task failed last.
+	failedAt time.Time
+	slow     int
+	ejected  bool
+	due      time.Time
+	rest     time.Duration
+	probed   bool
 }
 
 // Health follows all agents of one entry. It is not safe for concurrent use.
@@ -101,8 +103,12 @@
 // Failing returns the share of an agent's last tasks that failed, as if there had been
 // one more of each. An agent that is avoided is tried again after a while.
 func (h *Health) Failing(agent string, now time.Time) float64 {
+	r := h.record(agent)
+	if now.Sub(r.failedAt) > failingAge {
+		return 0
+	}
 	failed, all := 0, 0
-	for _, o := range h.record(agent).last {
+	for _, o := range r.last {
 		if now.Sub(o.at) > failingAge {
 			continue
 		}
@@ -132,6 +138,9 @@
 func (h *Health) Observe(o Observation, now time.Time) Verdict {
 	r := h.record(o.Agent)
 	r.last = append(r.last, outcome{job: o.Job, failed: o.Failed, at: now})
+	if o.Failed {
+		r.failedAt = now
+	}
 	if len(r.last) > window {
 		r.last = r.last[1:]
 	}
--- a/process/scheduler/offers.go
+++ b/process/scheduler/offers.go
@@ -23,17 +23,17 @@
 			last = step
 			s.countTaken(j, step, spec.Spread)
 		}
+		expected := s.expect(j, step)
+		slack := s.slack(j, expected)
+		if len(requests) == 0 || slack < p.slack {
+			p.slack = slack
+		}
 		requests = append(requests, placement.Request{
-			Number: number, Size: spec.Size, Slack: s.slack(j, s.expect(j, step)), Expected: s.expect(j, step),
+			Number: number, Size: spec.Size, Slack: slack, Expected: expected,
 			Label: spec.Label, Near: spec.Near, Spread: spec.Spread, Avoid: j.progress.FailedAt(number),
 		})
 	}
 	p.backlog = placement.Backlog(s.candidates)
-	for i, r := range requests {
-		if i == 0 || r.Slack < p.slack {
-			p.slack = r.Slack
-		}
-	}
 	p.choices, fits = placement.Choose(requests, s.candidates)
 	return p, fits
 }
--- a/request/history/history.go
+++ b/request/history/history.go
@@ -85,13 +85,14 @@
 	if len(own) == 0 {
 		return nil
 	}
-	lives := map[life]bool{}
+	sources := map[string]bool{}
 	for _, l := range own {
-		lives[l.life] = true
+		sources[l.life.source] = true
 	}
 	from, to := own[0].at.Add(-before), own[len(own)-1].at.Add(after)
 	for _, l := range moved(h.context, shifts) {
-		if h.near(lives, l) && l.at.After(from) && l.at.Before(to) {
+		// Another life of a process that had the request counts as well.
+		if sources[l.life.source] && l.at.After(from) && l.at.Before(to) {
 			own = append(own, l)
 		}
 	}
@@ -99,20 +100,6 @@
 	return own
 }
 
-// near reports whether a line is of a life that has the request, or of a later life of
-// the same process.
-func (h *History) near(lives map[life]bool, l Line) bool {
-	if lives[l.life] {
-		return true
-	}
-	for one := range lives {
-		if one.source == l.life.source {
-			return true
-		}
-	}
-	return false
-}
-
 func moved(lines []Line, shifts map[string]time.Duration) []Line {
 	list := slices.Clone(lines)
 	for i := range list {
