Carry a configuration over each link once, in parts that go on where they ended

Cause: on a link of 2 Mbit/s a configuration of 1,632 routes (312 KB) takes over a second. A call to the store had 0.8 s in all and an exchange between dispatchers 0.5 s, so that transfers were cut off and begun again for ever; each dispatcher sent the whole text to each other, ahead of heartbeats, so that every session broke. Ruled out: the store (it answers), decoding (a few ms).

Dispatchers tell three others a second, and on news, versions and a digest of addresses; the text is fetched packed, in parts of 8 KB, from one other, and only where the store does not bring it.

--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -18,6 +18,7 @@
 	"github.com/corianderhook/corianderhook/process/metrics"
 	"github.com/corianderhook/corianderhook/process/pressure"
 	"github.com/corianderhook/corianderhook/process/scheduler"
+	"github.com/corianderhook/corianderhook/process/transfer"
 	"github.com/corianderhook/corianderhook/request/answer"
 	"github.com/corianderhook/corianderhook/request/outcome"
 	"github.com/corianderhook/corianderhook/request/workload"
@@ -34,8 +35,9 @@
 	// roomReports is how many reports of room without another cause a dispatcher takes
 	// in a second: some 30 us each, 2 % of a core.
 	roomReports = 700
-	// leastRoomEvery and mostRoomEvery bound the time between two reports of a sidecar,
-	// roomStep keeps it from changing with each session.
+	// leastRoomEvery and mostRoomEvery bound the time between two reports of a sidecar:
+	// a heartbeat, which carries one, comes every 150 ms. RoomStep keeps the time from
+	// changing with each session.
 	leastRoomEvery = 10 * time.Millisecond
 	mostRoomEvery  = 100 * time.Millisecond
 	roomStep       = 5 * time.Millisecond
@@ -82,6 +84,10 @@
 	// steady time at which the configuration in force was, or of the start.
 	oldest  atomic.Int64
 	adopted atomic.Pointer[time.Time]
+	// storeAnswered and storeDelivers are the steady times of the store's last answer
+	// and of the last piece of a configuration from it.
+	storeAnswered atomic.Pointer[time.Time]
+	storeDelivers atomic.Pointer[time.Time]
 }
 
 // New returns a dispatcher that has not started.
@@ -104,6 +110,8 @@
 	})
 	now := deps.Clock.Now()
 	d.adopted.Store(&now)
+	d.storeAnswered.Store(&time.Time{})
+	d.storeDelivers.Store(&time.Time{})
 	d.peers = newPeers(d)
 	d.scheduler = deps.System.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return newSchedulerActor(d) }))
 	return d
@@ -141,7 +149,24 @@
 	now := d.deps.Clock.Now()
 	d.adopted.Store(&now)
 	klog.InfoS("CH1001 configuration in force", "entry", d.deps.Name, "version", c.Version(), "queues", c.Queues(), "source", source)
-	d.peers.tell()
+	d.peers.adopted(c.Version())
+}
+
+// StoreAnswered notes that the platform's store answers.
+func (d *Dispatcher) StoreAnswered() {
+	now := d.deps.Clock.Now()
+	d.storeAnswered.Store(&now)
+}
+
+// StoreDelivers notes that the text of a configuration arrives from the store.
+func (d *Dispatcher) StoreDelivers() {
+	now := d.deps.Clock.Now()
+	d.storeDelivers.Store(&now)
+}
+
+// store is when the store was last heard.
+func (d *Dispatcher) store() transfer.Store {
+	return transfer.Store{Answered: *d.storeAnswered.Load(), Text: *d.storeDelivers.Load()}
 }
 
 // Learn adds addresses of other dispatchers.
@@ -150,7 +175,7 @@
 // Run serves sidecars and other dispatchers until the context ends.
 func (d *Dispatcher) Run(ctx context.Context, listener net.Listener) error {
 	server := grpc.NewServer(serverOptions()...)
-	wire.RegisterDispatcherServer(server, &service{dispatcher: d})
+	wire.RegisterDispatcherServer(server, &service{dispatcher: d, shelf: shelf{readers: map[string]time.Time{}}})
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
 	defer server.Stop()
--- a/node/dispatcher/peers.go
+++ b/node/dispatcher/peers.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -13,83 +11,78 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"k8s.io/klog/v2"
 
+	"github.com/corianderhook/corianderhook/common/pause"
 	"github.com/corianderhook/corianderhook/connection/peer"
+	"github.com/corianderhook/corianderhook/process/gossip"
 	"github.com/corianderhook/corianderhook/wire"
 )
 
 const (
-	// askEvery is the time between questions to others while no configuration is known.
+	// askEvery is the time between rounds while no configuration is known.
 	askEvery = 250 * time.Millisecond
 	// exchangeTime bounds one exchange with another dispatcher.
 	exchangeTime = 500 * time.Millisecond
-	// remindEvery is the time between exchanges without a cause; it repairs what a
-	// lost message left behind within the time that configuration may take.
+	// remindEvery is the time between rounds without a cause; it repairs what a lost
+	// message left behind within the time that configuration may take.
 	remindEvery = time.Second
-	// forgetAfter is how long an address that does not answer is kept.
-	forgetAfter = time.Minute
-	// shunFor is how long a forgotten address is not learned again by hearsay: until
-	// every other dispatcher has forgotten it too.
-	shunFor = 3 * forgetAfter
+	// roundPause is the least time between two rounds: processes that start together
+	// are told of together.
+	roundPause = 50 * time.Millisecond
+	// announceEvery is the time between two lists of new dispatchers to sidecars.
+	announceEvery = 250 * time.Millisecond
 )
 
-// peers are the other dispatchers that are known by address. They pass on the
-// newest configuration and each other's addresses, also while the platform's store
-// is away.
+// peers are the other dispatchers that are known by address. They tell each other
+// their addresses and the versions of their configuration, also while the platform's
+// store is away.
 type peers struct {
 	dispatcher *Dispatcher
 	mu         sync.Mutex
-	// answered is when an address last answered, or was learned.
-	answered map[string]time.Time
-	// forgotten is when an address was forgotten.
-	forgotten map[string]time.Time
-	sessions  map[*session]bool
-	conns     map[string]*grpc.ClientConn
-	news      chan struct{}
+	gossip     *gossip.Gossip
+	sessions   map[*session]bool
+	conns      map[string]*grpc.ClientConn
+	// fresh are addresses that sidecars have not been told of.
+	fresh []string
+	news  chan struct{}
+	fetch *fetcher
 }
 
 func newPeers(d *Dispatcher) *peers {
-	return &peers{
-		dispatcher: d, answered: map[string]time.Time{}, forgotten: map[string]time.Time{}, sessions: map[*session]bool{},
+	p := &peers{
+		dispatcher: d, gossip: gossip.New(d.deps.Address, d.incarnation), sessions: map[*session]bool{},
 		conns: map[string]*grpc.ClientConn{}, news: make(chan struct{}, 1),
 	}
+	p.fetch = newFetcher(p)
+	return p
 }
 
 // addresses returns this dispatcher's address and those of the others.
 func (p *peers) addresses() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return append([]string{p.dispatcher.deps.Address}, slices.Sorted(maps.Keys(p.answered))...)
+	return p.gossip.Addresses()
 }
 
 // learn adds addresses that others have told of.
 func (p *peers) learn(addresses []string) {
 	p.mu.Lock()
-	changed := false
-	now := p.dispatcher.deps.Clock.Now()
-	for a, at := range p.forgotten {
-		if now.Sub(at) > shunFor {
-			delete(p.forgotten, a)
-		}
-	}
-	for _, a := range addresses {
-		_, shunned := p.forgotten[a]
-		if _, known := p.answered[a]; !known && !shunned && a != "" && a != p.dispatcher.deps.Address {
-			p.answered[a] = now
-			changed = true
-		}
-	}
+	learned := p.gossip.Learn(addresses, p.dispatcher.deps.Clock.Now())
+	p.fresh = append(p.fresh, learned...)
 	p.mu.Unlock()
-	if changed {
-		p.announce()
+	if len(learned) > 0 {
 		p.tell()
 	}
 }
 
-// announce tells every sidecar the addresses.
+// announce tells every sidecar the addresses that have come.
 func (p *peers) announce() {
-	f := &wire.DispatcherFrame{Dispatchers: p.addresses()}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if len(p.fresh) == 0 {
+		return
+	}
+	f := &wire.DispatcherFrame{Dispatchers: p.fresh}
+	p.fresh = nil
 	for s := range p.sessions {
 		s.out.Put(f)
 	}
@@ -107,7 +100,7 @@
 	delete(p.sessions, s)
 }
 
-// tell has the others told soon.
+// tell has some others told soon.
 func (p *peers) tell() {
 	select {
 	case p.news <- struct{}{}:
@@ -115,78 +108,95 @@
 	}
 }
 
-// knowledge is what this dispatcher tells one that has a version of the
-// configuration: its text only where that one is behind.
-func (p *peers) knowledge(theirs uint64) *wire.Knowledge {
-	k := &wire.Knowledge{Address: p.dispatcher.deps.Address, Dispatchers: p.addresses()}
+// adopted passes on that a version is in force.
+func (p *peers) adopted(version uint64) {
+	p.fetch.adopted(version)
+	p.tell()
+}
+
+func (p *peers) version() uint64 {
 	if c := p.dispatcher.Catalog(); c != nil {
-		k.CatalogVersion = c.Version()
-		if c.Version() > theirs {
-			k.Catalog = c.Text()
-		}
+		return c.Version()
+	}
+	return 0
+}
+
+// knowledge is what this dispatcher tells others; the addresses go only to one whose
+// digest differs.
+func (p *peers) knowledge(theirs uint64) *wire.Knowledge {
+	k := &wire.Knowledge{Address: p.dispatcher.deps.Address, CatalogVersion: p.version()}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	k.Members = p.gossip.Digest()
+	if theirs != k.GetMembers() {
+		k.Dispatchers = p.gossip.Addresses()
 	}
 	return k
 }
 
 // hear takes what another dispatcher knows.
-func (p *peers) hear(k *wire.Knowledge, from string) {
-	p.met(k.GetAddress())
+func (p *peers) hear(k *wire.Knowledge) {
+	p.mu.Lock()
+	p.gossip.Met(k.GetAddress())
+	p.mu.Unlock()
 	p.learn(append(k.GetDispatchers(), k.GetAddress()))
-	c := p.dispatcher.Catalog()
-	if len(k.GetCatalog()) == 0 || c != nil && k.GetCatalogVersion() <= c.Version() {
-		return
-	}
-	newer, err := p.dispatcher.deps.Decode(k.GetCatalog())
-	if err != nil {
-		klog.ErrorS(err, "CH1006 configuration from another dispatcher cannot be read", "from", from, "version", k.GetCatalogVersion())
-		return
-	}
-	p.dispatcher.Adopt(newer, "dispatcher "+from)
+	p.fetch.offered(k.GetAddress(), k.GetCatalogVersion())
 }
 
-// run exchanges knowledge with the others: on news, while no configuration is
-// known, and now and then.
+// run exchanges knowledge with some others: on news, while no configuration is known,
+// and now and then.
 func (p *peers) run(ctx context.Context) {
 	clock := p.dispatcher.deps.Clock
-	for {
-		pause := remindEvery
+	go p.fetch.run(ctx)
+	go func() {
+		for pause.For(ctx, clock, announceEvery) {
+			p.announce()
+		}
+	}()
+	for pause.For(ctx, clock, roundPause) {
+		every := remindEvery
 		if p.dispatcher.Catalog() == nil {
-			pause = askEvery
+			every = askEvery
 		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-p.news:
-		case <-clock.After(pause):
+		case <-clock.After(every):
 		}
-		for _, a := range p.addresses()[1:] {
+		p.mu.Lock()
+		round := p.gossip.Round()
+		p.mu.Unlock()
+		for _, a := range round {
 			go p.exchange(ctx, a)
 		}
 	}
 }
 
-// unknown is a version that no configuration is newer than.
-const unknown = math.MaxUint64
-
-// exchange asks what another dispatcher knows, and tells it the configuration
-// where it turns out to be behind.
+// exchange asks what another dispatcher knows, and tells it the addresses that it
+// turns out to lack.
 func (p *peers) exchange(ctx context.Context, address string) {
-	theirs := uint64(unknown)
+	p.mu.Lock()
+	told := p.gossip.Digest()
+	p.mu.Unlock()
 	for range 2 {
-		k, err := p.ask(ctx, address, theirs)
+		k, err := p.ask(ctx, address, told)
 		if err != nil {
 			klog.V(1).InfoS("CH1008 dispatcher does not answer", "address", address, "error", err)
 			p.missed(address)
 			return
 		}
-		p.hear(k, address)
-		theirs = k.GetCatalogVersion()
-		if c := p.dispatcher.Catalog(); c == nil || c.Version() <= theirs {
+		p.hear(k)
+		p.mu.Lock()
+		own := p.gossip.Digest()
+		p.mu.Unlock()
+		if told = k.GetMembers(); told == own {
 			return
 		}
 	}
 }
 
+// ask sends what this dispatcher knows to one whose digest is as given.
 func (p *peers) ask(ctx context.Context, address string, theirs uint64) (*wire.Knowledge, error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTime)
 	defer cancel()
@@ -200,7 +210,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.answered[address] = p.dispatcher.deps.Clock.Now()
+	p.gossip.Answered(address, p.dispatcher.deps.Clock.Now())
 	return k, nil
 }
 
@@ -218,13 +228,6 @@
 	return c, nil
 }
 
-// met notes a sign of life of an address itself.
-func (p *peers) met(address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.forgotten, address)
-}
-
 // close closes every connection.
 func (p *peers) close() {
 	p.mu.Lock()
@@ -243,10 +246,8 @@
 		c.Close()
 		delete(p.conns, address)
 	}
-	at, known := p.answered[address]
-	if known && p.dispatcher.deps.Clock.Since(at) > forgetAfter {
-		delete(p.answered, address)
-		p.forgotten[address] = p.dispatcher.deps.Clock.Now()
-		klog.InfoS("CH1009 dispatcher forgotten", "address", address, "unheard", p.dispatcher.deps.Clock.Since(at))
+	if unheard, forgotten := p.gossip.Missed(address, p.dispatcher.deps.Clock.Now()); forgotten {
+		p.fresh = slices.DeleteFunc(p.fresh, func(a string) bool { return a == address })
+		klog.InfoS("CH1009 dispatcher forgotten", "address", address, "unheard", unheard)
 	}
 }
--- a/node/dispatcher/session.go
+++ b/node/dispatcher/session.go
@@ -17,9 +17,10 @@
 )
 
 const (
-	// echoAfter is how long after its last frame a dispatcher owes an echo: well
-	// under the sidecar's heartbeat, so that each heartbeat is echoed.
-	echoAfter = 50 * time.Millisecond
+	// echoAfter is how long after its last frame a dispatcher owes an echo: under the
+	// sidecar's heartbeat, so that each heartbeat is echoed, and reports of room between
+	// two of them are not.
+	echoAfter = 100 * time.Millisecond
 	// sessionSilence closes a session from which nothing has come.
 	sessionSilence = time.Second
 )
@@ -57,6 +58,7 @@
 type service struct {
 	wire.UnimplementedDispatcherServer
 	dispatcher *Dispatcher
+	shelf      shelf
 }
 
 // Work serves one session of a sidecar.
@@ -153,7 +155,7 @@
 		whole.Withdraws = append(whole.Withdraws, f.GetWithdraws()...)
 		whole.Number = max(whole.GetNumber(), f.GetNumber())
 		if len(f.GetDispatchers()) > 0 {
-			whole.Dispatchers = f.GetDispatchers()
+			whole.Dispatchers = append(whole.Dispatchers, f.GetDispatchers()...)
 		}
 	}
 	s.sentAt.Store(int64(d.deps.Clock.Since(s.began)))
@@ -162,6 +164,6 @@
 
 // Exchange takes what another dispatcher knows and returns the same.
 func (v *service) Exchange(_ context.Context, k *wire.Knowledge) (*wire.Knowledge, error) {
-	v.dispatcher.peers.hear(k, k.GetAddress())
-	return v.dispatcher.peers.knowledge(k.GetCatalogVersion()), nil
+	v.dispatcher.peers.hear(k)
+	return v.dispatcher.peers.knowledge(k.GetMembers()), nil
 }
--- /dev/null
+++ b/process/transfer/transfer_test.go
@@ -0,0 +1,163 @@
+package transfer
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// healthy is a store that has just answered.
+func healthy(now time.Time) Store { return Store{Answered: now} }
+
+// The store goes first: with a store that answers, others are asked only when it has
+// brought nothing for a while.
+func TestStoreGoesFirst(t *testing.T) {
+	i := is.New(t)
+	f := New(1)
+	i.True(!f.Due(healthy(start), start))
+	f.Offered("a", 7, 6, start)
+	i.True(!f.Due(healthy(start), start))
+	later := start.Add(storeFirst)
+	i.True(f.Due(healthy(later), later))
+	// A long text that is arriving is waited for.
+	i.True(!f.Due(Store{Answered: start, Text: later.Add(-delivering)}, later))
+	// A store that is away is not.
+	i.True(f.Due(Store{}, start))
+	f.Adopted(7)
+	i.True(!f.Due(Store{}, start))
+}
+
+func TestWhatIsKnownIsNotFetched(t *testing.T) {
+	i := is.New(t)
+	f := New(1)
+	f.Offered("a", 6, 6, start)
+	i.True(!f.Pending())
+	f.Offered("a", 7, 6, start)
+	f.Offered("a", 7, 7, start)
+	i.True(!f.Pending())
+}
+
+// text hands out parts of a packed configuration.
+type text struct {
+	content []byte
+	digest  string
+	sent    int
+}
+
+func (s *text) part(digest string, from int) Piece {
+	if digest != s.digest {
+		from = 0
+	}
+	to := min(from+1000, len(s.content))
+	s.sent += to - from
+	return Piece{Version: 7, Digest: s.digest, Size: len(s.content), From: from, Content: s.content[from:to]}
+}
+
+// A source that dies in the middle costs nothing of what has arrived: the text crosses
+// the link once.
+func TestTransferGoesOnWithAnotherSource(t *testing.T) {
+	i := is.New(t)
+	f := New(1)
+	whole := bytes.Repeat([]byte("route "), 2000)
+	source := &text{content: whole, digest: "d"}
+	f.Offered("a", 7, 6, start)
+	f.Offered("b", 7, 6, start)
+	now := start
+	var got []byte
+	for n := 0; ; n++ {
+		i.True(n < 100)
+		address, digest, from := f.Source()
+		if n == 5 {
+			f.Failed(now)
+			next, _, _ := f.Source()
+			i.True(next != address)
+			i.True(!f.Due(Store{}, now))
+			now = now.Add(2 * lastPause)
+			i.True(f.Due(Store{}, now))
+			continue
+		}
+		packed, done := f.Received(source.part(digest, from))
+		if done {
+			got = packed
+			break
+		}
+	}
+	i.Equal(got, whole)
+	i.Equal(source.sent, len(whole))
+}
+
+// The source has a newer text by now: the transfer begins anew with that one.
+func TestAnotherTextBeginsAnew(t *testing.T) {
+	i := is.New(t)
+	f := New(1)
+	f.Offered("a", 7, 6, start)
+	f.Received(Piece{Version: 7, Digest: "d", Size: 4, Content: []byte("ab")})
+	f.Received(Piece{Version: 8, Digest: "e", Size: 3, Content: []byte("x")})
+	_, digest, from := f.Source()
+	i.Equal(digest, "e")
+	i.Equal(from, 1)
+	packed, done := f.Received(Piece{Version: 8, Digest: "e", Size: 3, From: 1, Content: []byte("yz")})
+	i.True(done)
+	i.Equal(string(packed), "xyz")
+}
+
+// Parts that do not fit (twice, out of order, too long) change nothing.
+func TestPartsThatDoNotFitAreDropped(t *testing.T) {
+	i := is.New(t)
+	f := New(1)
+	f.Offered("a", 7, 6, start)
+	f.Received(Piece{Digest: "d", Size: 4, Content: []byte("ab")})
+	for _, p := range []Piece{
+		{Digest: "d", Size: 4, Content: []byte("ab")},
+		{Digest: "d", Size: 4, From: 3, Content: []byte("x")},
+		{Digest: "d", Size: 4, From: 2, Content: []byte("too long")},
+		{Digest: "d", Size: 4, From: 2},
+	} {
+		_, done := f.Received(p)
+		i.True(!done)
+	}
+	packed, done := f.Received(Piece{Digest: "d", Size: 4, From: 2, Content: []byte("cd")})
+	i.True(done)
+	i.Equal(string(packed), "abcd")
+}
+
+// Sources that fail, one after the other, are not asked in a closed loop.
+func TestFailuresPauseForLonger(t *testing.T) {
+	i := is.New(t)
+	f := New(1)
+	now := start
+	var waits []time.Duration
+	for range 6 {
+		f.Offered("a", 7, 6, now)
+		f.Source()
+		f.Failed(now)
+		f.Offered("a", 7, 6, now)
+		wait := time.Duration(0)
+		for !f.Due(Store{}, now.Add(wait)) {
+			wait += time.Millisecond
+		}
+		waits = append(waits, wait)
+		now = now.Add(wait)
+	}
+	t.Log(waits)
+	i.True(waits[0] < 150*time.Millisecond)
+	i.True(waits[5] >= 3*lastPause/4)
+}
+
+// A text that cannot be read is not kept.
+func TestBrokenTextIsDropped(t *testing.T) {
+	i := is.New(t)
+	f := New(1)
+	f.Offered("a", 7, 6, start)
+	f.Offered("b", 7, 6, start)
+	f.Source()
+	f.Received(Piece{Digest: "d", Size: 2, Content: []byte("ab")})
+	f.Broken(start)
+	_, digest, from := f.Source()
+	i.Equal(digest, "")
+	i.Equal(from, 0)
+}
--- a/version/config/config.go
+++ b/version/config/config.go
@@ -85,6 +85,8 @@
 	Endpoint      string
 	Announcements string
 	Dispatchers   []string
+	// Sessions is how many dispatchers a session is held with at the most.
+	Sessions int
 }
 
 // Runtime is what a dispatcher or sidecar is told of the VM it runs on.
@@ -93,7 +95,9 @@
 	Metrics string
 	// Memory is in MiB.
 	Memory int
-	Grace  time.Duration
+	// Link is the bandwidth of the VM's network link in Mbit/s.
+	Link  float64
+	Grace time.Duration
 	// Resubmission is when a caller without an answer sends its job again.
 	Resubmission time.Duration
 }
--- a/version/config/fields.go
+++ b/version/config/fields.go
@@ -36,6 +36,10 @@
 	// minMemory and maxMemory are in MiB.
 	minMemory = 32
 	maxMemory = 1 << 20
+	// minLink and maxLink are in Mbit/s.
+	minLink     = 0.1
+	maxLink     = 1_000_000
+	maxSessions = 1024
 )
 
 // Sections returns every section and key that exists, with its default.
@@ -55,6 +59,7 @@
 			{Key: "endpoint", Unit: "ip:port", Doc: "The endpoint on the same VM.", set: setAddress(func(b *builder) *string { return &b.c.sidecar.Endpoint })},
 			{Key: "announcements", Unit: "ip:port", Doc: "Address where the endpoint announces itself.", set: setAddress(func(b *builder) *string { return &b.c.sidecar.Announcements })},
 			{Key: "dispatchers", Unit: "ip:port, ...", Doc: "Some dispatchers; they may be out of date.", set: setAddresses(func(b *builder) *[]string { return &b.c.sidecar.Dispatchers })},
+			{Key: "sessions", Default: "12", Unit: "dispatchers", Doc: "Dispatchers that a session is held with at the most.", set: setInt(1, maxSessions, func(b *builder) *int { return &b.c.sidecar.Sessions })},
 		}},
 		{Name: "store", Fields: []Field{
 			{Key: "address", Unit: "ip:port", Doc: "The platform's metadata store.", set: setAddress(func(b *builder) *string { return &b.c.store })},
@@ -62,6 +67,7 @@
 		{Name: "runtime", Fields: []Field{
 			{Key: "metrics", Unit: "ip:port", Doc: "Address for metrics.", set: setAddress(func(b *builder) *string { return &b.c.runtime.Metrics })},
 			{Key: "memory", Default: "256", Unit: "MiB", Doc: "Memory of the process; more ends it.", set: setInt(minMemory, maxMemory, func(b *builder) *int { return &b.c.runtime.Memory })},
+			{Key: "link", Default: "1000", Unit: "Mbit/s", Doc: "Bandwidth of the VM's network link; large transfers leave a part of it to others.", set: setLink},
 			{Key: "grace", Default: "6s", Unit: "time", Doc: "Time from the signal to stop until the process is killed.", set: setTime(time.Second, time.Hour, func(b *builder) *time.Duration { return &b.c.runtime.Grace })},
 			{Key: "resubmission", Default: "1300ms", Unit: "time", Doc: "Time after which a caller without an answer sends its job again.", set: setTime(100*time.Millisecond, time.Hour, func(b *builder) *time.Duration { return &b.c.runtime.Resubmission })},
 		}},
@@ -208,6 +214,15 @@
 	}
 }
 
+func setLink(b *builder, _, value string) error {
+	link, err := strconv.ParseFloat(value, 64)
+	if err != nil || !(link >= minLink && link <= maxLink) {
+		return fmt.Errorf("must be a number from %g to %g", float64(minLink), float64(maxLink))
+	}
+	b.c.runtime.Link = link
+	return nil
+}
+
 func setTime(low, high time.Duration, at func(*builder) *time.Duration) setter {
 	return func(b *builder, _, value string) error {
 		d, err := parseTime(value, low, high)
