Hold sessions with twelve dispatchers, and wake sidecars less

Cause: a sidecar held a session with each of 55 dispatchers; heartbeats, reports of room and their echoes, and a timer for each session, were most of what an idle system spent.

process/roster ranks dispatchers at each sidecar; the first twelve get a session, one that is away for two seconds is replaced, and a stand-in is left without losing an offer.

Sites with twelve dispatchers or fewer keep every session.

--- a/node/sidecar/actor.go
+++ b/node/sidecar/actor.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
+	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
 	"github.com/corianderhook/corianderhook/process/registration"
@@ -36,7 +37,9 @@
 		link    *link
 		welcome *wire.DispatcherFrame
 	}
-	closed   struct{ link *link }
+	closed struct{ link *link }
+	// leave: the session with an address is not wanted any more.
+	leave    struct{ address string }
 	received struct {
 		link  *link
 		frame *wire.DispatcherFrame
@@ -123,6 +126,8 @@
 		if a.live[m.link.dispatcher] == m.link {
 			delete(a.live, m.link.dispatcher)
 		}
+	case leave:
+		a.leave(m.address)
 	case received:
 		a.receive(m.link, m.frame)
 	case started:
@@ -180,7 +185,38 @@
 	}
 	a.room = a.runner.Room()
 	for _, l := range a.live {
-		a.put(l, &wire.SidecarFrame{Endpoint: s})
+		a.put(l, &wire.SidecarFrame{Endpoint: a.stateFor(l)})
+	}
+}
+
+// stateFor is what a dispatcher is told of the endpoint: one whose session is about to
+// be closed is to send nothing more.
+func (a *runnerActor) stateFor(l *link) *wire.EndpointState {
+	if !l.ends {
+		return a.state
+	}
+	s := proto.CloneOf(a.state)
+	s.Accepting, s.Reason = false, "the session is about to be closed"
+	return s
+}
+
+// leave tells a dispatcher that its session is about to be closed.
+func (a *runnerActor) leave(address string) {
+	for _, l := range a.live {
+		if l.address == address && !l.ends {
+			l.ends, l.endsAt = true, a.Now()
+			a.put(l, &wire.SidecarFrame{Endpoint: a.stateFor(l)})
+		}
+	}
+}
+
+// closeEnded closes sessions whose dispatchers know of it and have nothing here.
+func (a *runnerActor) closeEnded(now time.Time) {
+	for _, l := range a.live {
+		if l.ends && now.Sub(l.endsAt) > sessionSilence && len(a.runner.Held(l.dispatcher)) == 0 {
+			klog.InfoS("CH1143 session with dispatcher closed", "agent", a.sidecar.deps.Name, "dispatcher", l.address)
+			a.sidecar.links.end(l.address)
+		}
 	}
 }
 
@@ -238,7 +274,7 @@
 			Name: a.sidecar.deps.Name, Zone: a.sidecar.deps.Zone, Incarnation: a.sidecar.incarnation,
 			Dispatcher: l.dispatcher, Held: a.runner.Held(l.dispatcher),
 		},
-		Endpoint: a.state,
+		Endpoint: a.stateFor(l),
 	}
 	for _, p := range a.recent[l.dispatcher] {
 		f.Events = append(f.Events, p.event)
@@ -287,17 +323,22 @@
 	l.out.Put(f)
 }
 
-// tick reports room that has changed and sends heartbeats.
+// tick reports room that has changed, sends heartbeats and ends silent sessions.
 func (a *runnerActor) tick() {
 	now := a.Now()
 	a.room = a.runner.Room()
 	for d, l := range a.live {
+		if l.silent(a.sidecar) {
+			l.cancel()
+			continue
+		}
 		last := now.Sub(a.sidecar.stamped(l.sent.Load()))
 		due := last >= heartbeat
 		if due || len(a.pending[d]) > 0 && last >= startsWithin || last >= l.roomEvery && differ(l.told, a.room) {
 			a.sendPending(d)
 		}
 	}
+	a.closeEnded(now)
 	for d, list := range a.recent {
 		for len(list) > 0 && now.Sub(list[0].at) > replay {
 			list = list[1:]
--- a/node/sidecar/links.go
+++ b/node/sidecar/links.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +17,7 @@
 	"github.com/corianderhook/corianderhook/common/pause"
 	"github.com/corianderhook/corianderhook/connection/outbox"
 	"github.com/corianderhook/corianderhook/connection/peer"
+	"github.com/corianderhook/corianderhook/process/roster"
 	"github.com/corianderhook/corianderhook/wire"
 )
 
@@ -28,11 +31,15 @@
 	// lastOpen: a VM without power does not answer, a slow one takes its time.
 	firstOpen = 150 * time.Millisecond
 	lastOpen  = 600 * time.Millisecond
-	// redial and slowRedial are the pauses before a new session: at first, and with an
-	// address that has not answered for dropAfter.
+	// redial is the pause before a new session, doubled with each failure up to
+	// lastRedial, and slowRedial the one with an address that has not answered for
+	// dropAfter. Each is spread by a quarter either way.
 	redial     = 50 * time.Millisecond
+	lastRedial = 400 * time.Millisecond
 	slowRedial = 2 * time.Second
 	dropAfter  = 10 * time.Second
+	// chooseEvery is the time between two looks at which sessions are wanted.
+	chooseEvery = 250 * time.Millisecond
 )
 
 // link is one session with one dispatcher.
@@ -40,6 +47,7 @@
 	address    string
 	dispatcher uint64
 	out        *outbox.Outbox
+	cancel     context.CancelFunc
 	openedUS   uint64
 	// seen and told belong to the actor.
 	seen uint64
@@ -49,18 +57,30 @@
 	// sent and heard are the stamps of the last frame each way.
 	sent  atomic.Uint64
 	heard atomic.Uint64
+	// ends: the session is about to be closed, and since when; the actor alone changes it.
+	ends   bool
+	endsAt time.Time
 }
 
-// links holds a session with every dispatcher that is known.
+// links holds sessions with the dispatchers that the roster chooses.
 type links struct {
 	sidecar *Sidecar
 	news    chan []string
+	mu      sync.Mutex
+	roster  *roster.Roster
+	// kept ends the attempts to hold a session with an address.
+	kept map[string]context.CancelFunc
 }
 
 // newsQueued is how many lists of addresses may wait to be read.
 const newsQueued = 64
 
-func newLinks(s *Sidecar) *links { return &links{sidecar: s, news: make(chan []string, newsQueued)} }
+func newLinks(s *Sidecar) *links {
+	return &links{
+		sidecar: s, news: make(chan []string, newsQueued), roster: roster.New(s.deps.Name, s.deps.Sessions),
+		kept: map[string]context.CancelFunc{},
+	}
+}
 
 // learn adds addresses. A list that finds no place is told again later.
 func (l *links) learn(addresses []string) {
@@ -70,49 +90,95 @@
 	}
 }
 
-// run holds a session with every address that is learned until the context ends.
+// run holds sessions until the context ends.
 func (l *links) run(ctx context.Context) {
 	var group sync.WaitGroup
 	defer group.Wait()
-	known := map[string]bool{}
+	ticker := l.sidecar.deps.Clock.NewTicker(chooseEvery)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case list := <-l.news:
+			l.mu.Lock()
 			for _, a := range list {
-				if a == "" || known[a] {
-					continue
-				}
-				known[a] = true
-				group.Go(func() { l.keep(ctx, a) })
+				l.roster.Learn(a)
 			}
+			l.mu.Unlock()
+		case <-ticker.Chan():
 		}
+		l.choose(ctx, &group)
 	}
 }
 
+// choose begins what is wanted and has the actor end what is not.
+func (l *links) choose(ctx context.Context, group *sync.WaitGroup) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.sidecar.deps.Clock.Now()
+	wanted := l.roster.Wanted(now)
+	for _, a := range wanted {
+		if _, kept := l.kept[a]; kept {
+			continue
+		}
+		keepCtx, cancel := context.WithCancel(ctx)
+		l.kept[a] = cancel
+		group.Go(func() {
+			l.keep(keepCtx, a)
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			delete(l.kept, a)
+		})
+	}
+	for a, cancel := range l.kept {
+		if !l.roster.Open(a) && !slices.Contains(wanted, a) {
+			cancel()
+		}
+	}
+	for _, a := range l.roster.Excess(now) {
+		l.sidecar.deps.System.Root.Send(l.sidecar.runner, leave{address: a})
+	}
+}
+
+// end closes a session that nothing needs any more.
+func (l *links) end(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if cancel, kept := l.kept[address]; kept {
+		cancel()
+	}
+}
+
+func (l *links) note(change func(address string, now time.Time), address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	change(address, l.sidecar.deps.Clock.Now())
+}
+
 // keep holds a session open until the context ends.
 func (l *links) keep(ctx context.Context, address string) {
 	clock := l.sidecar.deps.Clock
 	answered := clock.Now()
-	open := firstOpen
+	open, again := firstOpen, redial
 	for ctx.Err() == nil {
 		began := clock.Now()
 		opened, err := l.session(ctx, address, open)
+		l.note(l.roster.Lost, address)
 		if ctx.Err() != nil {
 			return
 		}
 		open = min(2*open, lastOpen)
 		if opened {
-			open = firstOpen
+			open, again = firstOpen, redial
 			answered = clock.Now()
 			klog.InfoS("CH1141 session with dispatcher lost", "agent", l.sidecar.deps.Name, "dispatcher", address, "error", err, "lasted", answered.Sub(began))
 		}
-		again := redial
-		if clock.Since(answered) > dropAfter {
-			again = slowRedial
+		wait := again
+		if again = min(2*again, lastRedial); clock.Since(answered) > dropAfter {
+			wait = slowRedial
 		}
-		pause.For(ctx, clock, again)
+		pause.For(ctx, clock, time.Duration((0.75+rand.Float64()/2)*float64(wait)))
 	}
 }
 
@@ -125,7 +191,7 @@
 		return false, err
 	}
 	defer conn.Close()
-	k := &link{address: address, out: outbox.New()}
+	k := &link{address: address, out: outbox.New(), cancel: cancel}
 	defer k.out.Close()
 	timer := l.sidecar.deps.Clock.AfterFunc(within, cancel)
 	defer timer.Stop()
@@ -142,6 +208,7 @@
 		return false, errors.New("the session was not opened in time")
 	}
 	klog.InfoS("CH1142 session with dispatcher opened", "agent", l.sidecar.deps.Name, "dispatcher", address, "incarnation", welcome.GetIncarnation())
+	l.note(l.roster.Opened, address)
 	l.serve(ctx, cancel, k, stream, welcome)
 	return true, context.Cause(ctx)
 }
@@ -157,7 +224,6 @@
 		// The end of the stream is reported where it is read.
 		_ = k.out.Run(ctx, func(batch []proto.Message) error { return k.send(s, stream, batch) })
 	}()
-	go k.watch(ctx, cancel, s)
 	for f := welcome; ; {
 		if len(f.GetDispatchers()) > 0 {
 			l.learn(f.GetDispatchers())
@@ -171,20 +237,9 @@
 	}
 }
 
-// watch ends a session that has gone silent.
-func (k *link) watch(ctx context.Context, cancel context.CancelFunc, s *Sidecar) {
-	clock := s.deps.Clock
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-clock.After(sessionSilence / 4):
-			if s.stamp()-k.heard.Load() > uint64(sessionSilence.Microseconds()) {
-				cancel()
-				return
-			}
-		}
-	}
+// silent reports whether nothing has come for too long.
+func (k *link) silent(s *Sidecar) bool {
+	return s.stamp()-k.heard.Load() > uint64(sessionSilence.Microseconds())
 }
 
 // send merges what is ready into one frame.
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -19,9 +19,13 @@
 	"github.com/corianderhook/corianderhook/process/runner"
 )
 
-// tickEvery is also the least time between two reports of room without a cause: a
-// few tasks start and end at an endpoint meanwhile.
-const tickEvery = 10 * time.Millisecond
+const (
+	// tickEvery is also the least time between two reports of room without a cause: a
+	// few tasks start and end at an endpoint meanwhile.
+	tickEvery = 10 * time.Millisecond
+	// idleTick is the time between ticks while no task is held: a sixth of a heartbeat.
+	idleTick = 25 * time.Millisecond
+)
 
 // Endpoint is the endpoint beside the sidecar. Its calls return within a bound of
 // their own.
@@ -70,11 +74,13 @@
 	Zone string
 	// Dispatchers are addresses of some dispatchers; they may be out of date.
 	Dispatchers []string
-	Metrics     *metrics.Metrics
-	Endpoint    Endpoint
-	Memory      Memory
-	Clock       clockwork.Clock
-	System      *actor.ActorSystem
+	// Sessions is how many dispatchers a session is held with at the most.
+	Sessions int
+	Metrics  *metrics.Metrics
+	Endpoint Endpoint
+	Memory   Memory
+	Clock    clockwork.Clock
+	System   *actor.ActorSystem
 }
 
 // Sidecar is one sidecar process.
@@ -139,16 +145,16 @@
 		s.awaitEmpty(ctx)
 		s.links.run(ctx)
 	})
-	ticker := s.deps.Clock.NewTicker(tickEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			s.deps.System.Root.Send(s.runner, tick{})
-		}
+	for pause.For(ctx, s.deps.Clock, s.nextTick()) {
+		s.deps.System.Root.Send(s.runner, tick{})
+	}
+}
+
+func (s *Sidecar) nextTick() time.Duration {
+	if s.tasks.Load() > 0 {
+		return tickEvery
 	}
+	return idleTick
 }
 
 // recall brings back what the endpoint said to an earlier sidecar, if the store answers.
--- /dev/null
+++ b/process/roster/roster_test.go
@@ -0,0 +1,143 @@
+package roster
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+const bound = 12
+
+func dispatcher(n int) string { return fmt.Sprintf("10.0.0.%d:8665", n) }
+
+func newRoster(name string, dispatchers int) *Roster {
+	r := New(name, bound)
+	for n := range dispatchers {
+		r.Learn(dispatcher(n))
+	}
+	return r
+}
+
+func open(r *Roster, now time.Time) {
+	for _, a := range r.Wanted(now) {
+		r.Opened(a, now)
+	}
+}
+
+func TestSmallDeploymentHasEverySession(t *testing.T) {
+	i := is.New(t)
+	i.Equal(len(newRoster("s", bound).Wanted(start)), bound)
+	i.Equal(len(newRoster("s", 3).Wanted(start.Add(time.Hour))), 3)
+}
+
+// 240 sidecars and 55 dispatchers: the sessions of a dispatcher stay near their mean,
+// and no dispatcher goes without.
+func TestSessionsSpreadEvenly(t *testing.T) {
+	i := is.New(t)
+	sessions := map[string]int{}
+	for n := range 240 {
+		wanted := newRoster(fmt.Sprintf("side-zone-%c-%d", 'a'+n/48, n%48), 55).Wanted(start)
+		i.Equal(len(wanted), bound)
+		for _, a := range wanted {
+			sessions[a]++
+		}
+	}
+	least, most := 240, 0
+	for n := range 55 {
+		least, most = min(least, sessions[dispatcher(n)]), max(most, sessions[dispatcher(n)])
+	}
+	mean := 240 * bound / 55
+	t.Logf("sessions of a dispatcher: mean %d, least %d, most %d", mean, least, most)
+	i.True(least > mean/2 && most < 2*mean)
+}
+
+// A dispatcher that is away for a moment is waited for; one that stays away is replaced,
+// and tried on.
+func TestLostDispatcherIsReplaced(t *testing.T) {
+	i := is.New(t)
+	r := newRoster("s", 55)
+	open(r, start)
+	before := r.Wanted(start)
+	lost := before[3]
+	r.Lost(lost, start)
+	i.Equal(r.Wanted(start.Add(patience-time.Millisecond)), before)
+	after := r.Wanted(start.Add(patience))
+	i.Equal(len(after), bound+1)
+	i.True(slices.Contains(after, lost))
+	// A failed try does not count as a new loss.
+	r.Lost(lost, start.Add(patience))
+	i.Equal(len(r.Wanted(start.Add(patience))), bound+1)
+}
+
+// The session that stood in is left when the lost dispatcher is back for a while.
+func TestStandInIsLeftOnceItIsNotNeeded(t *testing.T) {
+	i := is.New(t)
+	r := newRoster("s", 55)
+	open(r, start)
+	lost := r.Wanted(start)[0]
+	r.Lost(lost, start)
+	now := start.Add(patience)
+	standIn := r.Wanted(now)[bound]
+	r.Opened(standIn, now)
+	i.Equal(len(r.Excess(now.Add(time.Minute))), 0)
+	back := now.Add(time.Minute)
+	r.Opened(lost, back)
+	i.Equal(len(r.Excess(back.Add(linger-time.Millisecond))), 0)
+	i.Equal(r.Excess(back.Add(linger)), []string{standIn})
+	r.Lost(standIn, back.Add(linger))
+	i.Equal(len(r.Excess(back.Add(linger))), 0)
+}
+
+// All dispatchers but a few lose power at once: every session is with one that lives.
+func TestMassLossLeavesSessionsWithTheLiving(t *testing.T) {
+	i := is.New(t)
+	r := newRoster("s", 55)
+	open(r, start)
+	living := []string{dispatcher(7), dispatcher(20), dispatcher(41)}
+	for n := range 55 {
+		if !slices.Contains(living, dispatcher(n)) {
+			r.Lost(dispatcher(n), start)
+		}
+	}
+	now := start
+	var wanted []string
+	for range 5 {
+		now = now.Add(patience)
+		wanted = r.Wanted(now)
+	}
+	for _, a := range living {
+		i.True(slices.Contains(wanted, a))
+	}
+}
+
+// An address of before that nobody answers at does not take the place of a living one.
+func TestDeadAddressTakesNoPlace(t *testing.T) {
+	i := is.New(t)
+	r := newRoster("s", 40)
+	open(r, start)
+	for n := range 40 {
+		r.Learn(fmt.Sprintf("10.9.9.%d:1", n))
+	}
+	now := start
+	for range 5 {
+		for _, a := range r.Wanted(now) {
+			if !strings.HasPrefix(a, "10.9.9.") && !r.Open(a) {
+				r.Opened(a, now)
+			}
+		}
+		now = now.Add(patience)
+	}
+	open := 0
+	for _, a := range r.Wanted(now) {
+		if r.Open(a) {
+			open++
+		}
+	}
+	i.Equal(open, bound)
+}
