--- /dev/null
+++ b/connection/timeout/timeout.go
@@ -0,0 +1,54 @@
+// Package timeout decides how long a call waits for its answer, by how long the other
+// end has taken lately. It answers an other end that is slow for a while: a fixed limit
+// under its time sends every call again, each on a new connection, and makes it slower.
+package timeout
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// weight is the share of the newest time in the mean.
+	weight = 0.25
+	// margin times the mean is waited for.
+	margin = 4
+)
+
+// Timeout follows the answers of one other end. It is safe for concurrent use.
+type Timeout struct {
+	least, most time.Duration
+	mu          sync.Mutex
+	mean        time.Duration
+	current     time.Duration
+}
+
+// New returns a limit that stays between two bounds and begins with the lower one.
+func New(least, most time.Duration) *Timeout {
+	return &Timeout{least: least, most: most, current: least}
+}
+
+// Current returns how long to wait for an answer now.
+func (t *Timeout) Current() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.current
+}
+
+// Answered takes how long an answer took.
+func (t *Timeout) Answered(took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.mean += time.Duration(weight * float64(took-t.mean))
+	t.current = min(max(margin*t.mean, t.least), t.most)
+}
+
+// Missed notes that a call which has waited for so long got no answer. Calls that began
+// before the limit was raised do not raise it again.
+func (t *Timeout) Missed(waited time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if waited >= t.current {
+		t.current = min(2*t.current, t.most)
+	}
+}
