Trace two failures of the script tests: a port that was taken, a takeover that need not come

Beside a loaded box the scripts failed three times in ten runs. (1) access: 'bind: address already in use': ports were taken from the kernel's own range, and an outgoing connection of another script got one between the look and its use. Ports now lie below that range and are never shared by scripts.

--- a/main_test.go
+++ b/main_test.go
@@ -8,7 +8,9 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -23,9 +25,27 @@
 // ports is how many free loopback ports a script gets, as $P0, $P1 and so on.
 const ports = 24
 
+// firstPort and lastPort bound them. They lie below the ports that the kernel gives to
+// outgoing connections: such a connection may take a port between the look for a free
+// one and its use.
+const (
+	firstPort = 20000
+	lastPort  = 32000
+)
+
+// nextPort is shared by the scripts, which run at once; runs begin at different ports.
+var nextPort = func() *atomic.Int64 {
+	n := &atomic.Int64{}
+	n.Store(int64(os.Getpid()))
+	return n
+}()
+
 // awaitTime bounds how long a script waits for a process to say something.
 const awaitTime = 120 * time.Second
 
+// awaitPause is the time between two looks.
+const awaitPause = 50 * time.Millisecond
+
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
 		"corianderhook": func() { os.Exit(commands.Main(os.Args[1:], os.Stdout, os.Stderr)) },
@@ -39,6 +59,7 @@
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
 			"expand":       expand,
 			"await":        await,
+			"eventually":   eventually,
 			"signal":       send,
 			"certificates": certificates,
 		},
@@ -46,15 +67,32 @@
 }
 
 func setUpPorts(env *testscript.Env) error {
-	for i := range ports {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	found := 0
+	for range lastPort - firstPort {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%(lastPort-firstPort))
+		l, err := net.Listen("tcp", address)
 		if err != nil {
-			return err
+			continue // another process has the port
 		}
 		defer l.Close()
-		env.Setenv(fmt.Sprintf("P%d", i), l.Addr().String())
+		env.Setenv(fmt.Sprintf("P%d", found), address)
+		if found++; found == ports {
+			return nil
+		}
+	}
+	return fmt.Errorf("of %d ports %d were free", ports, found)
+}
+
+// eventually PATTERN COMMAND... runs a command again and again until its output matches.
+func eventually(ts *testscript.TestScript, _ bool, args []string) {
+	pattern, err := regexp.Compile(args[0])
+	ts.Check(err)
+	for deadline := time.Now().Add(awaitTime); time.Now().Before(deadline); time.Sleep(awaitPause) {
+		if err := ts.Exec(args[1], args[2:]...); err == nil && pattern.MatchString(ts.ReadFile("stdout")) {
+			return
+		}
 	}
-	return nil
+	ts.Fatalf("the output of %q did not come to match %q", args[1:], args[0])
 }
 
 // expand FILE... replaces $P0 and the like in files.
@@ -91,7 +129,7 @@
 		client.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}}
 		address = args[0]
 	}
-	for deadline := time.Now().Add(awaitTime); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+	for deadline := time.Now().Add(awaitTime); time.Now().Before(deadline); time.Sleep(awaitPause) {
 		body, ok := get(client, address)
 		last = body
 		if (ok && strings.Contains(body, text)) != neg {
