Have sidecars tell every dispatcher how the last runs at their endpoints went

process/evidence keeps the last 24 runs of an endpoint, over all dispatchers, for 3 s: the share that failed (three jobs at least, since a job may itself be at fault) and how long they took of what was expected (from five runs and twice the time on). Both go with the reports of room; a dispatcher goes by them where they are worse than what it has learned.

The test allows what a sidecar keeps in mind, 24 runs each 3 s, and fails on the former code.

--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -25,6 +25,8 @@
 	// moment is how long ago an endpoint was heard that may come back: sessions are
 	// opened anew within a second.
 	moment = 2 * time.Second
+	// mostFailing is the share of failed runs above which an agent's word is no worse.
+	mostFailing = 0.95
 )
 
 type sent struct {
@@ -48,6 +50,10 @@
 	running   int
 	residual  time.Duration
 	unseen    []sent
+	// failing and slowness are what the agent has seen of its endpoint over all
+	// dispatchers; 0 is nothing to remark.
+	failing  float64
+	slowness float64
 }
 
 // Fleet is the belief of one dispatcher. It is not safe for concurrent use.
@@ -138,6 +144,8 @@
 	}
 	a.running = int(room.GetRunning())
 	a.residual = time.Duration(room.GetResidualMs()) * time.Millisecond
+	a.failing = min(float64(room.GetFailingPercent())/100, mostFailing)
+	a.slowness = float64(room.GetSlownessPercent()) / 100
 	a.unseen = slices.DeleteFunc(a.unseen, func(s sent) bool { return s.number <= seen })
 }
 
@@ -148,6 +156,19 @@
 	}
 }
 
+// Slowness returns how long an agent's endpoint takes, set against an ordinary one: by
+// what this dispatcher has learned, or the agent says where that is more.
+func (f *Fleet) Slowness(name string, now time.Time) float64 {
+	if a, known := f.agents[name]; known {
+		return f.slowness(a, now)
+	}
+	return f.speeds.Slowness(name, now)
+}
+
+func (f *Fleet) slowness(a *agent, now time.Time) float64 {
+	return max(a.slowness, f.speeds.Slowness(a.name, now))
+}
+
 // Speeds returns how fast the endpoints are.
 func (f *Fleet) Speeds() *speed.Speeds { return f.speeds }
 
@@ -210,10 +231,10 @@
 		if ejected && !f.health.Due(a.name, now) {
 			continue
 		}
-		c := a.candidate(f.zone, f.speeds.Slowness(a.name, now))
+		c := a.candidate(f.zone, f.slowness(a, now))
 		if !ejected {
 			// A probe has to be given its task.
-			c.Failing = f.health.Failing(a.name, now)
+			c.Failing = max(a.failing, f.health.Failing(a.name, now))
 		}
 		list = append(list, c)
 	}
--- a/process/fleet/fleet_test.go
+++ b/process/fleet/fleet_test.go
@@ -103,3 +103,27 @@
 	f.Detach("c")
 	i.Equal(f.Oldest(now().Add(5*time.Second)), time.Duration(0))
 }
+
+// What an agent has seen over all dispatchers counts here at once, where it is worse
+// than what this one has learned; an agent that says nothing of it is as before.
+func TestAgentsWordOfItsEndpointCounts(t *testing.T) {
+	i := is.New(t)
+	f := newFleet(2)
+	report := func(failing, slowness uint32) placement.Candidate {
+		f.Room("agent-00", &wire.Room{Free: &wire.Size{Cpu: 8000, Memory: 1000}, FailingPercent: failing, SlownessPercent: slowness}, 0)
+		for _, c := range f.Candidates("checks", now(), nil) {
+			if c.Name == "agent-00" {
+				return c
+			}
+		}
+		t.Fatal("the agent is no candidate")
+		return placement.Candidate{}
+	}
+	i.Equal(report(80, 500).Failing, 0.8)
+	i.Equal(report(80, 500).Slowness, 5.0)
+	i.Equal(f.Slowness("agent-00", now()), 5.0)
+	i.Equal(f.Slowness("agent-01", now()), 1.0)
+	i.True(report(100, 0).Failing < 1) // a share of all would make any other choice better by infinity
+	i.Equal(report(0, 0).Failing, 0.0)
+	i.Equal(report(0, 0).Slowness, 1.0)
+}
--- a/process/replay/faults_test.go
+++ b/process/replay/faults_test.go
@@ -5,10 +5,11 @@
 	"testing"
 	"time"
 
-	"github.com/corianderhook/corianderhook/common/seeded"
-
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"github.com/corianderhook/corianderhook/common/seeded"
+	"github.com/corianderhook/corianderhook/process/evidence"
 )
 
 // TestMain fixes the seed and the number of runs unless the command line does.
@@ -120,3 +121,31 @@
 	w.play(20 * time.Second)
 	i.True(served(t, w) > 0.9)
 }
+
+// Of forty endpoints four turn slow and four fail what they start, under twenty
+// dispatchers of which each sees few of their runs: all learn it from the endpoint's
+// sidecar, not each by itself.
+func TestManyDispatchersLearnTogether(t *testing.T) {
+	i := is.New(t)
+	w := newWorld(t, 6, 20, speeds(40))
+	w.load(burst(kinds(), "", 3), 9*time.Second)
+	w.play(3 * time.Second)
+	for _, s := range w.sidecars[:4] {
+		s.speed *= 5
+	}
+	const failing = 4
+	for _, s := range w.sidecars[10 : 10+failing] {
+		s.fails = true
+	}
+	w.recount()
+	const lasts = 6 * time.Second
+	w.play(lasts)
+	served(t, w)
+	runs := 0
+	for _, e := range w.entries {
+		runs += e.decided["CH1032 task failed"]
+	}
+	t.Logf("%d runs failed", runs)
+	// What a sidecar keeps in mind is seen once, and again when it is forgotten.
+	i.True(runs <= failing*evidence.Window*int(lasts/evidence.Lasting))
+}
--- a/process/runner/report.go
+++ b/process/runner/report.go
@@ -77,8 +77,10 @@
 	switch e.How {
 	case EndedWell:
 		kind = wire.TaskEventKind_TASK_EVENT_KIND_DONE
+		r.evidence.Well(t.order.Job, r.host.Now().Sub(t.orderedAt), t.expected, r.host.Now())
 	case EndedFailed:
 		kind = wire.TaskEventKind_TASK_EVENT_KIND_FAILED
+		r.evidence.Failed(t.order.Job, r.host.Now())
 	case EndedOtherwise:
 	}
 	if kind != wire.TaskEventKind_TASK_EVENT_KIND_DONE {
@@ -170,12 +172,16 @@
 			residual += max(0, t.expected-now.Sub(t.orderedAt))
 		}
 	}
+	room.FailingPercent = percent(r.evidence.Failing(now))
+	room.SlownessPercent = percent(r.evidence.Slowness(now))
 	if room.Running > 0 {
 		room.ResidualMs = millis(residual / time.Duration(room.GetRunning()))
 	}
 	return room
 }
 
+func percent(share float64) uint32 { return uint32(100 * share) }
+
 // all returns the tasks in a fixed order, so that equal histories decide alike.
 func (r *Runner) all() []*task {
 	list := make([]*task, 0, len(r.tasks))
--- a/process/runner/runner.go
+++ b/process/runner/runner.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/corianderhook/corianderhook/process/backlog"
+	"github.com/corianderhook/corianderhook/process/evidence"
 	"github.com/corianderhook/corianderhook/process/ledger"
 	"github.com/corianderhook/corianderhook/request/size"
 	"github.com/corianderhook/corianderhook/wire"
@@ -113,6 +114,7 @@
 	host      Host
 	ledger    *ledger.Ledger
 	backlog   *backlog.Backlog
+	evidence  *evidence.Evidence
 	tasks     map[string]*task
 	byRun     map[string]*task
 	sessions  map[uint64]*session
@@ -126,6 +128,7 @@
 		host:     host,
 		ledger:   ledger.New(),
 		backlog:  backlog.New(),
+		evidence: evidence.New(),
 		tasks:    map[string]*task{},
 		byRun:    map[string]*task{},
 		sessions: map[uint64]*session{},
@@ -169,6 +172,7 @@
 		}
 	}
 	r.ledger.Clear()
+	r.evidence.Forget()
 }
 
 // Heard notes that a dispatcher is known to have lived at the given time.
--- a/process/scheduler/learning.go
+++ b/process/scheduler/learning.go
@@ -20,7 +20,7 @@
 		s.host.Decided("CH1041 agent judged", p.job.work.ID(), "agent", p.agent, "verdict", verdict, "failed", failed, "ran", ran, "expected", expected)
 	}
 	if !failed {
-		s.stretch(p.job, step, time.Duration(float64(ran)/s.fleet.Speeds().Slowness(p.agent, now)))
+		s.stretch(p.job, step, time.Duration(float64(ran)/s.fleet.Slowness(p.agent, now)))
 		p.job.runs[step] = append(p.job.runs[step], speed.Run{Agent: p.agent, Ran: ran})
 	}
 }
--- a/process/scheduler/offers.go
+++ b/process/scheduler/offers.go
@@ -66,7 +66,7 @@
 	offer := &wire.Offer{
 		Job: j.work.ID(), Payload: j.work.Payload(), Urgency: uint32(max(0, j.queue.Urgency)),
 	}
-	slowness := s.fleet.Speeds().Slowness(agent, now)
+	slowness := s.fleet.Slowness(agent, now)
 	for _, c := range choices {
 		step, index := j.work.Task(c.Number)
 		spec := j.work.Steps()[step]
