Leave the last room of an endpoint to others where there is a choice

Cause: many dispatchers decide on reports that are some ms old. Each takes the fastest endpoint with room until it is full; the last place of an endpoint is taken twice, and the task waits for the next end there.

A task that takes the last room costs 8 ms more in the choice: the odds (two in five) that it is gone, times the way to the next end there.

--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -18,6 +18,10 @@
 	waitWeight = 2
 	// farCost is the extra time to an endpoint in another availability zone, both ways.
 	farCost = 2 * time.Millisecond
+	// tightCost is added where a task takes the last room of an endpoint: another
+	// dispatcher may have taken it since the report, about two times in five, and the
+	// next end there is some 20 ms away.
+	tightCost = 8 * time.Millisecond
 	// ordinaryRun is the run time of tasks where nothing is known.
 	ordinaryRun = 100 * time.Millisecond
 )
@@ -155,7 +159,11 @@
 // takes 1/(1-p) runs until one ends well: an endpoint that fails at once is always
 // free, and would draw all work.
 func (c *Candidate) cost(r Request) time.Duration {
-	return waitWeight*c.Wait(r.Size, r.Slack) + time.Duration(float64(c.run(r))/(1-c.Failing))
+	cost := waitWeight*c.Wait(r.Size, r.Slack) + time.Duration(float64(c.run(r))/(1-c.Failing))
+	if !r.Size.Fits(c.Free.Minus(r.Size)) {
+		cost += tightCost
+	}
+	return cost
 }
 
 func (c *Candidate) allows(r Request) bool {
--- a/process/replay/loads_test.go
+++ b/process/replay/loads_test.go
@@ -66,13 +66,16 @@
 	return earned / owed
 }
 
+// calm is what a load without faults earns at least that there is room for.
+const calm = 0.97
+
 // A calm load is served whole: nothing is refused while there is room.
 func TestCalmLoadIsServed(t *testing.T) {
 	i := is.New(t)
 	w := newWorld(t, 1, 3, speeds(14))
 	w.load(kinds(), 20*time.Second)
 	w.play(25 * time.Second)
-	i.True(served(t, w) > 0.97)
+	i.True(served(t, w) > calm)
 	for _, e := range w.entries {
 		t.Log(e.decided)
 		// Nothing that runs is stopped while all is well.
@@ -100,7 +103,7 @@
 	w.recount()
 	w.load(kinds(), 15*time.Second)
 	w.play(20 * time.Second)
-	i.True(served(t, w) > 0.97)
+	i.True(served(t, w) > calm)
 	refused := 0
 	for _, k := range kinds() {
 		refused += w.tally(k.name).refused
@@ -172,3 +175,31 @@
 	i.True(worth > 0.95)
 	i.True(all["check"].served() > 0.93)
 }
+
+// Twenty dispatchers share forty endpoints that are two thirds full, and decide on
+// reports that are some ms old: the endpoint that looks best to all of them has no room
+// by the time that their tasks come.
+func TestManyDispatchersDoNotMeetAtOneEndpoint(t *testing.T) {
+	for _, times := range []float64{4, 6} {
+		t.Run(fmt.Sprint(times), func(t *testing.T) {
+			i := is.New(t)
+			const seeds = 2
+			worth := 0.0
+			for seed := range uint64(seeds) {
+				w := newWorld(t, seed+1, 20, speeds(40))
+				for _, s := range w.sidecars {
+					if s.speed < 1 {
+						s.resize(48000)
+					}
+				}
+				w.load(burst(kinds(), "", times), 8*time.Second)
+				w.play(2 * time.Second)
+				w.recount()
+				w.play(9 * time.Second)
+				worth += served(t, w) / seeds
+			}
+			t.Logf("mean worth %.4f", worth)
+			i.True(worth > calm)
+		})
+	}
+}
