Let an unexpected error cost one message, not a process or the work of others

Looked for what went wrong for operators of similar systems: one malformed message or unexpected error took a process down. Here a panic in a gRPC handler ended the process; in an actor the actor was started anew with nothing in it: a dispatcher forgot the jobs of all callers, who then waited for answers that nobody owed them, and a sidecar took an endpoint that runs tasks for empty. A list of addresses had no bound and no check.

A panic is caught where the message is handled, logged with its stack (CH0008), counted (corianderhook_unexpected_errors_total); the message is dropped. A sidecar takes its endpoint over anew after it: raised fence, all stopped, so that nothing runs on of which it might have lost track. Addresses of dispatchers must be ip:port and are 4,096 at most. Both tests of the actors fail without the catch. The product's own entry and agent are not covered yet.

--- a/node/dispatcher/actor.go
+++ b/node/dispatcher/actor.go
@@ -6,6 +6,7 @@
 	"github.com/asynkron/protoactor-go/actor"
 	"k8s.io/klog/v2"
 
+	"github.com/corianderhook/corianderhook/common/recovery"
 	"github.com/corianderhook/corianderhook/process/fleet"
 	"github.com/corianderhook/corianderhook/process/scheduler"
 	"github.com/corianderhook/corianderhook/wire"
@@ -51,8 +52,10 @@
 	return a
 }
 
-// Receive handles one message at a time.
+// Receive handles one message at a time. One that cannot be handled is dropped: the
+// jobs of all others stay.
 func (a *schedulerActor) Receive(c actor.Context) {
+	defer recovery.Catch("scheduler", func() { a.dispatcher.metrics.Unexpected("scheduler") })
 	switch m := c.Message().(type) {
 	case tick:
 		a.scheduler.Tick()
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -174,7 +174,7 @@
 
 // Run serves sidecars and other dispatchers until the context ends.
 func (d *Dispatcher) Run(ctx context.Context, listener net.Listener) error {
-	server := grpc.NewServer(serverOptions()...)
+	server := grpc.NewServer(serverOptions(d.metrics)...)
 	wire.RegisterDispatcherServer(server, &service{dispatcher: d, shelf: shelf{readers: map[string]time.Time{}}})
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
--- a/node/dispatcher/fetcher_test.go
+++ b/node/dispatcher/fetcher_test.go
@@ -37,12 +37,18 @@
 	return list
 }
 
-func run(t *testing.T, name string, peers ...string) (*Dispatcher, string) {
+func listen(t *testing.T) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	return l
+}
+
+func run(t *testing.T, name string, peers ...string) (*Dispatcher, string) {
+	t.Helper()
+	l := listen(t)
 	d := New(Dependencies{
 		Name: name, Address: l.Addr().String(), Peers: peers, Clock: clockwork.NewRealClock(), System: actor.NewActorSystem(),
 		Decode: decode, Metrics: metrics.New(),
--- /dev/null
+++ b/node/dispatcher/recovery_test.go
@@ -0,0 +1,80 @@
+package dispatcher
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/corianderhook/corianderhook/process/scheduler"
+	"github.com/corianderhook/corianderhook/request/answer"
+	"github.com/corianderhook/corianderhook/request/workload"
+	"github.com/corianderhook/corianderhook/version/catalog"
+	"github.com/corianderhook/corianderhook/wire"
+)
+
+// A message whose handling panics costs itself only: the job of another caller, which
+// waits for its first endpoint, is still there and is answered.
+func TestUnexpectedErrorKeepsTheJobs(t *testing.T) {
+	i := is.New(t)
+	d, _ := run(t, "d1")
+	adopt(t, d, 3)
+	work, err := workload.New("00000000000000aa", "", []workload.Step{{Count: 1, Estimate: 50 * time.Millisecond}})
+	i.NoErr(err)
+	answered := make(chan answer.Answer, 1)
+	go func() {
+		answered <- d.Submit(t.Context(), work, catalog.Queue{Name: "q", Service: "s", Stretch: 20, Latency: time.Second}, 2*time.Second)
+	}()
+	for d.Jobs() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	d.inspect(ctx, func(*scheduler.Scheduler) { panic("malformed") })
+	known := false
+	d.inspect(t.Context(), func(s *scheduler.Scheduler) { known, _ = s.State("00000000000000aa") })
+	i.True(known)
+	i.True((<-answered).Reason() != "")
+}
+
+// panicking is a server whose handlers panic.
+type panicking struct {
+	wire.UnimplementedDispatcherServer
+}
+
+func (panicking) Exchange(context.Context, *wire.Knowledge) (*wire.Knowledge, error) {
+	panic("malformed")
+}
+
+func (panicking) Work(grpc.BidiStreamingServer[wire.SidecarFrame, wire.DispatcherFrame]) error {
+	panic("malformed")
+}
+
+// A call whose handler panics gets an error; the server goes on.
+func TestUnexpectedErrorEndsOneCall(t *testing.T) {
+	i := is.New(t)
+	d, _ := run(t, "d1")
+	server := grpc.NewServer(serverOptions(d.metrics)...)
+	wire.RegisterDispatcherServer(server, panicking{})
+	l := listen(t)
+	go func() {
+		// Serve ends when the server is stopped.
+		_ = server.Serve(l)
+	}()
+	t.Cleanup(server.Stop)
+	conn, err := grpc.NewClient(l.Addr().String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+	i.NoErr(err)
+	defer conn.Close()
+	client := wire.NewDispatcherClient(conn)
+	for range 2 {
+		_, err = client.Exchange(t.Context(), &wire.Knowledge{})
+		i.True(err != nil)
+		stream, err := client.Work(t.Context())
+		i.NoErr(err)
+		_, err = stream.Recv()
+		i.True(err != nil)
+	}
+}
--- a/node/dispatcher/session.go
+++ b/node/dispatcher/session.go
@@ -11,8 +11,10 @@
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/corianderhook/corianderhook/common/recovery"
 	"github.com/corianderhook/corianderhook/connection/outbox"
 	"github.com/corianderhook/corianderhook/connection/peer"
+	"github.com/corianderhook/corianderhook/process/metrics"
 	"github.com/corianderhook/corianderhook/wire"
 )
 
@@ -25,13 +27,13 @@
 	sessionSilence = time.Second
 )
 
-func serverOptions() []grpc.ServerOption {
-	return []grpc.ServerOption{
+func serverOptions(m *metrics.Metrics) []grpc.ServerOption {
+	return append(recovery.ServerOptions(m.Unexpected),
 		grpc.InitialWindowSize(peer.WindowBytes),
 		grpc.InitialConnWindowSize(peer.WindowBytes),
 		grpc.MaxRecvMsgSize(peer.MaxMessageBytes),
 		grpc.MaxSendMsgSize(peer.MaxMessageBytes),
-	}
+	)
 }
 
 // session is one session of a sidecar.
--- a/node/sidecar/actor.go
+++ b/node/sidecar/actor.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"github.com/corianderhook/corianderhook/common/recovery"
 	"github.com/corianderhook/corianderhook/process/registration"
 	"github.com/corianderhook/corianderhook/process/runner"
 	"github.com/corianderhook/corianderhook/wire"
@@ -99,8 +100,13 @@
 	return a
 }
 
-// Receive handles one message at a time.
+// Receive handles one message at a time. After one that cannot be handled the endpoint is
+// taken over anew: nothing runs on of which the runner may have lost track.
 func (a *runnerActor) Receive(c actor.Context) {
+	defer recovery.Catch("runner", func() {
+		a.sidecar.metrics.Unexpected("runner")
+		a.sidecar.keeper.retake()
+	})
 	switch m := c.Message().(type) {
 	case tick:
 		a.runner.Tick()
--- a/node/sidecar/actor_test.go
+++ b/node/sidecar/actor_test.go
@@ -83,3 +83,27 @@
 	a.closeEnded(clock.Now().Add(sessionSilence + time.Millisecond))
 	i.True(closed)
 }
+
+// After a message that cannot be handled the endpoint is taken over anew, and the runner
+// goes on.
+func TestUnexpectedErrorTakesTheEndpointOverAnew(t *testing.T) {
+	i := is.New(t)
+	a, _ := newActor(clockwork.NewFakeClock())
+	before := a.sidecar.runner
+	// A frame without a session cannot be handled.
+	a.sidecar.deps.System.Root.Send(before, received{})
+	a.sidecar.deps.System.Root.Send(before, opened{})
+	select {
+	case <-a.sidecar.keeper.doubted:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the endpoint is not taken over anew")
+	}
+	done := make(chan struct{})
+	a.sidecar.deps.System.Root.Send(before, drain{done: done})
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the runner does not go on")
+	}
+	i.True(a.sidecar.tasks.Load() == 0)
+}
--- a/node/sidecar/keeper.go
+++ b/node/sidecar/keeper.go
@@ -37,6 +37,8 @@
 	instance atomic.Pointer[string]
 	// announced holds the start of the life that announced itself last.
 	announced chan time.Time
+	// doubted is signaled when the endpoint has to be taken over anew.
+	doubted chan struct{}
 	// taken is closed after the first takeover.
 	taken chan struct{}
 	once  sync.Once
@@ -45,7 +47,7 @@
 }
 
 func newKeeper(s *Sidecar) *keeper {
-	k := &keeper{sidecar: s, announced: make(chan time.Time, 1), taken: make(chan struct{})}
+	k := &keeper{sidecar: s, announced: make(chan time.Time, 1), doubted: make(chan struct{}, 1), taken: make(chan struct{})}
 	k.fence.Store(uint64(s.deps.Clock.Now().UnixMicro()))
 	none := ""
 	k.instance.Store(&none)
@@ -65,6 +67,14 @@
 	k.announced <- born
 }
 
+// retake has the endpoint taken over anew.
+func (k *keeper) retake() {
+	select {
+	case k.doubted <- struct{}{}:
+	default:
+	}
+}
+
 func (k *keeper) wait() time.Duration {
 	if k.sidecar.tasks.Load() > 0 {
 		return busyWait
@@ -144,6 +154,9 @@
 				k.tell(silent{reason: "the endpoint has begun a new life"})
 				return
 			}
+		case <-k.doubted:
+			k.tell(silent{reason: "the endpoint is taken over anew after an unexpected error"})
+			return
 		default:
 		}
 		list, err := k.sidecar.deps.Endpoint.List(ctx, k.life(), k.last, k.wait())
--- a/process/gossip/gossip.go
+++ b/process/gossip/gossip.go
@@ -10,6 +10,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/corianderhook/corianderhook/common/address"
 )
 
 const (
@@ -18,6 +20,9 @@
 	fanout = 3
 	// forgetAfter is how long an address that does not answer is kept.
 	forgetAfter = time.Minute
+	// mostKnown bounds the addresses: some times the dispatchers of the largest
+	// deployment.
+	mostKnown = 4096
 	// shunFor is how long a forgotten address is not learned again by hearsay: until
 	// every other dispatcher has forgotten it too.
 	shunFor = 3 * forgetAfter
@@ -57,10 +62,10 @@
 	return sum
 }
 
-func hash(address string) uint64 {
+func hash(text string) uint64 {
 	h := fnv.New64a()
 	// A hash takes every write.
-	_, _ = h.Write([]byte(address))
+	_, _ = h.Write([]byte(text))
 	return h.Sum64()
 }
 
@@ -70,7 +75,8 @@
 	var learned []string
 	for _, a := range addresses {
 		_, shunned := g.forgotten[a]
-		if _, known := g.answered[a]; !known && !shunned && a != "" && a != g.self {
+		_, known := g.answered[a]
+		if !known && !shunned && a != g.self && len(g.answered) < mostKnown && address.Valid(a) {
 			g.answered[a] = now
 			learned = append(learned, a)
 		}
@@ -79,24 +85,24 @@
 }
 
 // Met notes a sign of life from an address itself.
-func (g *Gossip) Met(address string) { delete(g.forgotten, address) }
+func (g *Gossip) Met(from string) { delete(g.forgotten, from) }
 
 // Answered notes an answer of an address.
-func (g *Gossip) Answered(address string, now time.Time) {
-	if _, known := g.answered[address]; known {
-		g.answered[address] = now
+func (g *Gossip) Answered(from string, now time.Time) {
+	if _, known := g.answered[from]; known {
+		g.answered[from] = now
 	}
 }
 
 // Missed notes that an address did not answer. It is forgotten after a time without
 // any answer; unheard is that time.
-func (g *Gossip) Missed(address string, now time.Time) (unheard time.Duration, forgotten bool) {
-	at, known := g.answered[address]
+func (g *Gossip) Missed(from string, now time.Time) (unheard time.Duration, forgotten bool) {
+	at, known := g.answered[from]
 	if !known || now.Sub(at) <= forgetAfter {
 		return 0, false
 	}
-	delete(g.answered, address)
-	g.forgotten[address] = now
+	delete(g.answered, from)
+	g.forgotten[from] = now
 	return now.Sub(at), true
 }
 
--- a/process/gossip/gossip_test.go
+++ b/process/gossip/gossip_test.go
@@ -11,58 +11,74 @@
 
 var start = time.Unix(1_700_000_000, 0)
 
-func address(n int) string { return fmt.Sprintf("10.0.%d.%d:1", n/200, n%200) }
+func nth(n int) string { return fmt.Sprintf("10.0.%d.%d:1", n/200, n%200) }
+
+// Some processes' addresses.
+const a, b, c = "10.1.0.1:1", "10.1.0.2:1", "10.1.0.3:1"
 
 // An address that is gone for good is forgotten by all, though each hears of it from
 // another; one that comes back makes itself known.
 func TestForgottenAddressIsNotLearnedByHearsay(t *testing.T) {
 	i := is.New(t)
-	g := New("a", 1)
-	g.Learn([]string{"b", "c", "a", ""}, start)
-	i.Equal(g.Addresses(), []string{"a", "b", "c"})
-	_, forgotten := g.Missed("c", start.Add(forgetAfter))
+	g := New(a, 1)
+	g.Learn([]string{b, c, a}, start)
+	i.Equal(g.Addresses(), []string{a, b, c})
+	_, forgotten := g.Missed(c, start.Add(forgetAfter))
 	i.True(!forgotten)
 	now := start.Add(forgetAfter + time.Second)
-	_, forgotten = g.Missed("c", now)
+	_, forgotten = g.Missed(c, now)
 	i.True(forgotten)
-	i.Equal(len(g.Learn([]string{"c"}, now)), 0)
-	g.Met("c")
-	i.Equal(g.Learn([]string{"c"}, now), []string{"c"})
-	g.Answered("b", now)
-	_, forgotten = g.Missed("b", now)
+	i.Equal(len(g.Learn([]string{c}, now)), 0)
+	g.Met(c)
+	i.Equal(g.Learn([]string{c}, now), []string{c})
+	g.Answered(b, now)
+	_, forgotten = g.Missed(b, now)
 	i.True(!forgotten)
 }
 
+// Text that is no address is not passed on, and a flood of addresses is bounded.
+func TestOnlyAddressesAreLearned(t *testing.T) {
+	i := is.New(t)
+	g := New(a, 1)
+	i.Equal(len(g.Learn([]string{"", "x", "10.1.0.2", "0.0.0.0:1", "\x00\xff"}, start)), 0)
+	var flood []string
+	for n := range 3 * mostKnown {
+		flood = append(flood, fmt.Sprintf("10.%d.%d.%d:1", n>>16, n>>8&255, n&255))
+	}
+	g.Learn(flood, start)
+	i.Equal(len(g.Addresses()), mostKnown+1)
+}
+
 func TestDigestIsThatOfTheAddresses(t *testing.T) {
 	i := is.New(t)
-	a, b := New("a", 1), New("b", 2)
-	i.True(a.Digest() != b.Digest())
-	a.Learn([]string{"b", "c"}, start)
-	b.Learn([]string{"c"}, start)
-	i.True(a.Digest() != b.Digest())
-	b.Learn([]string{"a"}, start)
-	i.Equal(a.Digest(), b.Digest())
+	first, second := New(a, 1), New(b, 2)
+	i.True(first.Digest() != second.Digest())
+	first.Learn([]string{b, c}, start)
+	second.Learn([]string{c}, start)
+	i.True(first.Digest() != second.Digest())
+	second.Learn([]string{a}, start)
+	i.Equal(first.Digest(), second.Digest())
 }
 
 // Each address has its turn once in a lap, also where some come and go.
 func TestRoundsReachEveryone(t *testing.T) {
 	i := is.New(t)
-	g := New("self", 1)
+	g := New(a, 1)
 	for n := range 10 {
-		g.Learn([]string{address(n)}, start)
+		g.Learn([]string{nth(n)}, start)
 	}
 	asked := map[string]int{}
 	for range 10 {
 		round := g.Round()
 		i.Equal(len(round), fanout)
-		for _, a := range round {
-			asked[a]++
+		for _, one := range round {
+			asked[one]++
 		}
 	}
 	for n := range 10 {
-		i.True(asked[address(n)] >= 2 && asked[address(n)] <= 4)
+		i.True(asked[nth(n)] >= 2 && asked[nth(n)] <= 4)
 	}
-	i.Equal(len(New("alone", 1).Round()), 0)
+	i.Equal(len(New(a, 1).Round()), 0)
 }
 
 // network exchanges knowledge between processes as the dispatchers do.
@@ -78,7 +94,7 @@
 func newNetwork(count int) *network {
 	n := &network{nodes: map[string]*Gossip{}, version: map[string]int{}, messages: map[string]int{}}
 	for k := range count {
-		n.nodes[address(k)] = New(address(k), uint64(k))
+		n.nodes[nth(k)] = New(nth(k), uint64(k))
 	}
 	return n
 }
@@ -130,7 +146,7 @@
 			i := is.New(t)
 			n := newNetwork(count)
 			for k := range count {
-				n.nodes[address(k)].Learn([]string{address(0), address(1), address(2)}, start)
+				n.nodes[nth(k)].Learn([]string{nth(0), nth(1), nth(2)}, start)
 			}
 			rounds := 0
 			for !n.complete() && rounds < 20 {
@@ -141,13 +157,13 @@
 			i.True(rounds <= 6)
 			clear(n.messages)
 			n.listed = 0
-			n.version[address(0)] = 2
+			n.version[nth(0)] = 2
 			spread := 0
 			for known := 0; known < count && spread < 20; spread++ {
 				n.round(start)
 				known = 0
 				for k := range count {
-					known += n.version[address(k)] / 2
+					known += n.version[nth(k)] / 2
 				}
 			}
 			t.Logf("all know the version after %d rounds", spread)
--- a/process/metrics/metrics.go
+++ b/process/metrics/metrics.go
@@ -29,6 +29,7 @@
 	calls     *prometheus.CounterVec
 	callTime  *prometheus.HistogramVec
 	lapsed    prometheus.Counter
+	panics    *prometheus.CounterVec
 	mu        sync.Mutex
 	lastWaste map[string]uint64
 }
@@ -64,16 +65,22 @@
 		wasted: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "corianderhook_wasted_messages_total", Help: "Messages that brought no task, by cause.",
 		}, []string{"cause"}),
+		panics: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "corianderhook_unexpected_errors_total", Help: "Messages whose handling ended with an unexpected error, by place.",
+		}, []string{"where"}),
 		lastWaste: map[string]uint64{},
 		config: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "corianderhook_config_version", Help: "Configuration version in force.",
 		}),
 	}
 	m.addTasks()
-	m.registry.MustRegister(m.jobs, m.refusals, m.started, m.jobTime, m.startWait, m.waiting, m.slots, m.wasted, m.config)
+	m.registry.MustRegister(m.jobs, m.refusals, m.started, m.jobTime, m.startWait, m.waiting, m.slots, m.wasted, m.config, m.panics)
 	return m
 }
 
+// Unexpected counts a message whose handling ended with an unexpected error.
+func (m *Metrics) Unexpected(where string) { m.panics.WithLabelValues(where).Inc() }
+
 // Handler serves the metrics.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -10,12 +10,17 @@
 	"hash/fnv"
 	"slices"
 	"time"
+
+	"github.com/corianderhook/corianderhook/common/address"
 )
 
 const (
 	// patience is how long a dispatcher may be away before another takes its place: a
 	// process is back within a second or two, and has no sessions then.
 	patience = 2 * time.Second
+	// mostKnown bounds the addresses: some times the dispatchers of the largest
+	// deployment.
+	mostKnown = 4096
 	// linger is how long a session beyond the bound stays open.
 	linger = 3 * time.Second
 )
@@ -41,10 +46,10 @@
 // New returns the roster of a sidecar that holds so many sessions.
 func New(name string, bound int) *Roster { return &Roster{name: name, bound: bound} }
 
-func (r *Roster) rank(address string) uint64 {
+func (r *Roster) rank(dispatcher string) uint64 {
 	h := fnv.New64a()
 	// A hash takes every write.
-	_, _ = h.Write([]byte(r.name + "|" + address))
+	_, _ = h.Write([]byte(r.name + "|" + dispatcher))
 	// The last bytes of similar names change few bits of the sum.
 	sum := h.Sum64()
 	sum ^= sum >> 33
@@ -52,9 +57,9 @@
 	return sum ^ sum>>33
 }
 
-func (r *Roster) find(address string) *member {
+func (r *Roster) find(dispatcher string) *member {
 	for _, m := range r.ranked {
-		if m.address == address {
+		if m.address == dispatcher {
 			return m
 		}
 	}
@@ -62,33 +67,33 @@
 }
 
 // Learn adds an address.
-func (r *Roster) Learn(address string) {
-	if address == "" || r.find(address) != nil {
+func (r *Roster) Learn(dispatcher string) {
+	if len(r.ranked) >= mostKnown || !address.Valid(dispatcher) || r.find(dispatcher) != nil {
 		return
 	}
-	r.ranked = append(r.ranked, &member{address: address, rank: r.rank(address)})
+	r.ranked = append(r.ranked, &member{address: dispatcher, rank: r.rank(dispatcher)})
 	slices.SortFunc(r.ranked, func(a, b *member) int {
 		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.address, b.address))
 	})
 }
 
 // Opened notes that a session with an address is open.
-func (r *Roster) Opened(address string, now time.Time) {
-	if m := r.find(address); m != nil {
+func (r *Roster) Opened(dispatcher string, now time.Time) {
+	if m := r.find(dispatcher); m != nil {
 		m.open, m.tried, m.since = true, true, now
 	}
 }
 
 // Lost notes that the session with an address has ended.
-func (r *Roster) Lost(address string, now time.Time) {
-	if m := r.find(address); m != nil && m.open {
+func (r *Roster) Lost(dispatcher string, now time.Time) {
+	if m := r.find(dispatcher); m != nil && m.open {
 		m.open, m.since = false, now
 	}
 }
 
 // Open reports whether a session with an address is open.
-func (r *Roster) Open(address string) bool {
-	m := r.find(address)
+func (r *Roster) Open(dispatcher string) bool {
+	m := r.find(dispatcher)
 	return m != nil && m.open
 }
 
@@ -117,8 +122,8 @@
 // time lets a dispatcher that has come back take tasks before another is left.
 func (r *Roster) Excess(now time.Time) []string {
 	wanted := r.Wanted(now)
-	for _, address := range wanted {
-		if m := r.find(address); m.open && now.Sub(m.since) < linger {
+	for _, dispatcher := range wanted {
+		if m := r.find(dispatcher); m.open && now.Sub(m.since) < linger {
 			return nil
 		}
 	}
