Bring a task back at once that finds no room, and place it elsewhere

Cause: a dispatcher that was wrong about an endpoint's room learned of it 30 ms later at the earliest, when it asked the task back; the shortest jobs have some 80 ms to spare, and one of eight tasks is enough to be late.

An offer whose tasks are all foretold to start now says so; the sidecar returns what cannot, with its room as it is, and the dispatcher chooses anew. After two returns a task waits in a queue as before, so that it does not go round in an overload.

--- a/process/runner/runner.go
+++ b/process/runner/runner.go
@@ -254,6 +254,14 @@
 		})
 	}
 	r.fill()
+	if !o.GetAtOnce() {
+		return
+	}
+	for _, offered := range o.GetTasks() {
+		if t, known := r.tasks[name(dispatcher, offered.GetRef())]; known && t.phase == waiting {
+			r.giveBack(t, "it could not start at once")
+		}
+	}
 }
 
 // Cancel stops a task that its dispatcher has given up.
--- a/process/runner/runner_test.go
+++ b/process/runner/runner_test.go
@@ -244,3 +244,23 @@
 	r.Take(dispatcher, &wire.DispatcherFrame{Offers: []*wire.Offer{offer(3, 1, 1000)}, Cancels: []uint64{2}})
 	i.Equal(r.Held(dispatcher), []uint64{1, 3})
 }
+
+// A task that has to start at once comes back with its room where it cannot, and has not
+// run; the tasks of the same offer that can start stay.
+func TestTaskThatCannotStartAtOnceComesBack(t *testing.T) {
+	i := is.New(t)
+	r, h := newRunner()
+	o := offer(1, 5, 3000)
+	o.AtOnce = true
+	r.Offer(7, o)
+	started, returned := len(h.names), 0
+	for _, e := range h.events {
+		if e.GetKind() == wire.TaskEventKind_TASK_EVENT_KIND_RETURNED {
+			returned++
+		}
+	}
+	i.True(started > 0 && returned > 0)
+	i.Equal(started+returned, 5)
+	i.Equal(len(r.Held(7)), started)
+	i.Equal(r.Room().GetWaiting(), uint32(0))
+}
--- a/process/scheduler/events.go
+++ b/process/scheduler/events.go
@@ -87,6 +87,9 @@
 		s.host.Decided("CH1033 task lost", p.job.work.ID(), "agent", agent, "task", p.number, "ran", ran, "reason", e.GetReason())
 		s.again(p, e.GetReason())
 	case wire.TaskEventKind_TASK_EVENT_KIND_RETURNED, wire.TaskEventKind_TASK_EVENT_KIND_UNSPECIFIED:
+		if p.atOnce {
+			p.job.bounced[p.number]++
+		}
 		s.host.Decided("CH1036 task returned", p.job.work.ID(), "agent", agent, "task", p.number, "waited", time.Duration(e.GetWaitedMs())*time.Millisecond, "reason", e.GetReason())
 		s.again(p, e.GetReason())
 	}
--- a/process/scheduler/offers.go
+++ b/process/scheduler/offers.go
@@ -66,6 +66,9 @@
 	offer := &wire.Offer{
 		Job: j.work.ID(), Payload: j.work.Payload(), Urgency: uint32(max(0, j.queue.Urgency)),
 	}
+	offer.AtOnce = !slices.ContainsFunc(choices, func(c placement.Choice) bool {
+		return c.Wait > 0 || j.bounced[c.Number] >= mostBounces
+	})
 	slowness := s.fleet.Slowness(agent, now)
 	for _, c := range choices {
 		step, index := j.work.Task(c.Number)
@@ -74,7 +77,7 @@
 		run := j.progress.Place(c.Number, agent)
 		s.lastRef++
 		p := &placed{
-			job: j, number: c.Number, agent: agent, ref: s.lastRef, sentAt: now, wait: c.Wait,
+			job: j, number: c.Number, agent: agent, ref: s.lastRef, sentAt: now, wait: c.Wait, atOnce: offer.GetAtOnce(),
 			expected: time.Duration(float64(expected) * slowness),
 		}
 		s.refs[p.ref] = p
--- a/process/scheduler/scheduler.go
+++ b/process/scheduler/scheduler.go
@@ -31,6 +31,9 @@
 	settleTime = 1500 * time.Millisecond
 	// TickEvery is how often Tick has to be called; a time that is over is seen that late.
 	TickEvery = 20 * time.Millisecond
+	// mostBounces is how often a task may come back since it could not start at once: a
+	// dispatcher whose beliefs are that wrong waits in a queue instead.
+	mostBounces = 2
 	// wayBack is how long an answer takes to a caller in another region at the most.
 	wayBack = 15 * time.Millisecond
 	// answerMargin is left of a caller's time for its answer.
@@ -81,6 +84,8 @@
 	wait     time.Duration
 	// recalled: the task was asked back and no answer has come.
 	recalled bool
+	// atOnce: it comes back if it cannot start at once.
+	atOnce bool
 }
 
 type job struct {
@@ -92,8 +97,10 @@
 	objective time.Duration
 	replies   []func(answer.Answer)
 	// callers is how many still wait.
-	callers  int
-	placed   map[int]*placed
+	callers int
+	placed  map[int]*placed
+	// bounced counts how often a task came back since it could not start at once.
+	bounced  map[int]int
 	firstRun uint64
 	// runs holds the tasks that ended well, by step.
 	runs [][]speed.Run
@@ -221,7 +228,7 @@
 	j := &job{
 		work: r.Work, queue: r.Queue, progress: progress.New(r.Work, r.Queue.Attempts),
 		begun: now, deadline: now.Add(r.Budget - answerMargin),
-		replies: []func(answer.Answer){r.Reply}, callers: 1, placed: map[int]*placed{}, firstRun: s.firstRun(), runs: make([][]speed.Run, len(r.Work.Steps())),
+		replies: []func(answer.Answer){r.Reply}, callers: 1, placed: map[int]*placed{}, bounced: map[int]int{}, firstRun: s.firstRun(), runs: make([][]speed.Run, len(r.Work.Steps())),
 		more: make([]time.Duration, len(r.Work.Steps())),
 	}
 	chain := r.Work.Chain(func(step int) time.Duration { return s.expect(j, step) })
