--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -165,8 +165,8 @@
 }
 
 // store is when the store was last heard.
-func (d *Dispatcher) store() transfer.Store {
-	return transfer.Store{Answered: *d.storeAnswered.Load(), Text: *d.storeDelivers.Load()}
+func (d *Dispatcher) store() transfer.StoreContact {
+	return transfer.StoreContact{Answered: *d.storeAnswered.Load(), Text: *d.storeDelivers.Load()}
 }
 
 // Learn adds addresses of other dispatchers.
--- a/process/transfer/transfer.go
+++ b/process/transfer/transfer.go
@@ -27,8 +27,8 @@
 	lastPause  = time.Second
 )
 
-// Store is when the store was last heard; zero times are never.
-type Store struct {
+// StoreContact is when the store was last heard; zero times are never.
+type StoreContact struct {
 	// Answered is when a call was last answered, Text when bytes of a configuration came.
 	Answered time.Time
 	Text     time.Time
@@ -90,7 +90,7 @@
 func (t *Transfer) Pending() bool { return len(t.offers) > 0 }
 
 // Due reports whether something should be fetched now.
-func (t *Transfer) Due(store Store, now time.Time) bool {
+func (t *Transfer) Due(store StoreContact, now time.Time) bool {
 	if len(t.offers) == 0 || now.Before(t.pauseUntil) {
 		return false
 	}
