Do not take a lost answer of an endpoint for slowness

Cause: while half of the orders get no answer, each miss doubled the limit for the next ones although others were answered within a millisecond; a doubtful order holds its room for so much longer. A miss raises the limit only where no answer has come since the call began. The test fails on the former code by construction (the limit was 40 ms after the first miss).

--- a/connection/timeout/timeout.go
+++ b/connection/timeout/timeout.go
@@ -21,6 +21,8 @@
 	mu          sync.Mutex
 	mean        time.Duration
 	current     time.Duration
+	// answeredAt is when the last answer came.
+	answeredAt time.Time
 }
 
 // New returns a limit that stays between two bounds and begins with the lower one.
@@ -35,20 +37,22 @@
 	return t.current
 }
 
-// Answered takes how long an answer took.
-func (t *Timeout) Answered(took time.Duration) {
+// Answered takes how long an answer took that has come now.
+func (t *Timeout) Answered(took time.Duration, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.mean += time.Duration(weight * float64(took-t.mean))
 	t.current = min(max(margin*t.mean, t.least), t.most)
+	t.answeredAt = now
 }
 
-// Missed notes that a call which has waited for so long got no answer. Calls that began
-// before the limit was raised do not raise it again.
-func (t *Timeout) Missed(waited time.Duration) {
+// Missed notes that a call got no answer within the limit that it began with. Where
+// others were answered meanwhile its answer was lost, and the other end is no slower for
+// it. Calls that began before the limit was raised do not raise it again.
+func (t *Timeout) Missed(limit time.Duration, began time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if waited >= t.current {
+	if limit >= t.current && t.answeredAt.Before(began) {
 		t.current = min(2*t.current, t.most)
 	}
 }
--- a/connection/timeout/timeout_test.go
+++ b/connection/timeout/timeout_test.go
@@ -12,23 +12,29 @@
 	most  = 160 * time.Millisecond
 )
 
+var start = time.Unix(1_700_000_000, 0)
+
 // An other end that answers after 70 ms is waited for after a few calls, and one that
 // is quick again is not waited for any longer.
 func TestLimitFollowsTheAnswers(t *testing.T) {
 	i := is.New(t)
 	limit := New(least, most)
 	missed := 0
+	now := start
 	for range 20 {
+		began := now
 		if waits := limit.Current(); waits < 70*time.Millisecond {
-			limit.Missed(waits)
+			now = now.Add(waits)
+			limit.Missed(waits, began)
 			missed++
 			continue
 		}
-		limit.Answered(70 * time.Millisecond)
+		now = now.Add(70 * time.Millisecond)
+		limit.Answered(70*time.Millisecond, now)
 	}
 	i.True(missed <= 4)
 	for range 20 {
-		limit.Answered(time.Millisecond)
+		limit.Answered(time.Millisecond, now)
 	}
 	i.Equal(limit.Current(), least)
 }
@@ -38,20 +44,26 @@
 	i := is.New(t)
 	limit := New(least, most)
 	for range 64 {
-		limit.Missed(least)
+		limit.Missed(least, start)
 	}
 	i.Equal(limit.Current(), 2*least)
 	for range 10 {
-		limit.Missed(limit.Current())
+		limit.Missed(limit.Current(), start)
 	}
 	i.Equal(limit.Current(), most)
 }
 
-// Single answers that are lost do not slow the others down for long.
-func TestLostAnswerIsForgotten(t *testing.T) {
+// Half of the answers are lost while the others come at once: the next tries must not
+// wait for longer, since the room of a doubtful order is held meanwhile.
+func TestLostAnswersAmongOthersDoNotRaiseTheLimit(t *testing.T) {
 	i := is.New(t)
 	limit := New(least, most)
-	limit.Missed(least)
-	limit.Answered(time.Millisecond)
-	i.Equal(limit.Current(), least)
+	now := start
+	for range 100 {
+		began := now
+		limit.Answered(time.Millisecond, now.Add(time.Millisecond))
+		now = now.Add(least)
+		limit.Missed(least, began)
+		i.Equal(limit.Current(), least)
+	}
 }
