--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -19,8 +19,8 @@
 	// farCost is the extra time to an endpoint in another availability zone, both ways.
 	farCost = 2 * time.Millisecond
 	// tightCost is added where a task takes the last room of an endpoint: another
-	// dispatcher may have taken it since the report, about two times in five, and the
-	// next end there is some 20 ms away.
+	// dispatcher may have taken it since the report. By process/replay, where 5 to 10 ms
+	// earn about the same.
 	tightCost = 8 * time.Millisecond
 	// ordinaryRun is the run time of tasks where nothing is known.
 	ordinaryRun = 100 * time.Millisecond
