Have audit records in the log before a request is acknowledged

Cause: a drain was acknowledged and the entry stopped within milliseconds, while the audit trail appended its records from a loop of its own. With a log that takes longer than the stop, the record of the request was lost (TestScripts/access:100, once on a fresh clone).

Change: Trail.Flush waits until the records are in the log. The drain and the publication of a change wait for it up to 2 s, and their answers say if the record is missing, which the command prints. A planned stop flushes too. The answer to a drain leaves before the stop begins.

--- a/commands/admin.go
+++ b/commands/admin.go
@@ -28,7 +28,7 @@
 }
 
 // callAdmin calls the administration interface of a process and decodes the
-// response into result, unless that is nil.
+// response into result, unless that is nil or the response has no body.
 func (c *Credentials) callAdmin(method, address, path string, body, result any) error {
 	if _, err := netip.ParseAddrPort(address); err != nil {
 		return usageError{errors.Errorf("address %q is not an IP number and a port", address)}
@@ -65,7 +65,7 @@
 	if response.StatusCode >= http.StatusBadRequest {
 		return statusError{address: address, status: response.Status, body: raw}
 	}
-	if result == nil {
+	if result == nil || len(raw) == 0 {
 		return nil
 	}
 	return errors.Wrapf(json.Unmarshal(raw, result), "process at %s", address)
--- a/commands/publish.go
+++ b/commands/publish.go
@@ -93,6 +93,7 @@
 	if err != nil {
 		return err
 	}
+	printAuditError(s, answer.AuditError)
 	printPublished(s, c.File, answer.Version, answer.Change)
 	return nil
 }
@@ -161,7 +162,14 @@
 		_, err = logclient.New(o.Log).Append(ctx, audit.Stream, raw)
 	}
 	if err != nil {
-		fmt.Fprintln(s.Err, "the audit trail has no record of this change:", err)
+		printAuditError(s, err.Error())
+	}
+}
+
+// printAuditError reports why the audit trail may lack a change, unless the text is empty.
+func printAuditError(s *Streams, reason string) {
+	if reason != "" {
+		fmt.Fprintln(s.Err, "the audit trail has no record of this change:", reason)
 	}
 }
 
--- a/commands/status.go
+++ b/commands/status.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/corianderhook/corianderhook/node/entry"
 )
 
 // StatusCommand shows the status of processes.
@@ -124,9 +126,11 @@
 
 // Run requests the drain and does not wait for its end.
 func (c *DrainCommand) Run(s *Streams) error {
-	if err := c.callAdmin(http.MethodPost, c.Admin, "/v1/drain", nil, nil); err != nil {
+	var answer entry.DrainAnswer
+	if err := c.callAdmin(http.MethodPost, c.Admin, "/v1/drain", nil, &answer); err != nil {
 		return err
 	}
+	printAuditError(s, answer.AuditError)
 	fmt.Fprintf(s.Out, "process at %s drains\n", c.Admin)
 	return nil
 }
--- a/node/entry/admin.go
+++ b/node/entry/admin.go
@@ -6,6 +6,8 @@
 	"sort"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/corianderhook/corianderhook/connection/guard"
 	"github.com/corianderhook/corianderhook/process/audit"
 	"github.com/corianderhook/corianderhook/process/owner"
@@ -17,6 +19,9 @@
 	adminHeaderTimeout = 5 * time.Second
 	// statusTimeout bounds how long a status request waits for the owner actor.
 	statusTimeout = 2 * time.Second
+	// auditTimeout bounds how long an operator's request, or a planned stop, waits for the
+	// audit trail. A change of state must be possible while the log is down.
+	auditTimeout = 2 * time.Second
 )
 
 // Status is the state of an entry as its administration interface shows it.
@@ -48,16 +53,42 @@
 	mux.HandleFunc("GET /v1/status", e.guard.RequireRole(access.Read, e.status))
 	mux.HandleFunc("GET /v1/config", e.guard.RequireRole(access.Read, e.showConfig))
 	mux.HandleFunc("POST /v1/config", e.guard.RequireRole(access.Configure, e.publish))
-	mux.HandleFunc("POST /v1/drain", e.guard.RequireRole(access.Operate, func(w http.ResponseWriter, r *http.Request) {
-		e.auditTrail.Add(audit.Record{
-			Who: guard.Operator(r.Context()), From: r.RemoteAddr, What: "drain-request", Subject: e.self.Instance, Outcome: "done",
-		})
-		e.stopper.RequestStop()
-		w.WriteHeader(http.StatusAccepted)
-	}))
+	mux.HandleFunc("POST /v1/drain", e.guard.RequireRole(access.Operate, e.requestDrain))
 	return mux
 }
 
+// DrainAnswer is the answer to an operator's request to drain.
+type DrainAnswer struct {
+	// AuditError says why the audit trail may lack the request; it is empty if the record is
+	// in the log.
+	AuditError string `json:"audit_error,omitempty"`
+}
+
+// requestDrain records the request and begins the planned stop.
+func (e *Entry) requestDrain(w http.ResponseWriter, r *http.Request) {
+	e.auditTrail.Add(audit.Record{
+		Who: guard.Operator(r.Context()), From: r.RemoteAddr, What: "drain-request", Subject: e.self.Instance, Outcome: "done",
+	})
+	auditError := e.flushAudit(r.Context())
+	writeJSON(w, http.StatusAccepted, DrainAnswer{AuditError: auditError})
+	// An idle entry stops within milliseconds and closes this connection. If the flush fails,
+	// the operator has gone.
+	_ = http.NewResponseController(w).Flush()
+	e.stopper.RequestStop()
+}
+
+// flushAudit waits up to auditTimeout until the audit records are in the log. It returns
+// why they are not, or an empty text.
+func (e *Entry) flushAudit(ctx context.Context) string {
+	ctx, cancel := context.WithTimeout(ctx, auditTimeout)
+	defer cancel()
+	if err := e.auditTrail.Flush(ctx); err != nil {
+		klog.ErrorS(err, "CH0403 audit record not in the log yet", "entry", e.self.Instance)
+		return err.Error()
+	}
+	return ""
+}
+
 func (e *Entry) readyz(w http.ResponseWriter, r *http.Request) {
 	s, err := e.Status(r.Context())
 	if err != nil || !s.Ready {
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -267,6 +267,8 @@
 	if err == nil {
 		err = e.appendRecord(ctx, ownership.Record{Leave: e.self.Instance})
 	}
+	// The result is logged by flushAudit; the entry stops in any case.
+	_ = e.flushAudit(ctx)
 	e.stopper.StopAndWait()
 	if err != nil {
 		return errors.Wrap(err, "drain did not complete")
--- a/node/entry/publish.go
+++ b/node/entry/publish.go
@@ -37,6 +37,9 @@
 	Accepted bool              `json:"accepted"`
 	Reason   string            `json:"reason,omitempty"`
 	InForce  *publication.File `json:"in_force,omitempty"`
+	// AuditError says why the audit trail may lack the change; it is empty if the record is
+	// in the log.
+	AuditError string `json:"audit_error,omitempty"`
 }
 
 func (e *Entry) showConfig(w http.ResponseWriter, _ *http.Request) {
@@ -60,8 +63,9 @@
 		ID: uuid.NewString(), File: request.File, Base: base, Author: guard.Operator(r.Context()), From: r.RemoteAddr, Text: request.Text,
 	}
 	code, answer := e.publishChange(r.Context(), change)
-	writeJSON(w, code, answer)
 	e.auditTrail.Add(audit.ConfigChange(change, answer.Version, answer.Accepted, answer.Reason))
+	answer.AuditError = e.flushAudit(r.Context())
+	writeJSON(w, code, answer)
 }
 
 // publishChange appends a change and waits until it is read back and applied.
--- a/process/audit/audit.go
+++ b/process/audit/audit.go
@@ -11,6 +11,7 @@
 
 	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/corianderhook/corianderhook/common/pause"
@@ -76,12 +77,17 @@
 	mu      sync.Mutex
 	pending []Record
 	dropped int
-	wake    chan struct{}
+	// added and appended count the records that were queued and those that are in the log.
+	added    int
+	appended int
+	// progress is closed and replaced with each append.
+	progress chan struct{}
+	wake     chan struct{}
 }
 
 // New returns an empty trail.
 func New(log Log, clock clockwork.Clock) *Trail {
-	return &Trail{log: log, clock: clock, wake: make(chan struct{}, 1)}
+	return &Trail{log: log, clock: clock, progress: make(chan struct{}), wake: make(chan struct{}, 1)}
 }
 
 // Add queues a record and sets its ID and time. It does not block on the log.
@@ -91,6 +97,7 @@
 	t.mu.Lock()
 	if len(t.pending) < maxPending {
 		t.pending = append(t.pending, r)
+		t.added++
 	} else {
 		t.dropped++
 		klog.ErrorS(nil, "CH0401 audit record dropped, the queue is full", "record", r, "dropped", t.dropped)
@@ -102,6 +109,27 @@
 	}
 }
 
+// Flush waits until all records added so far are in the log. An error means that the context
+// ended first, and says how many records are not known to be there.
+func (t *Trail) Flush(ctx context.Context) error {
+	t.mu.Lock()
+	target := t.added
+	t.mu.Unlock()
+	for {
+		t.mu.Lock()
+		missing, progress := target-t.appended, t.progress
+		t.mu.Unlock()
+		if missing <= 0 {
+			return nil
+		}
+		select {
+		case <-progress:
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "%d audit records are not in the log", missing)
+		}
+	}
+}
+
 // Pending returns the number of records not yet appended to the log.
 func (t *Trail) Pending() int {
 	t.mu.Lock()
@@ -136,6 +164,9 @@
 		}
 		t.mu.Lock()
 		t.pending = t.pending[1:]
+		t.appended++
+		close(t.progress)
+		t.progress = make(chan struct{})
 		t.mu.Unlock()
 	}
 }
--- a/process/audit/audit_test.go
+++ b/process/audit/audit_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"testing"
 	"time"
 
@@ -47,3 +48,29 @@
 		is.True(r.ID != "")
 	}
 }
+
+// Flush must return only once the records are in the log, and must say so if they are not:
+// a process that stops right after an operator's request would lose the record otherwise.
+func TestFlushWaitsForTheLog(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	clock := clockwork.NewFakeClock()
+	log := logstore.New(clock)
+	log.SetFaults(logclient.Faults{Down: true})
+	trail := audit.New(log, clock)
+	go trail.Run(ctx)
+	trail.Add(audit.Record{Who: "cy", What: "drain-request", Subject: "e1"})
+	is.NoErr(clock.BlockUntilContext(ctx, 1)) // the first append has failed
+	ended, end := context.WithCancel(ctx)
+	end()
+	err := trail.Flush(ended)
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), "1 audit records are not in the log"))
+	log.SetFaults(logclient.Faults{})
+	clock.Advance(time.Second)
+	is.NoErr(trail.Flush(ctx))
+	batch, err := log.Read(ctx, audit.Stream, 0, 0)
+	is.NoErr(err)
+	is.Equal(len(batch.Records), 1)
+}
