Start no task in an evacuated availability zone

Cause: nothing read the operators' records op/evacuate/ZONE; the follower dropped every key but the configuration's.

Change: the set of evacuated zones is a fold of the operators' log with its offset as version (version/evacuation), so that the newest of several views is known, whichever way they came. process/zonegate holds the view of a process and how recent it is. A configuration never comes without the evacuations that were published before it: the follower folds them first, and a peer that sends a configuration sends its view with the last part. Two gates: dispatchers offer no task to such a zone and ask back those that wait; the sidecar starts nothing, returns what waits, and repeats no start order without an answer, since that could start a run anew: it is stopped and settled by lists. The order is checked once more where it is sent. Running tasks end by themselves: a stop loses their work and the evacuation asks only that nothing starts. A sidecar whose view no dispatcher has confirmed for 0.4 of the bound asks the store itself. Jobs that only evacuated endpoints could take are refused at once (503, evacuated, Retry-After 5 s); in flight they end as not run or unknown.

The decision about endpoints that leave is called leaving.go now.

Tests: TestNothingStartsInAnEvacuatedZone over real sockets with the store away, a restarted sidecar, a new entry and dropped history (last start within 1 s), TestEvacuationsFollowTheOperators, TestConfigurationComesWithItsEvacuations, TestJobsForEvacuatedZones, TestClosedRunnerRepeatsNoStart and others. These fail without the code that they call; no separate run without it was made.

--- a/node/dispatcher/actor.go
+++ b/node/dispatcher/actor.go
@@ -22,6 +22,8 @@
 	}
 	callerLeft struct{ job string }
 	drainUntil struct{ at time.Time }
+	// evacuationChanged means that the dispatcher's gate holds another set of zones.
+	evacuationChanged struct{}
 	// sessionOpened, sessionClosed and frameReceived come from the sessions of sidecars.
 	sessionOpened struct {
 		session    *session
@@ -68,6 +70,8 @@
 		a.scheduler.CallerLeft(m.job)
 	case drainUntil:
 		a.scheduler.CapDeadlines(m.at)
+	case evacuationChanged:
+		a.scheduler.SetEvacuated(a.dispatcher.gate.State())
 	case sessionOpened:
 		a.attach(m)
 	case sessionClosed:
--- a/node/dispatcher/config_cache.go
+++ b/node/dispatcher/config_cache.go
@@ -107,7 +107,10 @@
 	if to == len(packed.content) {
 		v.cache.removeReader(r.GetAddress())
 	}
-	return &wire.Part{Version: packed.version, Digest: packed.digest, Size: uint32(len(packed.content)), From: uint32(from), Content: packed.content[from:to]}, nil
+	return &wire.Part{
+		Version: packed.version, Digest: packed.digest, Size: uint32(len(packed.content)), From: uint32(from), Content: packed.content[from:to],
+		Evacuation: v.dispatcher.gate.Message(v.dispatcher.deps.Clock.Now()),
+	}, nil
 }
 
 func digestOf(packed []byte) string {
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -20,10 +20,12 @@
 	"github.com/corianderhook/corianderhook/process/metrics"
 	"github.com/corianderhook/corianderhook/process/scheduler"
 	"github.com/corianderhook/corianderhook/process/transfer"
+	"github.com/corianderhook/corianderhook/process/zonegate"
 	"github.com/corianderhook/corianderhook/request/answer"
 	"github.com/corianderhook/corianderhook/request/outcome"
 	"github.com/corianderhook/corianderhook/request/workload"
 	"github.com/corianderhook/corianderhook/version/catalog"
+	"github.com/corianderhook/corianderhook/version/evacuation"
 	"github.com/corianderhook/corianderhook/wire"
 )
 
@@ -75,9 +77,11 @@
 	metrics     *metrics.Metrics
 	scheduler   *actor.PID
 	catalog     atomic.Pointer[catalog.Catalog]
-	peers       *peers
-	pressure    cpupressure.Monitor
-	draining    atomic.Bool
+	// gate holds the evacuated zones.
+	gate     *zonegate.Gate
+	peers    *peers
+	pressure cpupressure.Monitor
+	draining atomic.Bool
 	// jobCount is the number of running and parked jobs; parked jobs wait for endpoints.
 	jobCount atomic.Int64
 	// stopsAt is the time at which a planned stop ends; nil if none has begun.
@@ -99,6 +103,7 @@
 		deps:        deps,
 		incarnation: instance.Hash(deps.Address, deps.Clock.Now()),
 		metrics:     deps.Metrics,
+		gate:        zonegate.New(),
 	}
 	d.metrics.RegisterGauge("corianderhook_jobs_under_way", "Jobs that have been taken and not answered.", func() float64 { return float64(d.jobCount.Load()) })
 	d.metrics.RegisterGauge("corianderhook_agents_attached", "Agents with a session.", func() float64 { return float64(d.agentCount.Load()) })
@@ -111,6 +116,7 @@
 	d.metrics.RegisterGauge("corianderhook_dispatchers_known", "Dispatchers that are known by address, this one included.", func() float64 {
 		return float64(len(d.peers.addresses()))
 	})
+	zonegate.RegisterMetrics(d.metrics, d.gate, deps.Clock)
 	now := deps.Clock.Now()
 	d.adoptedAt.Store(&now)
 	d.storeAnsweredAt.Store(&time.Time{})
@@ -156,6 +162,19 @@
 	d.peers.announceVersion(c.Version())
 }
 
+// ObserveEvacuation puts a set of evacuated zones into force if it is newer than the current
+// one, and passes a change on to sidecars and other dispatchers. ConfirmedAt is when the set
+// was known to be the newest; the zero time means that it is not known.
+func (d *Dispatcher) ObserveEvacuation(s evacuation.State, confirmedAt time.Time, source string) {
+	if !d.gate.Observe(s, confirmedAt) {
+		return
+	}
+	inForce := d.gate.State()
+	klog.InfoS("CH1010 evacuated zones changed", "entry", d.deps.Name, "zones", inForce.Zones(), "version", inForce.Version(), "source", source)
+	d.deps.System.Root.Send(d.scheduler, evacuationChanged{})
+	d.peers.announceEvacuation()
+}
+
 // RecordStoreAnswer records that the platform's store has just answered.
 func (d *Dispatcher) RecordStoreAnswer() {
 	now := d.deps.Clock.Now()
--- a/node/dispatcher/fetcher.go
+++ b/node/dispatcher/fetcher.go
@@ -98,6 +98,7 @@
 	address, digest, from := f.transfer.Source()
 	f.mu.Unlock()
 	d := f.peers.dispatcher
+	requestedAt := d.deps.Clock.Now()
 	part, err := f.fetchPart(ctx, address, &wire.PartRequest{
 		Address: d.deps.Address, Version: f.peers.version() + 1, Digest: digest, From: uint32(from),
 	})
@@ -124,6 +125,8 @@
 		f.recordFailure(f.transfer.Corrupt)
 		return
 	}
+	// The evacuations go first: they are at least as new as the configuration.
+	f.peers.handleEvacuation(part.GetEvacuation(), requestedAt, address)
 	d.Adopt(c, "dispatcher "+address)
 }
 
--- a/node/dispatcher/peers.go
+++ b/node/dispatcher/peers.go
@@ -125,7 +125,7 @@
 // knowledge returns this dispatcher's state for a peer. The addresses are included only if
 // the peer's digest differs.
 func (p *peers) knowledge(peerDigest uint64) *wire.Knowledge {
-	k := &wire.Knowledge{Address: p.dispatcher.deps.Address, CatalogVersion: p.version()}
+	k := &wire.Knowledge{Address: p.dispatcher.deps.Address, CatalogVersion: p.version(), Evacuation: p.dispatcher.gate.Message(p.dispatcher.deps.Clock.Now())}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	k.Members = p.gossip.Digest()
@@ -135,8 +135,10 @@
 	return k
 }
 
-// handleKnowledge applies the state received from another dispatcher.
-func (p *peers) handleKnowledge(k *wire.Knowledge) {
+// handleKnowledge applies the state received from another dispatcher. RequestedAt is when this
+// dispatcher asked for it, or the zero time if it did not ask.
+func (p *peers) handleKnowledge(k *wire.Knowledge, requestedAt time.Time) {
+	p.handleEvacuation(k.GetEvacuation(), requestedAt, k.GetAddress())
 	p.mu.Lock()
 	p.gossip.HeardFrom(k.GetAddress())
 	p.mu.Unlock()
@@ -182,13 +184,14 @@
 	peerDigest := p.gossip.Digest()
 	p.mu.Unlock()
 	for range 2 {
+		requestedAt := p.dispatcher.deps.Clock.Now()
 		k, err := p.exchangeOnce(ctx, address, peerDigest)
 		if err != nil {
 			klog.V(1).InfoS("CH1008 dispatcher does not answer", "address", address, "error", err)
 			p.handleNoAnswer(address)
 			return
 		}
-		p.handleKnowledge(k)
+		p.handleKnowledge(k, requestedAt)
 		p.mu.Lock()
 		ownDigest := p.gossip.Digest()
 		p.mu.Unlock()
--- a/node/dispatcher/peers_test.go
+++ b/node/dispatcher/peers_test.go
@@ -19,14 +19,14 @@
 	clock := clockwork.NewFakeClock()
 	d := New(Dependencies{Name: "d1", Address: "10.0.0.1:1", Clock: clock, System: actor.NewActorSystem(), Metrics: metrics.New()})
 	others := &wire.Knowledge{Address: "10.0.0.2:1", Dispatchers: []string{"10.0.0.3:1"}}
-	d.peers.handleKnowledge(others)
+	d.peers.handleKnowledge(others, time.Time{})
 	i.Equal(len(d.peers.addresses()), 3)
 	clock.Advance(61 * time.Second)
 	d.peers.handleNoAnswer("10.0.0.3:1")
 	i.Equal(len(d.peers.addresses()), 2)
-	d.peers.handleKnowledge(others)
+	d.peers.handleKnowledge(others, time.Time{})
 	i.Equal(len(d.peers.addresses()), 2)
-	d.peers.handleKnowledge(&wire.Knowledge{Address: "10.0.0.3:1"})
+	d.peers.handleKnowledge(&wire.Knowledge{Address: "10.0.0.3:1"}, time.Time{})
 	i.Equal(len(d.peers.addresses()), 3)
 }
 
--- a/node/dispatcher/session.go
+++ b/node/dispatcher/session.go
@@ -15,6 +15,7 @@
 	"github.com/corianderhook/corianderhook/connection/outbox"
 	"github.com/corianderhook/corianderhook/connection/peer"
 	"github.com/corianderhook/corianderhook/process/metrics"
+	"github.com/corianderhook/corianderhook/version/evacuation"
 	"github.com/corianderhook/corianderhook/wire"
 )
 
@@ -43,6 +44,10 @@
 	cancel  context.CancelFunc
 	// reportInterval is the interval last sent to the sidecar; only send accesses it.
 	reportInterval time.Duration
+	// sentEvacuation is the set of evacuated zones last sent to the sidecar, at
+	// evacuationSentAt; only send accesses them.
+	sentEvacuation   evacuation.State
+	evacuationSentAt time.Time
 	// lastFrameNumber counts the frames that carry offers; only the actor accesses it.
 	lastFrameNumber uint64
 	// lastStamp is the stamp of the last received frame, sent back as its echo.
@@ -69,7 +74,9 @@
 // Work serves a session of a sidecar until either side closes it.
 func (v *service) Work(stream grpc.BidiStreamingServer[wire.SidecarFrame, wire.DispatcherFrame]) error {
 	d := v.dispatcher
-	if err := stream.Send(&wire.DispatcherFrame{Incarnation: d.incarnation, Dispatchers: d.peers.addresses()}); err != nil {
+	if err := stream.Send(&wire.DispatcherFrame{
+		Incarnation: d.incarnation, Dispatchers: d.peers.addresses(), Evacuation: d.gate.Message(d.deps.Clock.Now()),
+	}); err != nil {
 		return err
 	}
 	first, err := stream.Recv()
@@ -164,12 +171,13 @@
 			merged.Dispatchers = append(merged.Dispatchers, f.GetDispatchers()...)
 		}
 	}
+	s.addEvacuation(d, merged)
 	s.sentAt.Store(int64(d.deps.Clock.Since(s.openedAt)))
 	return stream.Send(merged)
 }
 
 // Exchange applies the state of another dispatcher and returns that of this one.
 func (v *service) Exchange(_ context.Context, k *wire.Knowledge) (*wire.Knowledge, error) {
-	v.dispatcher.peers.handleKnowledge(k)
+	v.dispatcher.peers.handleKnowledge(k, time.Time{})
 	return v.dispatcher.peers.knowledge(k.GetMembers()), nil
 }
--- a/node/sidecar/actor.go
+++ b/node/sidecar/actor.go
@@ -34,6 +34,8 @@
 	announcementReceived struct{ announcement registration.Announcement }
 	announcementRestored struct{ announcement registration.Announcement }
 	endpointLeft         struct{ instance string }
+	// evacuationChanged means that the sidecar's gate holds another set of zones.
+	evacuationChanged struct{}
 	// sessionOpened, sessionClosed and frameReceived come from the sessions with dispatchers.
 	sessionOpened struct {
 		session *session
@@ -92,6 +94,8 @@
 	// unavailableReason is the reason why the endpoint cannot be used, or empty.
 	unavailableReason string
 	draining          bool
+	// evacuated is true if endpointState says that the zone is evacuated.
+	evacuated bool
 	// endpointState and capacityReport are the current state and report for dispatchers.
 	endpointState  *wire.EndpointState
 	capacityReport *wire.Room
@@ -133,6 +137,8 @@
 			klog.InfoS("CH1112 endpoint left", "agent", a.sidecar.deps.Name, "instance", m.instance)
 			a.updateEndpointState()
 		}
+	case evacuationChanged:
+		a.applyEvacuation()
 	case sessionOpened:
 		a.openSession(m)
 	case sessionClosed:
@@ -184,6 +190,8 @@
 func (a *runnerActor) openSession(m sessionOpened) {
 	s := m.session
 	s.dispatcher = m.welcome.GetIncarnation()
+	a.sidecar.handleEvacuation(m.welcome.GetEvacuation(), s.openedStamp, s.address)
+	a.applyEvacuation()
 	a.sessions[s.dispatcher] = s
 	a.runner.Heard(s.dispatcher, s.address, a.sidecar.stampTime(s.openedStamp))
 	f := &wire.SidecarFrame{
@@ -208,6 +216,8 @@
 	if f.GetEchoUs() > 0 {
 		a.runner.Heard(s.dispatcher, s.address, a.sidecar.stampTime(f.GetEchoUs()))
 	}
+	a.sidecar.handleEvacuation(f.GetEvacuation(), f.GetEchoUs(), s.address)
+	a.applyEvacuation()
 	if interval := f.GetRoomEveryMs(); interval > 0 {
 		s.reportInterval = time.Duration(interval) * time.Millisecond
 	}
--- a/node/sidecar/lease_keeper.go
+++ b/node/sidecar/lease_keeper.go
@@ -91,7 +91,11 @@
 	return idlePollTime
 }
 
+// start sends a start order, unless the zone has been evacuated since the decision to start.
 func (k *leaseKeeper) start(o runner.Order) (runner.Result, string) {
+	if k.sidecar.evacuated() {
+		return runner.Refused, evacuatedReason
+	}
 	return k.sidecar.deps.Endpoint.Start(context.Background(), k.target(), o)
 }
 
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -17,6 +17,7 @@
 	"github.com/corianderhook/corianderhook/process/metrics"
 	"github.com/corianderhook/corianderhook/process/registration"
 	"github.com/corianderhook/corianderhook/process/runner"
+	"github.com/corianderhook/corianderhook/process/zonegate"
 )
 
 const (
@@ -88,8 +89,11 @@
 	Metrics           *metrics.Metrics
 	Endpoint          Endpoint
 	AnnouncementStore AnnouncementStore
-	Clock             clockwork.Clock
-	System            *actor.ActorSystem
+	Evacuations       EvacuationReader
+	// EvacuationTime is the time within which an evacuation must be in force.
+	EvacuationTime time.Duration
+	Clock          clockwork.Clock
+	System         *actor.ActorSystem
 }
 
 // Sidecar is a sidecar process. It is safe for concurrent use.
@@ -99,8 +103,10 @@
 	startedAt   time.Time
 	metrics     *metrics.Metrics
 	runner      *actor.PID
-	sessions    *sessionPool
-	keeper      *leaseKeeper
+	// gate holds the evacuated zones.
+	gate     *zonegate.Gate
+	sessions *sessionPool
+	keeper   *leaseKeeper
 	// taskCount is the number of tasks that wait or may run.
 	taskCount atomic.Int64
 	// runsInDoubt is the number of runs of which an order has not been answered,
@@ -116,7 +122,9 @@
 		incarnation: instance.Hash(deps.Name, deps.Clock.Now()),
 		startedAt:   deps.Clock.Now(),
 		metrics:     deps.Metrics,
+		gate:        zonegate.New(),
 	}
+	zonegate.RegisterMetrics(s.metrics, s.gate, deps.Clock)
 	s.metrics.RegisterGauge("corianderhook_tasks_held", "Tasks that wait or may run at the endpoint.", func() float64 { return float64(s.taskCount.Load()) })
 	s.metrics.RegisterGauge("corianderhook_fence", "Fence of the orders to the endpoint.", func() float64 { return float64(s.keeper.fence.Load()) })
 	s.metrics.RegisterGauge("corianderhook_runs_in_doubt", "Runs whose order to start or stop has had no answer.", func() float64 { return float64(s.runsInDoubt.Load()) })
@@ -153,6 +161,7 @@
 	defer group.Wait()
 	group.Go(func() { s.keeper.run(ctx) })
 	group.Go(func() { s.restoreAnnouncement(ctx) })
+	group.Go(func() { s.watchEvacuations(ctx) })
 	group.Go(func() {
 		s.awaitEndpointEmpty(ctx)
 		s.sessions.run(ctx)
--- a/node/sidecar/state.go
+++ b/node/sidecar/state.go
@@ -15,6 +15,7 @@
 func (a *runnerActor) updateEndpointState() {
 	current, known := a.registration.Current()
 	reason := ""
+	a.evacuated = a.sidecar.evacuated()
 	switch {
 	case a.draining:
 		reason = "the sidecar drains"
@@ -22,6 +23,8 @@
 		reason = "no endpoint has announced itself"
 	case current.Draining:
 		reason = "the endpoint drains"
+	case a.evacuated:
+		reason = evacuatedReason
 	case a.unavailableReason != "":
 		reason = a.unavailableReason
 	case !current.Born.Equal(a.endpointBorn):
@@ -36,9 +39,12 @@
 			"capacity", current.Capacity, "labels", current.Labels)
 	}
 	a.endpointState = state
-	if reason == "" {
+	switch {
+	case reason == "":
 		a.runner.Accept(current.Capacity)
-	} else {
+	case a.evacuated:
+		a.runner.Close(reason)
+	default:
 		a.runner.Refuse(reason)
 	}
 	a.capacityReport = a.runner.Room()
@@ -47,6 +53,13 @@
 	}
 }
 
+// applyEvacuation updates the state of the endpoint if its zone was evacuated, or is no longer.
+func (a *runnerActor) applyEvacuation() {
+	if a.sidecar.evacuated() != a.evacuated {
+		a.updateEndpointState()
+	}
+}
+
 // stateFor returns the endpoint state to send in a session. In a retiring session it is not
 // accepting, so that the dispatcher sends no more offers.
 func (a *runnerActor) stateFor(s *session) *wire.EndpointState {
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/corianderhook/corianderhook/process/placement"
 	"github.com/corianderhook/corianderhook/process/speed"
 	"github.com/corianderhook/corianderhook/request/size"
+	"github.com/corianderhook/corianderhook/version/evacuation"
 	"github.com/corianderhook/corianderhook/wire"
 )
 
@@ -71,6 +72,8 @@
 	sorted []*agent
 	health *health.Health
 	speeds *speed.Speeds
+	// evacuated holds the zones whose agents get no tasks.
+	evacuated evacuation.State
 	// rotation determines which agent the next call of Candidates begins with.
 	rotation int
 }
@@ -80,6 +83,32 @@
 	return &Fleet{zone: zone, agents: map[string]*agent{}, health: health.New(), speeds: speed.New()}
 }
 
+// SetEvacuated sets the zones whose agents get no tasks.
+func (f *Fleet) SetEvacuated(s evacuation.State) { f.evacuated = s }
+
+// InEvacuatedZone reports whether an agent is in an evacuated zone.
+func (f *Fleet) InEvacuatedZone(name string) bool {
+	a, known := f.agents[name]
+	return known && f.evacuated.Includes(a.zone)
+}
+
+// Recent returns the agents of a service that were heard recently, whether or not they get
+// tasks now: those in evacuated zones and the others.
+func (f *Fleet) Recent(service string, now time.Time) (evacuated, others []placement.Candidate) {
+	for _, a := range f.sorted {
+		if a.service != service || now.Sub(a.lastHeard) >= recentWindow {
+			continue
+		}
+		c := a.candidate(f.zone, f.slowness(a, now))
+		if f.evacuated.Includes(a.zone) {
+			evacuated = append(evacuated, c)
+		} else {
+			others = append(others, c)
+		}
+	}
+	return evacuated, others
+}
+
 // Attach records that an agent has opened a session.
 func (f *Fleet) Attach(name, zone string, now time.Time) {
 	a, known := f.agents[name]
@@ -207,10 +236,10 @@
 }
 
 // SeenRecently reports whether an agent of a service was heard within recentWindow, so that
-// its endpoint may soon be usable again.
+// its endpoint may soon be usable again. Agents in evacuated zones do not count.
 func (f *Fleet) SeenRecently(service string, now time.Time) bool {
 	for _, a := range f.sorted {
-		if a.service == service && now.Sub(a.lastHeard) < recentWindow {
+		if a.service == service && now.Sub(a.lastHeard) < recentWindow && !f.evacuated.Includes(a.zone) {
 			return true
 		}
 	}
@@ -218,25 +247,25 @@
 }
 
 // CountUsable returns the number of endpoints of a service that accept tasks and whose
-// agents are not suspected.
+// agents are neither suspected nor in an evacuated zone.
 func (f *Fleet) CountUsable(service string, now time.Time) int {
 	count := 0
 	for _, a := range f.sorted {
-		if a.service == service && a.usable(now) {
+		if a.service == service && f.usable(a, now) {
 			count++
 		}
 	}
 	return count
 }
 
-func (a *agent) usable(now time.Time) bool {
-	return a.accepting && now.Sub(a.lastHeard) <= suspectAfter
+func (f *Fleet) usable(a *agent, now time.Time) bool {
+	return a.accepting && now.Sub(a.lastHeard) <= suspectAfter && !f.evacuated.Includes(a.zone)
 }
 
 // Candidate returns one agent as a candidate, or false if it gets no tasks.
 func (f *Fleet) Candidate(name string, now time.Time) (placement.Candidate, bool) {
 	a, known := f.agents[name]
-	if !known || !a.usable(now) || f.health.Ejected(name) {
+	if !known || !f.usable(a, now) || f.health.Ejected(name) {
 		return placement.Candidate{}, false
 	}
 	return a.candidate(f.zone, f.slowness(a, now)), true
@@ -256,7 +285,7 @@
 	for i := range f.sorted {
 		// Each call begins with another agent, so that equal candidates share the load.
 		a := f.sorted[(i+f.rotation)%len(f.sorted)]
-		if a.service != service || !a.usable(now) {
+		if a.service != service || !f.usable(a, now) {
 			continue
 		}
 		ejected := f.health.Ejected(a.name)
--- a/process/runner/runner.go
+++ b/process/runner/runner.go
@@ -124,6 +124,8 @@
 	sessions      map[uint64]*session
 	accepting     bool
 	refusalReason string
+	// closed is set while no start order may be sent again either.
+	closed bool
 }
 
 // New returns a runner that accepts no tasks until Accept is called.
@@ -152,13 +154,27 @@
 // Accept lets the runner start tasks at an endpoint of the given capacity.
 func (r *Runner) Accept(capacity size.Size) {
 	r.ledger.Resize(capacity)
-	r.accepting = true
+	r.accepting, r.closed = true, false
 	r.refusalReason = ""
 	r.startWaiting()
 }
 
-// Refuse stops new starts and returns all waiting tasks.
+// Refuse stops new starts and returns all waiting tasks. Start orders without an answer are
+// sent again.
 func (r *Runner) Refuse(reason string) {
+	r.closed = false
+	r.refuse(reason)
+}
+
+// Close stops new starts and returns all waiting tasks. A start order without an answer is not
+// sent again, since a repeated order would start a run that the first one did not: its run is
+// stopped, and ends once the endpoint does not list it.
+func (r *Runner) Close(reason string) {
+	r.closed = true
+	r.refuse(reason)
+}
+
+func (r *Runner) refuse(reason string) {
 	r.accepting = false
 	r.refusalReason = reason
 	for _, t := range r.sortedTasks() {
@@ -336,7 +352,7 @@
 	case t.phase != starting:
 	case result == Running:
 		t.phase = running
-	case result == Doubtful && t.tries < maxStartTries:
+	case result == Doubtful && t.tries < maxStartTries && !r.closed:
 		// The endpoint starts the same run only once, so that a delayed copy of the first
 		// order has no effect.
 		t.tries++
--- a/process/runner/runner_test.go
+++ b/process/runner/runner_test.go
@@ -290,3 +290,28 @@
 	i.Equal(len(r.HeldBy(7)), started)
 	i.Equal(r.Room().GetWaiting(), uint32(0))
 }
+
+// A start order without an answer must not be sent again once nothing may start: if the first
+// one was lost, the second would start the run. The run is stopped, and ends with the list.
+func TestClosedRunnerRepeatsNoStart(t *testing.T) {
+	i := is.New(t)
+	r, h := newRunner()
+	r.Offer(dispatcher, offer(1, 5, 1000))
+	i.Equal(len(h.starts), 4)
+	r.Started(h.names[0], Running, "")
+	r.Close("its availability zone is evacuated")
+	i.Equal(h.last(), wire.TaskEventKind_TASK_EVENT_KIND_RETURNED) // the one that waited
+	r.Started(h.names[1], Doubtful, "timeout")
+	i.Equal(len(h.starts), 4)
+	i.Equal(h.stops, []Order{h.starts[1]})
+	r.Stopped(h.names[1], true)
+	h.advance(time.Millisecond)
+	r.HandleReport(Report{RequestedAt: h.now, Complete: true, Running: []RunName{run(h.starts[0])}})
+	i.Equal(h.last(), wire.TaskEventKind_TASK_EVENT_KIND_LOST)
+	r.HandleReport(Report{RequestedAt: h.now, Ended: []End{{RunName: run(h.starts[0]), Kind: EndSucceeded}}})
+	i.Equal(h.last(), wire.TaskEventKind_TASK_EVENT_KIND_DONE) // the running one ended by itself
+	// While the endpoint is merely unavailable, orders are repeated.
+	r.Refuse("the endpoint does not answer")
+	r.Started(h.names[2], Doubtful, "timeout")
+	i.Equal(len(h.starts), 5)
+}
--- a/process/scheduler/events.go
+++ b/process/scheduler/events.go
@@ -58,7 +58,7 @@
 	if e := f.GetEndpoint(); e != nil {
 		s.fleet.UpdateEndpoint(agent, e)
 		if e.GetStaysMs() > 0 {
-			s.evacuate(agent, time.Duration(e.GetStaysMs())*time.Millisecond)
+			s.moveOffLeaving(agent, time.Duration(e.GetStaysMs())*time.Millisecond)
 		}
 	}
 	if r := f.GetRoom(); r != nil {
@@ -142,6 +142,8 @@
 	now := s.host.Now()
 	p, fits := s.makePlan(j)
 	switch {
+	case !fits && !s.awaitsSessions(j.queue.Service) && s.blockedByEvacuation(j):
+		s.endBlocked(j)
 	case !fits && now.Before(s.parkedUntil(j)):
 		// Agents may attach again in time.
 		j.parked = true
--- a/process/scheduler/evacuate.go
+++ b/process/scheduler/leaving.go
@@ -2,14 +2,14 @@
 
 import "time"
 
-// evacuationFactor times the time left at a leaving endpoint is the remaining run time from
+// leavingFactor times the time left at a leaving endpoint is the remaining run time from
 // which a task is moved: a move loses the work done so far, and forecasts of run times are off
 // by some 30 %.
-const evacuationFactor = 1.5
+const leavingFactor = 1.5
 
-// evacuate stops the tasks of a leaving endpoint that cannot end within timeLeft, if a new
+// moveOffLeaving stops the tasks of a leaving endpoint that cannot end within timeLeft, if a new
 // run would still be useful. They are placed elsewhere before the endpoint has gone.
-func (s *Scheduler) evacuate(agent string, timeLeft time.Duration) {
+func (s *Scheduler) moveOffLeaving(agent string, timeLeft time.Duration) {
 	now := s.host.Now()
 	s.forEachPlaced(func(p *placedTask) {
 		if p.agent != agent || p.revoking || p.startedAt.IsZero() || !now.Before(p.job.deadline) {
@@ -18,7 +18,7 @@
 		step, _ := p.job.work.StepAndIndex(p.number)
 		run := p.expectedRun + p.job.overrun[step]
 		remaining := run - now.Sub(p.startedAt)
-		if float64(remaining) < evacuationFactor*float64(timeLeft) || now.Add(stopLatency+run).After(s.usefulUntil(p.job)) {
+		if float64(remaining) < leavingFactor*float64(timeLeft) || now.Add(stopLatency+run).After(s.usefulUntil(p.job)) {
 			return
 		}
 		p.revoking = true
--- a/process/scheduler/scheduler.go
+++ b/process/scheduler/scheduler.go
@@ -222,6 +222,10 @@
 		j.parked = true
 		return
 	}
+	if !fits && s.blockedByEvacuation(j) {
+		s.refuse(r, evacuatedReason, evacuatedDetail, maxRetryAfter)
+		return
+	}
 	if !fits {
 		s.refuse(r, "no-endpoint", "no endpoint can take the job", 0)
 		return
--- a/process/scheduler/scheduler_test.go
+++ b/process/scheduler/scheduler_test.go
@@ -63,9 +63,12 @@
 	return s, h
 }
 
-func attachAgent(s *Scheduler, agent string) {
-	s.AttachAgent(agent, "z1", nil, &wire.SidecarFrame{
-		Endpoint: &wire.EndpointState{Service: "checks", Accepting: true, Capacity: &wire.Size{Cpu: 8000, Memory: 1000}},
+func attachAgent(s *Scheduler, agent string) { attachAgentInZone(s, agent, "z1") }
+
+// attachAgentInZone attaches an agent whose endpoint has the given labels.
+func attachAgentInZone(s *Scheduler, agent, zone string, labels ...string) {
+	s.AttachAgent(agent, zone, nil, &wire.SidecarFrame{
+		Endpoint: &wire.EndpointState{Service: "checks", Accepting: true, Labels: labels, Capacity: &wire.Size{Cpu: 8000, Memory: 1000}},
 		Room:     &wire.Room{Free: &wire.Size{Cpu: 8000, Memory: 1000}},
 	})
 }
--- a/version/config/fields.go
+++ b/version/config/fields.go
@@ -71,6 +71,7 @@
 			{Key: "link", Default: "1000", Unit: "Mbit/s", Doc: "Bandwidth of the VM's network link; large transfers use only a part of it.", set: setLink},
 			{Key: "grace", Default: "6s", Unit: "time", Doc: "Time from the signal to stop until the process is killed.", set: setTime(time.Second, time.Hour, func(b *builder) *time.Duration { return &b.c.runtime.Grace })},
 			{Key: "resubmission", Default: "1300ms", Unit: "time", Doc: "Time after which a caller without an answer sends its job again.", set: setTime(100*time.Millisecond, time.Hour, func(b *builder) *time.Duration { return &b.c.runtime.Resubmission })},
+			{Key: "evacuation", Default: "5s", Unit: "time", Doc: "Time within which the evacuation of an availability zone has to be in force.", set: setTime(500*time.Millisecond, time.Hour, func(b *builder) *time.Duration { return &b.c.runtime.EvacuationTime })},
 		}},
 	}
 }
@@ -113,6 +114,10 @@
 		{Name: "eject", Named: true, Fields: []Field{
 			{Key: "reason", Unit: "text", Doc: "Why the agent of this process name gets no tasks.", set: setEjected},
 		}},
+		{Name: "evacuate", Named: true, Fields: []Field{
+			{Key: "reason", Unit: "text", Doc: "Why no task starts in the availability zone of this name.", set: setEvacuation(parseReason)},
+			{Key: "since", Unit: "RFC 3339 time", Doc: "When the zone was evacuated; optional.", set: setEvacuation(parseSince)},
+		}},
 		{Name: "limits", Fields: []Field{
 			{Key: "retention", Default: "2m", Unit: "time", Doc: "How long job keys and answers are retained.", set: setTime(time.Second, 24*time.Hour, func(b *builder) *time.Duration { return &b.c.retention })},
 			{Key: "keys_per_slot", Default: "20000", Unit: "keys", Doc: "Job keys retained by each of the 256 ownership slots.", set: setInt(1, maxKeysPerSlot, func(b *builder) *int { return &b.c.maxKeysPerSlot })},
@@ -289,6 +294,32 @@
 	return nil
 }
 
+func setEvacuation(parse func(e *Evacuation, value string) error) func(b *builder, name, value string) error {
+	return func(b *builder, name, value string) error {
+		e := b.c.evacuations[name]
+		err := parse(&e, value)
+		b.c.evacuations[name] = e
+		return err
+	}
+}
+
+func parseReason(e *Evacuation, value string) error {
+	if value == "" {
+		return fmt.Errorf("must say why")
+	}
+	e.Reason = value
+	return nil
+}
+
+func parseSince(e *Evacuation, value string) error {
+	if value == "" {
+		return nil
+	}
+	var err error
+	e.Since, err = time.Parse(time.RFC3339, value)
+	return err
+}
+
 func setCallers(b *builder, _, value string) error {
 	if value != "open" && value != "token" {
 		return fmt.Errorf("must be open or token")
