Evacuate and lift zones by command line on the product's own path

Cause: the product's own path (entries, agents) had no way to empty a zone.

Entries reserve and start nothing at agents of the zone; an agent of the zone pulls nothing and rejects starts. 'status' shows zone, since when, why, and how many tasks still run there.

--- a/commands/commands.go
+++ b/commands/commands.go
@@ -50,6 +50,8 @@
 	Soak       SoakCommand       `cmd:"" help:"Run the real processes on loopback, inject faults, and check what callers and endpoints see."`
 	Eject      EjectCommand      `cmd:"" help:"Send an agent no more tasks until it is readmitted."`
 	Readmit    ReadmitCommand    `cmd:"" help:"Send tasks again to an agent that an operator ejected."`
+	Evacuate   EvacuateCommand   `cmd:"" help:"Start no more tasks in an availability zone until the evacuation is lifted."`
+	Lift       LiftCommand       `cmd:"" help:"Lift the evacuation of an availability zone."`
 	Token      TokenCommand      `cmd:"" help:"Create a token for a team or an operator, and print its digest for the settings."`
 	Version    VersionCommand    `cmd:"" help:"Show the version."`
 }
--- a/commands/eject.go
+++ b/commands/eject.go
@@ -23,10 +23,10 @@
 
 // Run publishes the ejection. Tasks that run at the agent finish normally.
 func (c *EjectCommand) Run(s *Streams) error {
-	if strings.ContainsAny(c.Reason, "\r\n") {
-		return usageError{errors.Errorf("--reason %q must be one line", c.Reason)}
+	if err := checkReason(c.Reason); err != nil {
+		return err
 	}
-	return c.updateEjections(s, c.Author, func(file *ini.File) error {
+	return c.updatePublished(s, ejectedFile, c.Author, func(file *ini.File) error {
 		section, err := file.NewSection("eject " + c.Agent)
 		if err != nil {
 			return usageError{errors.Wrapf(err, "agent %q", c.Agent)}
@@ -36,6 +36,14 @@
 	})
 }
 
+// checkReason checks a reason that becomes a value in a published file.
+func checkReason(reason string) error {
+	if strings.ContainsAny(reason, "\r\n") {
+		return usageError{errors.Errorf("--reason %q must be one line", reason)}
+	}
+	return nil
+}
+
 // ReadmitCommand ends the ejection of an agent.
 type ReadmitCommand struct {
 	Operator
@@ -45,7 +53,7 @@
 
 // Run publishes the end of the ejection.
 func (c *ReadmitCommand) Run(s *Streams) error {
-	return c.updateEjections(s, c.Author, func(file *ini.File) error {
+	return c.updatePublished(s, ejectedFile, c.Author, func(file *ini.File) error {
 		if !file.HasSection("eject " + c.Agent) {
 			return errors.Errorf("agent %q is not ejected by an operator", c.Agent)
 		}
@@ -54,24 +62,24 @@
 	})
 }
 
-// updateEjections edits the published file of ejections and publishes the result as a
-// replacement of the version that it read.
-func (o *Operator) updateEjections(s *Streams, author string, edit func(*ini.File) error) error {
+// updatePublished edits a published file and publishes the result as a replacement of the
+// version that it read.
+func (o *Operator) updatePublished(s *Streams, name, author string, edit func(*ini.File) error) error {
 	state, err := o.publishedState()
 	if err != nil {
 		return err
 	}
-	published := state.Files[ejectedFile]
+	published := state.Files[name]
 	file, err := ini.Load([]byte(published.Text))
 	if err != nil {
-		return errors.Wrapf(err, "published file %q", ejectedFile)
+		return errors.Wrapf(err, "published file %q", name)
 	}
 	if err := edit(file); err != nil {
 		return err
 	}
 	var text bytes.Buffer
 	if _, err := file.WriteTo(&text); err != nil {
-		return errors.Wrapf(err, "file %q", ejectedFile)
+		return errors.Wrapf(err, "file %q", name)
 	}
-	return o.publish(s, publication.Change{File: ejectedFile, Base: published.Version, Author: author, Text: text.String()})
+	return o.publish(s, publication.Change{File: name, Base: published.Version, Author: author, Text: text.String()})
 }
--- a/commands/status.go
+++ b/commands/status.go
@@ -44,6 +44,9 @@
 	LogNext  uint64   `json:"log_next,omitempty"`
 	Entries  []string `json:"entries,omitempty"`
 	Config   uint64   `json:"config"`
+	// Zones and Evacuations are those that an entry knows.
+	Zones       []string           `json:"zones,omitempty"`
+	Evacuations []entry.Evacuation `json:"evacuations,omitempty"`
 }
 
 // Run prints one row per process, and fails if one did not answer.
@@ -103,7 +106,15 @@
 	for _, p := range list {
 		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%s\n", p.Entry+p.Agent, p.Zone, colourize(p.state()), p.Jobs, p.Keys, p.Running, len(p.Entries)+len(p.Agents), p.Config, cmp.Or(strings.Join(p.Ejected, " "), "-"))
 	}
-	return table.Flush()
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	for _, p := range list {
+		for _, e := range p.Evacuations {
+			fmt.Fprintf(s.Out, "%s: zone %s evacuated since %s, %d tasks still run there: %s\n", p.Entry, e.Zone, e.Since.Format(time.RFC3339), e.Running, e.Reason)
+		}
+	}
+	return nil
 }
 
 // state returns the state as text and its colour.
--- a/node/agent/actor.go
+++ b/node/agent/actor.go
@@ -14,6 +14,8 @@
 type (
 	tick  struct{}
 	drain struct{}
+	// configChanged means that another configuration is in force.
+	configChanged struct{}
 	// sessionOpened, sessionClosed and batchReceived come from the sessions with entries.
 	sessionOpened struct{ session *session }
 	sessionClosed struct{ session *session }
@@ -51,6 +53,7 @@
 	e := &executorActor{agent: a, ctx: ctx, sessions: map[string]*session{}}
 	c := a.deps.Config
 	e.executor = executor.New(e, a, c.Agent().Slots, recordRetention(c))
+	e.executor.SetEvacuated(a.evacuated())
 	return e
 }
 
@@ -62,6 +65,8 @@
 	case drain:
 		e.executor.Drain()
 		e.sendLoad()
+	case configChanged:
+		e.executor.SetEvacuated(e.agent.evacuated())
 	case sessionOpened:
 		e.sessions[m.session.entry] = m.session
 		e.executor.AttachEntry(m.session.entry)
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -298,6 +298,12 @@
 	a.configVersion.Store(newer.GetVersion())
 	a.metrics.SetConfigVersion(newer.GetVersion())
 	klog.InfoS("CH0501 configuration in force", "agent", a.id, "version", newer.GetVersion())
+	a.deps.System.Root.Send(a.executor, configChanged{})
+}
+
+// evacuated reports whether the agent's availability zone is evacuated.
+func (a *Agent) evacuated() bool {
+	return a.config.Load().Evacuated(a.deps.Config.Process().Zone)
 }
 
 // KindWeight returns the weight of a kind in the configuration in force.
--- a/node/entry/admin.go
+++ b/node/entry/admin.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
 	"time"
 
@@ -35,16 +37,29 @@
 	Agents   []string `json:"agents"`
 	// Ejected lists the agents that get no tasks: unhealthy ones and those ejected by an
 	// operator.
-	Ejected []string       `json:"ejected,omitempty"`
-	Slots   map[string]int `json:"slots"`
-	Jobs    int            `json:"jobs"`
-	Keys    int            `json:"keys"`
-	Waiting map[string]int `json:"waiting"`
-	LogNext uint64         `json:"log_next"`
+	Ejected []string `json:"ejected,omitempty"`
+	// Zones lists the availability zones of the attached agents.
+	Zones []string `json:"zones,omitempty"`
+	// Evacuations lists the evacuated zones.
+	Evacuations []Evacuation   `json:"evacuations,omitempty"`
+	Slots       map[string]int `json:"slots"`
+	Jobs        int            `json:"jobs"`
+	Keys        int            `json:"keys"`
+	Waiting     map[string]int `json:"waiting"`
+	LogNext     uint64         `json:"log_next"`
 	// Config is the number of published configuration changes in force.
 	Config uint64 `json:"config"`
 }
 
+// Evacuation describes an evacuated availability zone.
+type Evacuation struct {
+	Zone   string    `json:"zone"`
+	Reason string    `json:"reason"`
+	Since  time.Time `json:"since"`
+	// Running is the number of tasks of this entry that run in the zone.
+	Running int `json:"running"`
+}
+
 func (e *Entry) adminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", e.guard.RequireRole(access.Read, e.metrics.Handler().ServeHTTP))
@@ -142,6 +157,14 @@
 	sort.Strings(s.Agents)
 	s.Ejected = o.Dispatch().Ejected()
 	sort.Strings(s.Ejected)
+	running := o.Dispatch().RunningByZone()
+	s.Zones = slices.Sorted(maps.Keys(running))
+	evacuations := e.config.Load().Evacuations()
+	for _, zone := range slices.Sorted(maps.Keys(evacuations)) {
+		s.Evacuations = append(s.Evacuations, Evacuation{
+			Zone: zone, Reason: evacuations[zone].Reason, Since: evacuations[zone].Since, Running: running[zone],
+		})
+	}
 	for _, sl := range o.Slots() {
 		s.Slots[sl.Phase().String()]++
 		s.Jobs += sl.Running()
--- a/process/dispatch/agents.go
+++ b/process/dispatch/agents.go
@@ -19,8 +19,8 @@
 	waiting int
 	// reserved counts the tasks that are reserved for the agent and not pulled yet.
 	reserved map[Flow]int
-	// An agent that an operator has ejected gets no tasks.
-	ejectedByOperator bool
+	// An agent that an operator has ejected, or whose zone is evacuated, gets no tasks.
+	excludedByOperator bool
 	// announced is the number of waiting tasks that the agent was last told of.
 	announced map[Flow]int
 	// reservedTotal is the sum of reserved over all flows.
@@ -58,7 +58,7 @@
 		running:   map[taskKey]taskRun{},
 	}
 	a.ejected = d.health.Ejected(name)
-	a.ejectedByOperator = d.host.EjectedByOperator(name)
+	a.excludedByOperator = d.host.ExcludedByOperator(name, zone)
 	d.agents[name] = a
 	d.agentList = append(d.agentList, a)
 	for _, f := range d.flowOrder {
@@ -114,14 +114,14 @@
 	}
 }
 
-// syncOperatorEjection follows an operator's decision to eject or readmit an agent.
-func (d *Dispatch) syncOperatorEjection(a *agent) {
-	ejectedByOperator := d.host.EjectedByOperator(a.name)
-	if ejectedByOperator == a.ejectedByOperator {
+// syncOperatorExclusion follows an operator's decision to exclude or readmit an agent.
+func (d *Dispatch) syncOperatorExclusion(a *agent) {
+	excludedByOperator := d.host.ExcludedByOperator(a.name, a.zone)
+	if excludedByOperator == a.excludedByOperator {
 		return
 	}
-	a.ejectedByOperator = ejectedByOperator
-	if ejectedByOperator {
+	a.excludedByOperator = excludedByOperator
+	if excludedByOperator {
 		d.releaseReservations(a)
 		return
 	}
@@ -131,10 +131,10 @@
 }
 
 // TickHealth ejects agents whose running tasks are overdue and applies operators'
-// decisions to eject or readmit agents.
+// decisions to exclude or readmit agents.
 func (d *Dispatch) TickHealth(now time.Time) {
 	for _, a := range d.agentList {
-		d.syncOperatorEjection(a)
+		d.syncOperatorExclusion(a)
 		overdue := 0
 		for _, r := range a.running {
 			if d.health.Overdue(r.kind, now.Sub(r.since)) {
@@ -163,13 +163,23 @@
 func (d *Dispatch) Ejected() []string {
 	var names []string
 	for _, a := range d.agentList {
-		if a.ejected || a.ejectedByOperator {
+		if a.ejected || a.excludedByOperator {
 			names = append(names, a.name)
 		}
 	}
 	return names
 }
 
+// RunningByZone returns the availability zones of the attached agents, each with the number
+// of tasks that run there.
+func (d *Dispatch) RunningByZone() map[string]int {
+	running := map[string]int{}
+	for _, a := range d.agentList {
+		running[a.zone] += len(a.running)
+	}
+	return running
+}
+
 // Agents returns the names of the attached agents.
 func (d *Dispatch) Agents() []string {
 	names := make([]string, 0, len(d.agentList))
@@ -192,7 +202,7 @@
 
 // usable reports whether the agent may get tasks.
 func (a *agent) usable() bool {
-	return !a.draining && !a.ejectedByOperator && (!a.ejected || a.probing)
+	return !a.draining && !a.excludedByOperator && (!a.ejected || a.probing)
 }
 
 // room returns the reported free task slots less the reservations: the number of
--- a/process/dispatch/dispatch.go
+++ b/process/dispatch/dispatch.go
@@ -48,8 +48,9 @@
 	Epoch(slot uint32) uint64
 	// TaskTimeout returns how long a task of the kind may run.
 	TaskTimeout(kind string) time.Duration
-	// EjectedByOperator reports whether an operator has ejected the agent.
-	EjectedByOperator(agent string) bool
+	// ExcludedByOperator reports whether an operator has ejected the agent or evacuated its
+	// zone.
+	ExcludedByOperator(agent, zone string) bool
 	// Started is called when tasks of a job have been handed out.
 	Started(j *job.Job, count int)
 }
--- a/process/dispatch/dispatch_test.go
+++ b/process/dispatch/dispatch_test.go
@@ -36,11 +36,11 @@
 	return true
 }
 
-func (h *host) RegisterAgent(uint32, *job.Job, string) {}
-func (h *host) Epoch(uint32) uint64                    { return 1 }
-func (h *host) TaskTimeout(string) time.Duration       { return time.Second }
-func (h *host) Started(*job.Job, int)                  {}
-func (h *host) EjectedByOperator(agent string) bool    { return agent == h.ejected }
+func (h *host) RegisterAgent(uint32, *job.Job, string)  {}
+func (h *host) Epoch(uint32) uint64                     { return 1 }
+func (h *host) TaskTimeout(string) time.Duration        { return time.Second }
+func (h *host) Started(*job.Job, int)                   {}
+func (h *host) ExcludedByOperator(agent, _ string) bool { return agent == h.ejected }
 
 func (h *host) takeSent() []string {
 	sent := h.sent
--- a/process/executor/executor.go
+++ b/process/executor/executor.go
@@ -57,8 +57,10 @@
 	// records holds what is known of each ownership slot.
 	records map[uint32]*slotRecord
 	// entries holds the entries with a session.
-	entries   map[string]bool
-	draining  bool
+	entries  map[string]bool
+	draining bool
+	// evacuated is set while the agent's availability zone is evacuated.
+	evacuated bool
 	retention time.Duration
 }
 
@@ -119,6 +121,13 @@
 // Drain stops pulling and starting tasks. Running tasks continue to their end.
 func (e *Executor) Drain() { e.draining = true }
 
+// SetEvacuated stops pulling and starting tasks, or resumes it. Running tasks continue to
+// their end.
+func (e *Executor) SetEvacuated(evacuated bool) {
+	e.evacuated = evacuated
+	e.fill()
+}
+
 // Draining reports whether Drain was called.
 func (e *Executor) Draining() bool { return e.draining }
 
@@ -163,7 +172,7 @@
 // fill pulls a task for every free task slot. Consecutive choices of the same entry,
 // kind and team are combined into one pull.
 func (e *Executor) fill() {
-	if e.draining {
+	if e.draining || e.evacuated {
 		return
 	}
 	var last queue.Choice
@@ -235,6 +244,9 @@
 	case e.draining:
 		e.reject(entry, pullID, rejected, "the agent is draining")
 		return
+	case e.evacuated:
+		e.reject(entry, pullID, rejected, "the availability zone is evacuated")
+		return
 	case e.running >= e.slots:
 		e.reject(entry, pullID, rejected, "no slot is free")
 		return
--- a/process/owner/hosts.go
+++ b/process/owner/hosts.go
@@ -96,8 +96,8 @@
 	return 0
 }
 
-func (h dispatchHost) EjectedByOperator(agent string) bool {
-	return h.env.Policy().Ejected(instance.Name(agent))
+func (h dispatchHost) ExcludedByOperator(agent, zone string) bool {
+	return h.env.Policy().Ejected(instance.Name(agent)) || h.env.Policy().Evacuated(zone)
 }
 
 func (h dispatchHost) TaskTimeout(kind string) time.Duration { return h.env.Policy().TaskTimeout(kind) }
--- a/process/owner/models_test.go
+++ b/process/owner/models_test.go
@@ -206,7 +206,8 @@
 
 func (p policy) TeamWeight(string) float64 { return 1 }
 
-func (p policy) Ejected(string) bool { return false }
+func (p policy) Ejected(string) bool   { return false }
+func (p policy) Evacuated(string) bool { return false }
 
 func (p policy) JobDeadline(string) time.Duration { return jobDeadline }
 
--- a/process/owner/owner.go
+++ b/process/owner/owner.go
@@ -55,6 +55,8 @@
 	TeamWeight(team string) float64
 	// Ejected reports whether an operator has ejected the agent with a process name.
 	Ejected(name string) bool
+	// Evacuated reports whether an operator has evacuated an availability zone.
+	Evacuated(zone string) bool
 	JobDeadline(kind string) time.Duration
 	TaskTimeout(kind string) time.Duration
 	Retention() time.Duration
--- a/version/config/config.go
+++ b/version/config/config.go
@@ -3,6 +3,7 @@
 package config
 
 import (
+	"maps"
 	"time"
 
 	"github.com/corianderhook/corianderhook/version/access"
@@ -38,6 +39,13 @@
 	Tokens []access.Digest
 }
 
+// Evacuation says why and since when no task starts in an availability zone.
+type Evacuation struct {
+	Reason string
+	// Since is zero if the file does not say it.
+	Since time.Time
+}
+
 // Process holds the settings that identify a process.
 type Process struct {
 	Name string
@@ -103,6 +111,9 @@
 	// Resubmission is the time after which a caller without an answer sends its
 	// job again.
 	Resubmission time.Duration
+	// EvacuationTime is the time within which the evacuation of an availability zone has to
+	// be in force.
+	EvacuationTime time.Duration
 }
 
 // TLS holds the names of PEM files; all are empty if connections do not use TLS.
@@ -134,6 +145,8 @@
 	// ejected maps the process names of agents that an operator has ejected to the
 	// reason.
 	ejected map[string]string
+	// evacuations maps the names of evacuated availability zones to their settings.
+	evacuations map[string]Evacuation
 	// requireToken rejects callers of teams that have no token configured.
 	requireToken bool
 	access       *access.Access
@@ -195,6 +208,15 @@
 	return ejected
 }
 
+// Evacuated reports whether an operator has evacuated an availability zone.
+func (c *Config) Evacuated(zone string) bool {
+	_, evacuated := c.evacuations[zone]
+	return evacuated
+}
+
+// Evacuations returns the evacuated availability zones.
+func (c *Config) Evacuations() map[string]Evacuation { return maps.Clone(c.evacuations) }
+
 // TLS returns the files with the process's certificate, its key and the authority.
 func (c *Config) TLS() TLS { return c.tls }
 
--- a/version/config/read.go
+++ b/version/config/read.go
@@ -81,7 +81,7 @@
 // returns all errors at once.
 func Merge(files []File) (*Config, error) {
 	b := &builder{
-		c:        &Config{kinds: map[string]Kind{}, teams: map[string]Team{}, operators: map[string]Operator{}, ejected: map[string]string{}},
+		c:        &Config{kinds: map[string]Kind{}, teams: map[string]Team{}, operators: map[string]Operator{}, ejected: map[string]string{}, evacuations: map[string]Evacuation{}},
 		merged:   map[string]map[string]Value{},
 		sections: map[string]Section{},
 	}
--- a/version/publication/publication.go
+++ b/version/publication/publication.go
@@ -226,7 +226,7 @@
 	}
 	for _, v := range merged.Values() {
 		sectionType, _, _ := strings.Cut(v.Section, " ")
-		if v.File != "" && !slices.Contains([]string{"limits", "kind", "team", "operator", "access", "eject"}, sectionType) {
+		if v.File != "" && !slices.Contains([]string{"limits", "kind", "team", "operator", "access", "eject", "evacuate"}, sectionType) {
 			return fmt.Errorf("%s: [%s] %s concerns one process and cannot be published", v.File, v.Section, v.Key)
 		}
 	}
