--- a/request/history/cause.go
+++ b/request/history/cause.go
@@ -73,10 +73,10 @@
 }
 
 // problemEvents returns the events that can make a request late or fail: a task was
-// not held by its agent, failed, lost, withdrawn, overdue or returned, or there was a
-// health verdict on its agent.
+// not held by its agent, failed, lost, withdrawn, overdue or returned, its agent's zone was
+// evacuated, or there was a health verdict on its agent.
 func problemEvents() []string {
-	return []string{"CH1031", "CH1032", "CH1033", "CH1034", "CH1035", "CH1036", "CH1041"}
+	return []string{"CH1031", "CH1032", "CH1033", "CH1034", "CH1035", "CH1036", "CH1038", "CH1041"}
 }
 
 // describeProblems lists what went wrong with the tasks before the request ended.
