--- a/commands/process.go
+++ b/commands/process.go
@@ -37,9 +37,9 @@
 	// heapLimitPercent is the soft memory limit of the Go runtime as a share of the VM's
 	// memory; the rest is for stacks, kernel buffers and the program itself.
 	heapLimitPercent = 70
-	// gcPercent is the heap growth between garbage collections (GOGC). The heap is small,
-	// so that less frequent collections cost little memory.
-	gcPercent = 400
+	// gcPercent is the heap growth between garbage collections (GOGC). The heap is small, so
+	// that more growth than this costs more memory than it saves processor time.
+	gcPercent = 200
 )
 
 // readSettingsFile reads one settings file and checks that the role has all settings it
