--- a/process/scheduler/evacuation.go
+++ b/process/scheduler/evacuation.go
@@ -22,7 +22,8 @@
 func (s *Scheduler) SetEvacuated(state evacuation.State) {
 	s.fleet.SetEvacuated(state)
 	s.forEachPlaced(func(p *placedTask) {
-		if p.startedAt.IsZero() && s.fleet.InEvacuatedZone(p.agent) {
+		if p.startedAt.IsZero() && !p.revoking && s.fleet.InEvacuatedZone(p.agent) {
+			p.revoking = true
 			s.host.LogDecision("CH1038 task withdrawn from an evacuated zone", p.job.work.ID(), "agent", p.agent, "task", p.number)
 			s.host.Withdraw(p.agent, p.ref)
 		}
