--- a/commands/eject.go
+++ b/commands/eject.go
@@ -53,11 +53,17 @@
 
 // Run publishes the end of the ejection.
 func (c *ReadmitCommand) Run(s *Streams) error {
-	return c.updatePublished(s, ejectedFile, c.Author, func(file *ini.File) error {
-		if !file.HasSection("eject " + c.Agent) {
-			return errors.Errorf("agent %q is not ejected by an operator", c.Agent)
+	return c.deletePublishedSection(s, ejectedFile, c.Author, "eject "+c.Agent, errors.Errorf("agent %q is not ejected by an operator", c.Agent))
+}
+
+// deletePublishedSection publishes a file without one of its sections. It returns the error
+// missing if the file in force does not have the section.
+func (o *Operator) deletePublishedSection(s *Streams, name, author, section string, missing error) error {
+	return o.updatePublished(s, name, author, func(file *ini.File) error {
+		if !file.HasSection(section) {
+			return missing
 		}
-		file.DeleteSection("eject " + c.Agent)
+		file.DeleteSection(section)
 		return nil
 	})
 }
--- a/commands/evacuate.go
+++ b/commands/evacuate.go
@@ -73,11 +73,5 @@
 
 // Run publishes the end of the evacuation.
 func (c *LiftCommand) Run(s *Streams) error {
-	return c.updatePublished(s, evacuatedFile, c.Author, func(file *ini.File) error {
-		if !file.HasSection("evacuate " + c.Zone) {
-			return errors.Errorf("zone %q is not evacuated", c.Zone)
-		}
-		file.DeleteSection("evacuate " + c.Zone)
-		return nil
-	})
+	return c.deletePublishedSection(s, evacuatedFile, c.Author, "evacuate "+c.Zone, errors.Errorf("zone %q is not evacuated", c.Zone))
 }
