Take the view and its age in one step for a message

Cause: Message read the view and its age under two locks; a newer view that came in between lent its confirmation to the older one. Tests of zonegate, sidecar and dispatcher pass; nothing else was run on it, and no test forces the interleaving.

--- a/process/zonegate/message.go
+++ b/process/zonegate/message.go
@@ -8,8 +8,10 @@
 
 // Message returns the view as a message that is sent now.
 func (g *Gate) Message(now time.Time) *wire.Evacuation {
-	state := g.State()
-	age, confirmed := g.Age(now)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	state := g.state
+	age, confirmed := g.age(now)
 	return &wire.Evacuation{Version: state.Version(), Zones: state.Zones(), AgeMs: uint32(min(age.Milliseconds(), int64(maxAge/time.Millisecond))), Confirmed: confirmed}
 }
 
--- a/process/zonegate/zonegate.go
+++ b/process/zonegate/zonegate.go
@@ -59,5 +59,10 @@
 func (g *Gate) Age(now time.Time) (time.Duration, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	return g.age(now)
+}
+
+// age is Age for callers that hold the lock.
+func (g *Gate) age(now time.Time) (time.Duration, bool) {
 	return max(0, now.Sub(g.confirmedAt)), !g.confirmedAt.IsZero()
 }
