Log, count and report the crash of an endpoint with what ran there

What callers saw cannot be explained from the logs: nothing says that an endpoint has crashed, nor which tasks ran there, so that repeated runs of one task, the reach of a queue and the aftermath of a crash look alike.

The sidecar now notices a crash by refused connections or by another incarnation, and names each run that may have been there with queue and age (CH1118, corianderhook_endpoint_crashes_total, a message to dispatchers, which they do not use yet). Runs that are being stopped, in doubt, or ended with the lease are among them; planned ends are no crashes. No decision changes.

--- a/node/sidecar/actor.go
+++ b/node/sidecar/actor.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/corianderhook/corianderhook/common/recovery"
+	"github.com/corianderhook/corianderhook/process/crash"
 	"github.com/corianderhook/corianderhook/process/registration"
 	"github.com/corianderhook/corianderhook/process/runner"
 	"github.com/corianderhook/corianderhook/wire"
@@ -67,7 +68,10 @@
 	// listReceived, endpointUnavailable and leaseLapsed come from polling the endpoint.
 	listReceived        struct{ report runner.Report }
 	endpointUnavailable struct{ reason string }
-	leaseLapsed         struct{}
+	// endpointGone means that the incarnation that started at born has ended; its connections
+	// broke at the given time.
+	endpointGone struct{ born, at time.Time }
+	leaseLapsed  struct{}
 )
 
 // sentEvent is an event kept for replayWindow.
@@ -91,6 +95,10 @@
 	storedAnnouncement *registration.Announcement
 	// endpointBorn is the start time of the incarnation that was taken over.
 	endpointBorn time.Time
+	// departingBorn is the start time of the last incarnation that has said that it leaves.
+	departingBorn time.Time
+	// crashes holds the recent crashes of the endpoint.
+	crashes *crash.Log
 	// unavailableReason is the reason why the endpoint cannot be used, or empty.
 	unavailableReason string
 	draining          bool
@@ -105,7 +113,7 @@
 	a := &runnerActor{
 		sidecar: s, registration: registration.New(), sessions: map[uint64]*session{},
 		pendingEvents: map[uint64][]*wire.TaskEvent{}, urgentDispatchers: map[uint64]bool{}, recentEvents: map[uint64][]sentEvent{},
-		unavailableReason: "the endpoint has not answered yet", endpointState: &wire.EndpointState{},
+		crashes: crash.NewLog(), unavailableReason: "the endpoint has not answered yet", endpointState: &wire.EndpointState{},
 	}
 	a.runner = runner.New(a)
 	return a
@@ -133,6 +141,7 @@
 		a.storedAnnouncement = &m.announcement
 		a.restoreAnnouncement()
 	case endpointLeft:
+		a.noteDeparture()
 		if a.registration.Leave(m.instance) {
 			klog.InfoS("CH1112 endpoint left", "agent", a.sidecar.deps.Name, "instance", m.instance)
 			a.updateEndpointState()
@@ -154,6 +163,9 @@
 	case stopResult:
 		a.runner.Stopped(m.name, m.acknowledged)
 	case endpointTakenOver:
+		if !a.endpointBorn.IsZero() && !a.endpointBorn.Equal(m.born) {
+			a.recordCrash(a.endpointBorn, a.Now())
+		}
 		a.runner.EndpointRestarted(m.reason)
 		a.endpointBorn = m.born
 		a.unavailableReason = ""
@@ -164,6 +176,8 @@
 	case endpointUnavailable:
 		a.unavailableReason = m.reason
 		a.updateEndpointState()
+	case endpointGone:
+		a.recordCrash(m.born, m.at)
 	case leaseLapsed:
 		a.runner.Lapse("its lease ran out")
 	}
@@ -199,7 +213,7 @@
 			Name: a.sidecar.deps.Name, Zone: a.sidecar.deps.Zone, Incarnation: a.sidecar.incarnation,
 			Dispatcher: s.dispatcher, Held: a.runner.HeldBy(s.dispatcher),
 		},
-		Endpoint: a.stateFor(s),
+		Endpoint: a.stateFor(s), Crashes: a.recentCrashes(),
 	}
 	for _, e := range a.recentEvents[s.dispatcher] {
 		f.Events = append(f.Events, e.event)
--- a/node/sidecar/lease_keeper.go
+++ b/node/sidecar/lease_keeper.go
@@ -160,7 +160,7 @@
 // pollEndpoint renews the lease and reports the ended runs to the runner, until the endpoint
 // has to be taken over again.
 func (k *leaseKeeper) pollEndpoint(ctx context.Context) {
-	var lostSince time.Time
+	var lostSince, brokenSince time.Time
 	missed, lapseCounted, connectionRefused := 0, false, false
 	for ctx.Err() == nil {
 		select {
@@ -184,6 +184,9 @@
 		case err != nil:
 			missed++
 			connectionRefused = errors.Is(err, syscall.ECONNREFUSED)
+			if brokenSince.IsZero() && !errors.Is(err, context.DeadlineExceeded) {
+				brokenSince = now
+			}
 			if missed < maxMissedPolls {
 				continue
 			}
@@ -192,6 +195,10 @@
 				klog.InfoS("CH1134 endpoint does not answer", "agent", k.sidecar.deps.Name, "error", err)
 				k.notifyRunner(endpointUnavailable{reason: "the endpoint does not answer"})
 			}
+			if connectionRefused {
+				// Nothing listens on this machine, so that the process has gone.
+				k.notifyRunner(endpointGone{born: k.born, at: brokenSince})
+			}
 			if now.After(k.sidecar.deps.Endpoint.LeaseExpiry().Add(runner.LeaseLapseTime() - runner.LeaseDuration)) {
 				// Sent with each poll, as a late result of an order may add a run after the
 				// first time; its lease has lapsed too.
@@ -209,7 +216,7 @@
 			k.sidecar.deps.Endpoint.ResetClock()
 			return
 		}
-		missed, lapseCounted = 0, false
+		missed, lapseCounted, brokenSince = 0, false, time.Time{}
 		if !lostSince.IsZero() {
 			klog.InfoS("CH1136 endpoint answers again", "agent", k.sidecar.deps.Name, "after", now.Sub(lostSince))
 			lostSince = time.Time{}
--- a/node/sidecar/sessions.go
+++ b/node/sidecar/sessions.go
@@ -270,6 +270,7 @@
 		merged.Room = f.GetRoom()
 		merged.Seen = f.GetSeen()
 		merged.Events = append(merged.Events, f.GetEvents()...)
+		merged.Crashes = append(merged.Crashes, f.GetCrashes()...)
 	}
 	s.sentStamp.Store(merged.GetStampUs())
 	return stream.Send(merged)
--- a/node/sidecar/state.go
+++ b/node/sidecar/state.go
@@ -34,6 +34,9 @@
 		Instance: current.Instance, Service: current.Service, Labels: current.Labels, Accepting: reason == "", Reason: reason,
 		Capacity: current.Capacity.Wire(), StaysMs: uint32(current.MinRemaining.Milliseconds()),
 	}
+	if !a.endpointBorn.IsZero() {
+		state.BornMs = a.endpointBorn.UnixMilli()
+	}
 	if state.GetReason() != a.endpointState.GetReason() || state.GetInstance() != a.endpointState.GetInstance() {
 		klog.InfoS("CH1111 endpoint state", "agent", a.sidecar.deps.Name, "instance", state.GetInstance(), "accepting", state.GetAccepting(), "reason", reason,
 			"capacity", current.Capacity, "labels", current.Labels)
@@ -94,7 +97,11 @@
 
 // handleAnnouncement applies an announcement of the endpoint.
 func (a *runnerActor) handleAnnouncement(n registration.Announcement) {
-	switch a.registration.Announce(n) {
+	verdict := a.registration.Announce(n)
+	if verdict != registration.Stale && n.Draining {
+		a.noteDeparture()
+	}
+	switch verdict {
 	case registration.Stale:
 		klog.InfoS("CH1113 announcement is out of date", "agent", a.sidecar.deps.Name, "instance", n.Instance, "born", n.Born, "sequence", n.Sequence)
 	case registration.Same:
--- a/process/metrics/metrics.go
+++ b/process/metrics/metrics.go
@@ -29,6 +29,7 @@
 	calls            *prometheus.CounterVec
 	callSeconds      *prometheus.HistogramVec
 	leasesLapsed     prometheus.Counter
+	endpointCrashes  prometheus.Counter
 	unexpectedErrors *prometheus.CounterVec
 	mu               sync.Mutex
 	wastedTotals     map[string]uint64
@@ -150,13 +151,19 @@
 	m.leasesLapsed = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "corianderhook_leases_lapsed_total", Help: "Times that the endpoint's lease must have run out.",
 	})
-	m.registry.MustRegister(m.leasesLapsed, m.taskEvents, m.taskWait, m.taskRun, m.calls, m.callSeconds)
+	m.endpointCrashes = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "corianderhook_endpoint_crashes_total", Help: "Crashes of the endpoint while tasks may have run there.",
+	})
+	m.registry.MustRegister(m.leasesLapsed, m.endpointCrashes, m.taskEvents, m.taskWait, m.taskRun, m.calls, m.callSeconds)
 }
 
 // CountLapsedLease counts a lease at the endpoint that has certainly expired, since it
 // could not be renewed in time.
 func (m *Metrics) CountLapsedLease() { m.leasesLapsed.Inc() }
 
+// CountEndpointCrash counts a crash of the endpoint beside this process.
+func (m *Metrics) CountEndpointCrash() { m.endpointCrashes.Inc() }
+
 // CountTaskEvent counts a task event.
 func (m *Metrics) CountTaskEvent(event string) { m.taskEvents.WithLabelValues(event).Inc() }
 
--- a/process/runner/report.go
+++ b/process/runner/report.go
@@ -53,6 +53,8 @@
 // HandleReport ends the tasks that the report shows to have ended. It returns the
 // running runs that the runner does not know.
 func (r *Runner) HandleReport(report Report) (unknown []RunName) {
+	// The incarnation that answers has not crashed.
+	r.lapsed = nil
 	for _, e := range report.Ended {
 		r.handleEnd(e)
 	}
@@ -113,6 +115,7 @@
 func (r *Runner) Lapse(reason string) {
 	for _, t := range r.sortedTasks() {
 		if t.startAcknowledged || t.phase == stopped {
+			r.lapsed = append(r.lapsed, crashedRun(t, r.host.Now()))
 			r.end(t, wire.TaskEventKind_TASK_EVENT_KIND_LOST, reason)
 		}
 	}
--- a/process/runner/runner.go
+++ b/process/runner/runner.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/corianderhook/corianderhook/process/backlog"
+	"github.com/corianderhook/corianderhook/process/crash"
 	"github.com/corianderhook/corianderhook/process/endpointhealth"
 	"github.com/corianderhook/corianderhook/process/ledger"
 	"github.com/corianderhook/corianderhook/request/size"
@@ -58,6 +59,7 @@
 	dispatcher uint64
 	ref        uint64
 	order      Order
+	queue      string
 	size       size.Size
 	expected   time.Duration
 	offeredAt  time.Time
@@ -89,6 +91,11 @@
 	refusalReason string
 	// closed is set while no start order may be sent again either.
 	closed bool
+	// lapsed holds the runs that ended with the lease since the endpoint last answered: if it
+	// has crashed, they were there.
+	lapsed []crash.Run
+	// crashedBorn is the start of the incarnation that crashed last.
+	crashedBorn time.Time
 }
 
 // New returns a runner that accepts no tasks until Accept is called.
@@ -218,7 +225,7 @@
 			continue
 		}
 		t := &task{
-			name: n, dispatcher: dispatcher, ref: offered.GetRef(), offeredAt: now,
+			name: n, dispatcher: dispatcher, ref: offered.GetRef(), queue: o.GetQueue(), offeredAt: now,
 			size:     size.FromWire(offered.GetSize()),
 			expected: time.Duration(offered.GetExpectedMs()) * time.Millisecond,
 			order: Order{
--- a/process/scheduler/offers.go
+++ b/process/scheduler/offers.go
@@ -75,6 +75,7 @@
 func (s *Scheduler) sendOffer(j *job, agent string, choices []placement.Choice, now time.Time) {
 	offer := &wire.Offer{
 		Job: j.work.ID(), Payload: j.work.Payload(), Urgency: uint32(max(0, j.queue.Urgency)),
+		Queue: j.queue.Name,
 	}
 	offer.AtOnce = !slices.ContainsFunc(choices, func(c placement.Choice) bool {
 		return c.Wait > 0 || j.atOnceReturns[c.Number] >= maxAtOnceReturns
