--- a/process/replay/sidecar_test.go
+++ b/process/replay/sidecar_test.go
@@ -42,6 +42,9 @@
 	unansweredShare float64
 	startDelay      time.Duration
 	ended           map[string]bool
+	// born is the start of the endpoint's incarnation, down is set while it has crashed.
+	born time.Time
+	down bool
 	// unreadEnds holds the runs that ended while the sidecar was suspended.
 	unreadEnds []runner.End
 }
@@ -50,7 +53,7 @@
 	s := &sidecar{
 		world: w, name: name, runFactor: runFactor, capacity: size.Size{CPU: 32000, Memory: 131072},
 		pending: map[uint64][]*wire.TaskEvent{}, seen: map[uint64]uint64{}, sentAt: map[uint64]time.Time{},
-		reportedFreeCPU: map[uint64]int{}, runs: map[string]bool{}, ended: map[string]bool{},
+		reportedFreeCPU: map[uint64]int{}, runs: map[string]bool{}, ended: map[string]bool{}, born: w.now,
 	}
 	s.runner = runner.New(s)
 	s.runner.Accept(s.capacity)
@@ -147,6 +150,10 @@
 		return
 	}
 	w.after(orderLatency, func() {
+		if s.down {
+			s.runner.Started(name, runner.Doubtful, "connection refused")
+			return
+		}
 		taken := s.beginRun(o)
 		w.after(orderLatency, func() {
 			result := runner.Running
@@ -182,7 +189,14 @@
 	if s.world.running[taskName(n)] > 1 {
 		s.world.t.Errorf("%s: task %s runs twice at a time", s.world.now, taskName(n))
 	}
+	s.world.countStart(n)
 	switch {
+	case j.deadly && n.Index == 0:
+		s.world.after(j.kind.deadlyDelay, func() {
+			if s.runs[runKey(n)] {
+				s.crashEndpoint()
+			}
+		})
 	case s.fails:
 		s.world.after(failureDelay, func() { s.endRun(n, runner.EndFailed) })
 	case !s.hangs:
@@ -292,7 +306,7 @@
 
 func (s *sidecar) endpointState() *wire.EndpointState {
 	return &wire.EndpointState{
-		Service: "service", Accepting: true, Capacity: &wire.Size{Cpu: uint32(s.capacity.CPU), Memory: uint32(s.capacity.Memory)},
+		Service: "service", Accepting: !s.down, BornMs: s.born.UnixMilli(), Capacity: &wire.Size{Cpu: uint32(s.capacity.CPU), Memory: uint32(s.capacity.Memory)},
 	}
 }
 
@@ -300,6 +314,10 @@
 func (s *sidecar) Stop(name string, o runner.Order) {
 	n := runName(o)
 	s.world.after(orderLatency, func() {
+		if s.down {
+			s.world.after(20*time.Millisecond, func() { s.runner.Stopped(name, false) })
+			return
+		}
 		s.ended[runKey(n)] = true
 		s.world.after(runner.StopDuration/2, func() {
 			if s.runs[runKey(n)] {
--- a/process/replay/world_test.go
+++ b/process/replay/world_test.go
@@ -6,6 +6,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -63,6 +64,11 @@
 	sidecars []*sidecar
 	// running counts the runs of each task over all endpoints.
 	running map[string]int
+	// crashes counts by task the endpoints that have crashed under it, startsAfter its starts
+	// after the third crash.
+	crashes, startsAfter map[string]int
+	// neverFails is set if only deadly jobs may be given up.
+	neverFails bool
 	// jobs are by ID, tallies by the name of the kind.
 	jobs    map[string]job
 	tallies map[string]*tally
@@ -90,6 +96,10 @@
 	runVariation float64
 	// scaledBudget is set if callers wait longer for longer jobs.
 	scaledBudget bool
+	// deadlyShare is the share of jobs whose first task crashes each endpoint that starts it,
+	// deadlyDelay the time from its start to the crash.
+	deadlyShare float64
+	deadlyDelay time.Duration
 }
 
 // job is one job of a caller.
@@ -102,6 +112,8 @@
 	// estimate is the run time that the caller expects.
 	estimate time.Duration
 	budget   time.Duration
+	// deadly is set if the job's first task crashes endpoints.
+	deadly bool
 }
 
 // tally counts the outcomes of the jobs of a kind.
@@ -158,7 +170,7 @@
 func newWorld(t *testing.T, seed uint64, entries int, runFactors []float64) *world {
 	w := &world{
 		t: t, now: time.Unix(1_700_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)),
-		running: map[string]int{}, jobs: map[string]job{},
+		running: map[string]int{}, jobs: map[string]job{}, crashes: map[string]int{}, startsAfter: map[string]int{},
 	}
 	for i := range entries {
 		w.entries = append(w.entries, newEntry(w, uint64(i+1)))
@@ -236,6 +248,11 @@
 		kind: k, id: fmt.Sprintf("%016x", w.random.Uint64()), tasks: int(max(1, w.randomAround(float64(k.width), 0.4))), run: run,
 		cpu: int(w.randomAround(float64(k.cpu), 0.2)), estimate: time.Duration(w.randomAround(float64(run), 0.4)), budget: defaultBudget,
 	}
+	// The share is taken from the ID, so that the load is the same without deadly jobs.
+	const idRange = 1 << 16
+	if n, err := strconv.ParseUint(j.id[:4], 16, 64); err == nil {
+		j.deadly = float64(n) < k.deadlyShare*idRange
+	}
 	if k.scaledBudget {
 		j.budget = minScaledBudget + scaledBudgetFactor*j.objective()
 	}
@@ -274,8 +291,10 @@
 	}
 	w.jobs[j.id] = j
 	w.arrivals = append(w.arrivals, arrival{job: j, at: w.now.Sub(w.countedSince)})
-	w.tally(j.kind.name).submitted++
-	w.tally(j.kind.name).submittedWorth += j.worth()
+	if !j.deadly {
+		w.tally(j.kind.name).submitted++
+		w.tally(j.kind.name).submittedWorth += j.worth()
+	}
 	w.send(work, j, w.now)
 }
 
@@ -291,12 +310,19 @@
 		return
 	}
 	t := w.tally(j.kind.name)
+	if j.deadly {
+		// It earns nothing and is not missed.
+		t = &tally{}
+	}
 	e.onConnectionLost[j.id] = func() { w.after(resubmitDelay, func() { w.send(work, j, began) }) }
 	e.scheduler.Submit(scheduler.Request{
 		Work: work, Budget: j.budget,
 		Queue: catalog.Queue{Name: j.kind.name, Service: "service", Urgency: j.kind.urgency, MaxAttempts: 3, Stretch: stretch, TargetLatency: targetLatency},
 		Reply: func(a answer.Answer) {
 			delete(e.onConnectionLost, j.id)
+			if a.Outcome() == outcome.Failed && !j.deadly && w.neverFails {
+				w.t.Errorf("%s: sound job %s of %s was given up: %s", w.now, j.id, j.kind.name, a.Detail())
+			}
 			switch took := w.now.Sub(began); {
 			case a.Outcome() == outcome.Complete && took <= j.objective():
 				t.onTime++
