Keep to a capacity that shrinks, also across a sidecar's restart

What callers would see: LIMIT broken by a sidecar that has started anew, or tasks that wait where they can never start.

Announcements were stored by a goroutine each: an older one could be written last, and one that the store refused was not tried again, so that the next sidecar took the old, larger capacity until the endpoint's next announcement. Also, a waiting task larger than the new capacity stayed until its deadline.

Change: one writer stores the newest announcement until it succeeds; tasks that can never start go back at once.

--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -28,6 +28,8 @@
 	// idleTickInterval is the time between ticks while no task is held: a sixth of a
 	// heartbeat.
 	idleTickInterval = 25 * time.Millisecond
+	// storeRetryInterval is the time between two attempts to store an announcement.
+	storeRetryInterval = time.Second
 )
 
 // Endpoint calls the endpoint beside the sidecar. Each call has a timeout of its own.
@@ -107,6 +109,8 @@
 	gate     *zonegate.Gate
 	sessions *sessionPool
 	keeper   *leaseKeeper
+	// announcements holds the newest announcement that is to be stored.
+	announcements chan registration.Announcement
 	// taskCount is the number of tasks that wait or may run.
 	taskCount atomic.Int64
 	// runsInDoubt is the number of runs of which an order has not been answered,
@@ -118,11 +122,12 @@
 // New returns a sidecar that has not started; Run starts it.
 func New(deps Dependencies) *Sidecar {
 	s := &Sidecar{
-		deps:        deps,
-		incarnation: instance.Hash(deps.Name, deps.Clock.Now()),
-		startedAt:   deps.Clock.Now(),
-		metrics:     deps.Metrics,
-		gate:        zonegate.New(),
+		deps:          deps,
+		incarnation:   instance.Hash(deps.Name, deps.Clock.Now()),
+		startedAt:     deps.Clock.Now(),
+		metrics:       deps.Metrics,
+		gate:          zonegate.New(),
+		announcements: make(chan registration.Announcement, 1),
 	}
 	zonegate.RegisterMetrics(s.metrics, s.gate, deps.Clock)
 	s.metrics.RegisterGauge("corianderhook_tasks_held", "Tasks that wait or may run at the endpoint.", func() float64 { return float64(s.taskCount.Load()) })
@@ -161,6 +166,7 @@
 	defer group.Wait()
 	group.Go(func() { s.keeper.run(ctx) })
 	group.Go(func() { s.restoreAnnouncement(ctx) })
+	group.Go(func() { s.storeAnnouncements(ctx) })
 	group.Go(func() { s.watchEvacuations(ctx) })
 	group.Go(func() {
 		s.awaitEndpointEmpty(ctx)
@@ -190,11 +196,38 @@
 	}
 }
 
-// storeAnnouncement stores an announcement. After a failure the next sidecar has to wait for
-// the endpoint to announce itself.
+// storeAnnouncement has an announcement stored in place of the previous one.
 func (s *Sidecar) storeAnnouncement(a registration.Announcement) {
-	if err := s.deps.AnnouncementStore.Remember(context.Background(), a); err != nil {
-		klog.InfoS("CH1105 announcement cannot be stored", "agent", s.deps.Name, "instance", a.Instance, "error", err)
+	// Only the newest one counts.
+	select {
+	case <-s.announcements:
+	default:
+	}
+	s.announcements <- a
+}
+
+// storeAnnouncements stores the newest announcement until the context ends, and tries again
+// until it succeeds: a later sidecar must not start tasks by a capacity that has shrunk since.
+func (s *Sidecar) storeAnnouncements(ctx context.Context) {
+	for {
+		var a registration.Announcement
+		select {
+		case <-ctx.Done():
+			return
+		case a = <-s.announcements:
+		}
+		for {
+			err := s.deps.AnnouncementStore.Remember(ctx, a)
+			if err == nil || ctx.Err() != nil {
+				break
+			}
+			klog.InfoS("CH1105 announcement cannot be stored", "agent", s.deps.Name, "instance", a.Instance, "error", err)
+			pause.For(ctx, s.deps.Clock, storeRetryInterval)
+			select {
+			case a = <-s.announcements:
+			default:
+			}
+		}
 	}
 }
 
--- a/node/sidecar/state.go
+++ b/node/sidecar/state.go
@@ -118,7 +118,7 @@
 // storeAnnouncement stores the current announcement for the next sidecar.
 func (a *runnerActor) storeAnnouncement() {
 	current, _ := a.registration.Current()
-	go a.sidecar.storeAnnouncement(current)
+	a.sidecar.storeAnnouncement(current)
 }
 
 // restoreAnnouncement applies the announcement stored by an earlier sidecar if the endpoint
--- a/process/runner/runner.go
+++ b/process/runner/runner.go
@@ -42,6 +42,9 @@
 	maxStartTries = 4
 )
 
+// tooLargeReason is the reason of returning a task that the endpoint can never take.
+const tooLargeReason = "it is larger than the endpoint's capacity"
+
 type phase uint8
 
 const (
@@ -126,6 +129,11 @@
 	r.ledger.Resize(capacity)
 	r.accepting, r.closed = true, false
 	r.refusalReason = ""
+	for _, t := range r.sortedTasks() {
+		if t.phase == waiting && !t.size.Fits(capacity) {
+			r.returnTask(t, tooLargeReason)
+		}
+	}
 	r.startWaiting()
 }
 
