--- a/commands/soak.go
+++ b/commands/soak.go
@@ -24,6 +24,7 @@
 	Rate        float64       `default:"40" help:"Jobs per second."`
 	Planned     bool          `help:"Only planned stops and changes, during which no request may be cut off. Every third seed does this anyway."`
 	Program     string        `placeholder:"FILE" help:"Program to run instead of this one."`
+	Previous    string        `placeholder:"FILE" help:"Earlier build of the program that all processes run at first; they are upgraded one after the other."`
 	Dir         string        `placeholder:"DIR" help:"Where the logs of runs that violated a guarantee are kept; default is the system's temporary folder."`
 	Strikes     bool          `help:"Print the faults and planned changes of every run."`
 }
@@ -52,6 +53,14 @@
 	if err != nil {
 		return err
 	}
+	if c.Previous != "" {
+		if c.Previous, err = filepath.Abs(c.Previous); err != nil {
+			return errors.Wrap(err, "previous program")
+		}
+		if _, err := os.Stat(c.Previous); err != nil {
+			return usageError{errors.Wrap(err, "--previous")}
+		}
+	}
 	interrupted, _, stop := shutdownContexts()
 	defer stop()
 	var mu sync.Mutex
@@ -113,7 +122,7 @@
 		return soak.Report{}, "", errors.Wrap(err, "logs")
 	}
 	report, err := soak.Run(ctx, soak.Settings{
-		Binary: binary, Dir: dir, Seed: seed, Network: network, Dispatchers: c.Dispatchers, Sidecars: c.Sidecars,
+		Binary: binary, PreviousBinary: c.Previous, Dir: dir, Seed: seed, Network: network, Dispatchers: c.Dispatchers, Sidecars: c.Sidecars,
 		DisruptionTime: c.Length, JobsPerSecond: c.Rate, PlannedOnly: c.Planned || seed%plannedSeedInterval == 0, Clock: realClock(),
 	})
 	if err == nil && len(report.Violations) == 0 {
--- a/lab/program/program.go
+++ b/lab/program/program.go
@@ -50,6 +50,13 @@
 // Name returns the name given to New, which is also the prefix of the log files.
 func (p *Program) Name() string { return p.name }
 
+// SetPath sets the executable of the processes that are started from now on.
+func (p *Program) SetPath(path string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.path = path
+}
+
 // Start starts a process, with extra arguments for this one, unless one is running.
 func (p *Program) Start(extraArgs ...string) error {
 	p.mu.Lock()
--- a/lab/soak/cluster.go
+++ b/lab/soak/cluster.go
@@ -179,7 +179,7 @@
 	file, err := c.writeSettings(name, zoneOf(i), d.storeProxy.Address(), fmt.Sprintf(
 		"[dispatcher]\ncallers = %s\nready = %s\nlisten = %s\nadvertise = %s\npeers = %s\n[runtime]\nmetrics = %s\ngrace = %s\n",
 		d.callerAddress, d.readyAddress, listen, d.controlProxy.Address(), c.seedAddresses(), c.address(1, i, portMetrics), stopTimeout))
-	d.program = program.New(name, c.settings.Binary, c.settings.Dir, "dispatcher", "--settings", file)
+	d.program = program.New(name, c.firstBinary(), c.settings.Dir, "dispatcher", "--settings", file)
 	d.caller = caller.New(d.callerAddress, c.clock)
 	return err
 }
@@ -214,7 +214,7 @@
 	file, err := c.writeSettings(name, zoneOf(i), s.storeProxy.Address(), fmt.Sprintf(
 		"[sidecar]\nendpoint = %s\nannouncements = %s\ndispatchers = %s\n[runtime]\nmetrics = %s\ngrace = %s\n",
 		s.orderProxy.Address(), listen, c.seedAddresses(), c.address(2, i, portMetrics), stopTimeout))
-	s.program = program.New(name, c.settings.Binary, c.settings.Dir, "sidecar", "--settings", file)
+	s.program = program.New(name, c.firstBinary(), c.settings.Dir, "sidecar", "--settings", file)
 	c.group.Go(func() { s.endpoint.Announce(c.ctx, s.announcementProxy.Address(), operator.Service, zoneOf(i)) })
 	return err
 }
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -39,6 +39,9 @@
 type Settings struct {
 	// Binary is the program under test.
 	Binary string
+	// PreviousBinary is the program that runs at first, if it is set: all processes are
+	// upgraded in turn during the disruptions.
+	PreviousBinary string
 	// Dir is where settings files and the processes' output are written.
 	Dir  string
 	Seed uint64
@@ -97,7 +100,10 @@
 	background.Go(func() { c.checkConfig(loadCtx) })
 	l := newLoadGenerator(c)
 	background.Go(func() { l.run(loadCtx) })
+	var upgrade sync.WaitGroup
+	upgrade.Go(func() { c.upgrade(ctx) })
 	report.Disruptions = c.runDisruptions(ctx, rand.New(rand.NewPCG(s.Seed, 2)))
+	upgrade.Wait()
 	report.RecoveryTime = l.awaitRecovery(ctx)
 	if report.RecoveryTime > maxRecoveryTime {
 		c.recordViolation("jobs are not completed again %s after the end of all disruptions", maxRecoveryTime)
