Do not count a refused start at an old sidecar as a crash

Cause: sidecars of the previous build report no crashes, so that each loss of a task there counted as one. An endpoint that refuses starts loses a task four times within 10 ms.

Change: a loss counts only while the endpoint does not accept tasks, as after a crash. The test failed before (4 starts of 20).

--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -295,6 +295,12 @@
 	return known && f.usable(a, now)
 }
 
+// Accepting reports whether an agent's endpoint accepts tasks by the agent's last report.
+func (f *Fleet) Accepting(name string) bool {
+	a, known := f.agents[name]
+	return known && a.accepting
+}
+
 // Born returns the start of the incarnation of an agent's endpoint in Unix milliseconds, or 0
 // if it is not known.
 func (f *Fleet) Born(name string) int64 {
--- a/process/scheduler/quarantine.go
+++ b/process/scheduler/quarantine.go
@@ -224,9 +224,10 @@
 }
 
 // inferOldAgentCrash counts the loss of a task as a crash if its agent is too old to report
-// crashes: nothing else would end a task that crashes the endpoints of such agents.
+// crashes: nothing else would end a task that crashes the endpoints of such agents. While the
+// endpoint accepts tasks, it has only refused the start.
 func (s *Scheduler) inferOldAgentCrash(p *placedTask) {
-	if p.revoking || p.startedAt.IsZero() || s.fleet.Born(p.agent) != 0 {
+	if p.revoking || p.startedAt.IsZero() || s.fleet.Born(p.agent) != 0 || s.fleet.Accepting(p.agent) {
 		return
 	}
 	s.observeCrash(crash.Record{
