Begin no quarantine by a crash of long ago

What callers would see: a queue confined again for 2.5 to 5 s when a dispatcher hears late, by a new session or another dispatcher, of a crash from before the queue's release. Crashes are kept for 30 s and one is enough within 30 s of a release. A crash older than the window of evidence counts for its tasks only. The test failed before. The replay's dispatcher moves to a file of its own.

--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -113,7 +113,7 @@
 // is quarantined from now on, or an empty string.
 func (q *Quarantine) ObserveCrash(r crash.Record, now time.Time) string {
 	suspect, share := r.PrimeSuspect()
-	if suspect == "" {
+	if suspect == "" || now.Sub(r.At) > window {
 		return ""
 	}
 	q.expire(now)
--- a/process/quarantine/quarantine_test.go
+++ b/process/quarantine/quarantine_test.go
@@ -46,6 +46,17 @@
 	}
 }
 
+// A crash of long ago, of which a dispatcher hears late, begins no other quarantine.
+func TestOldCrashIsNoRelapse(t *testing.T) {
+	i := is.New(t)
+	q := New()
+	observe(q, crashAt(0, "bad"))
+	observe(q, crashAt(time.Second, "bad"))
+	i.True(q.ObserveQuiet("bad", quietTime, start.Add(7*time.Second)))
+	i.Equal(q.ObserveCrash(crashAt(1500*time.Millisecond, "bad"), start.Add(8*time.Second)), "")
+	i.Equal(len(q.Queues()), 0)
+}
+
 // A queue that was quarantined by chance is cleared by a crash where it had no run.
 func TestCrashElsewhereClearsAQueue(t *testing.T) {
 	i := is.New(t)
--- /dev/null
+++ b/process/replay/entry_test.go
@@ -0,0 +1,75 @@
+package replay
+
+import (
+	"time"
+
+	"github.com/corianderhook/corianderhook/process/fleet"
+	"github.com/corianderhook/corianderhook/process/scheduler"
+	"github.com/corianderhook/corianderhook/wire"
+)
+
+// entry is a dispatcher's scheduler with a simulated host.
+type entry struct {
+	world *world
+	// incarnation grows by 100 with each restart; its last two digits identify the entry.
+	incarnation  uint64
+	scheduler    *scheduler.Scheduler
+	frameNumbers map[string]uint64
+	// onConnectionLost holds by job ID the function to call if the caller's connection breaks.
+	onConnectionLost map[string]func()
+	// decisions counts the logged decisions by event.
+	decisions map[string]int
+	// crashed entries neither receive nor send messages.
+	crashed bool
+}
+
+func newEntry(w *world, incarnation uint64) *entry {
+	e := &entry{world: w, incarnation: incarnation, frameNumbers: map[string]uint64{}, onConnectionLost: map[string]func(){}, decisions: map[string]int{}}
+	e.scheduler = scheduler.New(e, fleet.New("zone"), func() uint64 { return uint64(w.now.UnixMilli()) })
+	return e
+}
+
+func (e *entry) Now() time.Time { return e.world.now }
+
+func (e *entry) Send(agent string, o *wire.Offer) (uint64, bool) {
+	e.frameNumbers[agent]++
+	number := e.frameNumbers[agent]
+	s := e.world.sidecar(agent)
+	if s.suspended {
+		return number, true
+	}
+	e.world.after(messageLatency, func() { s.offer(e, number, o) })
+	return number, true
+}
+
+func (e *entry) Cancel(agent string, ref uint64) {
+	s := e.world.sidecar(agent)
+	e.world.after(messageLatency, func() {
+		if !s.suspended {
+			s.runner.Cancel(e.incarnation, ref)
+			s.flush()
+		}
+	})
+}
+
+func (e *entry) Withdraw(agent string, ref uint64) {
+	s := e.world.sidecar(agent)
+	e.world.after(messageLatency, func() {
+		if !s.suspended {
+			s.runner.Withdraw(e.incarnation, ref)
+			s.flush()
+		}
+	})
+}
+
+func (e *entry) LogDecision(event, _ string, _ ...any) { e.decisions[event]++ }
+
+func (w *world) sidecar(name string) *sidecar {
+	for _, s := range w.sidecars {
+		if s.name == name {
+			return s
+		}
+	}
+	w.t.Fatalf("agent %q does not exist", name)
+	return nil
+}
