Review: a restarted sidecar's predecessor leaves runs behind (TWICE)

A takeover renews the leases of the runs that it stops, and sessions open 560 ms after the start whether they have ended or not. Change: the case. The cancelled job becomes case 5. Nothing is fixed.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -2,4 +2,4 @@
 # Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 # TROUBLE=0 runs the case without its disruptions.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review-standin cancel-during-freeze review/3/record.txt
+exec target/review-standin takeover review/3/record.txt
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -37,10 +37,11 @@
 // run plays the case named by the first argument, with its log in the file of the second.
 func run() int {
 	cases := map[string]func(s *site, trouble bool) (broken []string, err error){
+		"stale-clock":          staleClock,
 		"lost-dispatcher":      lostDispatcher,
+		"takeover":             takeover,
+		"held-request":         heldRequest,
 		"cancel-during-freeze": cancelDuringFreeze,
-		"stale-clock":          staleClock,
-		"crash-blame":          crashBlame,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
