--- a/connection/remoteclock/remoteclock.go
+++ b/connection/remoteclock/remoteclock.go
@@ -6,14 +6,13 @@
 	"time"
 )
 
-// Clock estimates a remote clock from the readings in responses. It is safe for concurrent
-// use.
+// Clock estimates the clock of one incarnation of a remote process from the readings in its
+// responses. It is safe for concurrent use.
 type Clock struct {
-	mu             sync.Mutex
-	hasReading     bool
-	readingMS      int64
-	observedAt     time.Time
-	latestDeadline time.Time
+	mu         sync.Mutex
+	hasReading bool
+	readingMS  int64
+	observedAt time.Time
 }
 
 // Observe records a reading of the remote clock, in milliseconds, from a response that
@@ -33,32 +32,10 @@
 // to 2 % in this time.
 const readingTTL = time.Second
 
-// Reset drops all readings, after a restart of the remote process.
-func (c *Clock) Reset() {
+// Convert returns the remote time, in milliseconds, of a local monotonic time. It returns false
+// if there is no reading yet.
+func (c *Clock) Convert(local time.Time) (remoteMS int64, known bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.hasReading = false
-	c.latestDeadline = time.Time{}
-}
-
-// Deadline returns the remote time, in milliseconds, of a moment that is a duration after a
-// local monotonic time, or 0 without a reading.
-func (c *Clock) Deadline(now time.Time, after time.Duration) int64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.hasReading {
-		return 0
-	}
-	if deadline := now.Add(after); deadline.After(c.latestDeadline) {
-		c.latestDeadline = deadline
-	}
-	return c.readingMS + now.Sub(c.observedAt).Milliseconds() + after.Milliseconds()
-}
-
-// LatestDeadline returns the local time of the latest deadline returned since the last
-// reset.
-func (c *Clock) LatestDeadline() time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.latestDeadline
+	return c.readingMS + local.Sub(c.observedAt).Milliseconds(), c.hasReading
 }
--- a/connection/remoteclock/remoteclock_test.go
+++ b/connection/remoteclock/remoteclock_test.go
@@ -9,20 +9,23 @@
 	"github.com/corianderhook/corianderhook/connection/remoteclock"
 )
 
-func TestDeadlinesAreOnTheRemoteClock(t *testing.T) {
+func TestTimesAreConvertedToTheRemoteClock(t *testing.T) {
 	i := is.New(t)
 	var c remoteclock.Clock
 	now := time.Unix(1_700_000_000, 0)
-	i.Equal(c.Deadline(now, time.Second), int64(0))
+	converted := func(at time.Duration) int64 {
+		ms, known := c.Convert(now.Add(at))
+		i.True(known)
+		return ms
+	}
+	_, known := c.Convert(now)
+	i.True(!known)
 	c.Observe(5000, now)
-	i.Equal(c.Deadline(now.Add(200*time.Millisecond), time.Second), int64(6200))
-	i.Equal(c.LatestDeadline(), now.Add(1200*time.Millisecond))
+	i.Equal(converted(1200*time.Millisecond), int64(6200))
 	// A delayed response would set the clock back, so it is ignored.
 	c.Observe(5100, now.Add(300*time.Millisecond))
-	i.Equal(c.Deadline(now.Add(300*time.Millisecond), 0), int64(5300))
+	i.Equal(converted(300*time.Millisecond), int64(5300))
 	// After readingTTL it is accepted, since the remote clock may be slow.
 	c.Observe(6900, now.Add(2*time.Second))
-	i.Equal(c.Deadline(now.Add(2*time.Second), 0), int64(6900))
-	c.Reset()
-	i.Equal(c.Deadline(now, 0), int64(0))
+	i.Equal(converted(2*time.Second), int64(6900))
 }
--- a/node/sidecar/lease_keeper.go
+++ b/node/sidecar/lease_keeper.go
@@ -11,6 +11,8 @@
 	"k8s.io/klog/v2"
 
 	"github.com/corianderhook/corianderhook/common/pause"
+	"github.com/corianderhook/corianderhook/connection/remoteclock"
+	"github.com/corianderhook/corianderhook/process/lease"
 	"github.com/corianderhook/corianderhook/process/runner"
 )
 
@@ -35,12 +37,18 @@
 	initialFenceStep = uint64(time.Hour / time.Microsecond)
 )
 
+// takingOverReason is the reason why an order is not sent while the endpoint is being taken over.
+const takingOverReason = "the endpoint is being taken over"
+
 // leaseKeeper takes the endpoint over, then polls it: it renews the lease and reads which
 // runs have ended.
 type leaseKeeper struct {
-	sidecar  *Sidecar
+	sidecar *Sidecar
+	// fence is the fence of the last takeover.
 	fence    atomic.Uint64
 	instance atomic.Pointer[string]
+	// epoch is the current epoch, nil while the endpoint is being taken over.
+	epoch atomic.Pointer[epoch]
 	// announcedBorn holds the start time of the incarnation that was announced last.
 	announcedBorn chan time.Time
 	// takeoverRequested is signaled when the takeover has to be repeated.
@@ -49,7 +57,17 @@
 	takenOver     chan struct{}
 	takenOverOnce sync.Once
 	lastSeq       uint64
-	born          time.Time
+}
+
+// epoch is the time from a takeover of the endpoint to the next one. Fences, readings of the
+// endpoint's clock and leases are kept apart by epoch, since the endpoint may have restarted in
+// between: its clock starts anew then, and by the old one a lease would have no end.
+type epoch struct {
+	fence uint64
+	// born is the start time of the endpoint's incarnation.
+	born  time.Time
+	clock *remoteclock.Clock
+	lease *lease.Lease
 }
 
 func newLeaseKeeper(s *Sidecar) *leaseKeeper {
@@ -60,8 +78,9 @@
 	return k
 }
 
-func (k *leaseKeeper) target() Target {
-	return Target{Instance: *k.instance.Load(), Fence: k.fence.Load()}
+// target returns the target of the calls of an epoch.
+func (k *leaseKeeper) target(e *epoch) Target {
+	return Target{Instance: *k.instance.Load(), Fence: e.fence, Clock: e.clock}
 }
 
 // setIncarnation sets the incarnation that orders are meant for. The takeover is skipped if it
@@ -96,13 +115,21 @@
 	if k.sidecar.evacuated() {
 		return runner.Refused, evacuatedReason
 	}
-	return k.sidecar.deps.Endpoint.Start(context.Background(), k.target(), o)
+	e := k.epoch.Load()
+	if e == nil {
+		return runner.Doubtful, takingOverReason
+	}
+	return k.sidecar.deps.Endpoint.Start(context.Background(), k.target(e), o, e.lease.Extend(k.sidecar.deps.Clock.Now()))
 }
 
 // stop sends a stop order for a run. The runner is notified of the result unless name is
 // empty.
 func (k *leaseKeeper) stop(name string, run runner.RunName) {
-	acknowledged := k.sidecar.deps.Endpoint.Stop(context.Background(), k.target(), run)
+	acknowledged := false
+	// A takeover stops all runs itself.
+	if e := k.epoch.Load(); e != nil {
+		acknowledged = k.sidecar.deps.Endpoint.Stop(context.Background(), k.target(e), run)
+	}
 	if !acknowledged {
 		pause.For(context.Background(), k.sidecar.deps.Clock, stopRetryInterval)
 	}
@@ -116,55 +143,64 @@
 // run takes the endpoint over and polls it, repeatedly until the context ends.
 func (k *leaseKeeper) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if k.takeOver(ctx) {
-			k.pollEndpoint(ctx)
+		if e := k.takeOver(ctx); e != nil {
+			k.epoch.Store(e)
+			k.takenOverOnce.Do(func() { close(k.takenOver) })
+			k.notifyRunner(endpointTakenOver{born: e.born, reason: "the endpoint was taken over anew"})
+			k.pollEndpoint(ctx, e)
+			k.epoch.Store(nil)
 		}
 	}
 }
 
 // takeOver raises the fence and stops all runs until the endpoint is empty. From then on no
-// run of an earlier sidecar exists, and a delayed order of that sidecar cannot start one.
-func (k *leaseKeeper) takeOver(ctx context.Context) bool {
-	k.lastSeq = 0
+// run of an earlier epoch or sidecar exists, and a delayed order cannot start one. It returns nil
+// if the context ends.
+func (k *leaseKeeper) takeOver(ctx context.Context) *epoch {
 	// The endpoint rejects delayed orders that have the previous fence.
-	k.fence.Add(1)
+	e := &epoch{fence: k.fence.Add(1), clock: &remoteclock.Clock{}}
+	k.lastSeq = 0
 	step := initialFenceStep
 	for ctx.Err() == nil {
-		list, err := k.sidecar.deps.Endpoint.List(ctx, k.target(), k.lastSeq, 0)
+		now := k.sidecar.deps.Clock.Now()
+		list, err := k.sidecar.deps.Endpoint.List(ctx, k.target(e), k.lastSeq, 0, now.Add(lease.Duration))
 		switch {
 		case err != nil:
 			pause.For(ctx, k.sidecar.deps.Clock, listRetryInterval)
 		case list.Fenced:
-			k.fence.Add(step)
-			klog.InfoS("CH1131 fence raised", "agent", k.sidecar.deps.Name, "fence", k.fence.Load())
+			e.fence = k.fence.Add(step)
+			klog.InfoS("CH1131 fence raised", "agent", k.sidecar.deps.Name, "fence", e.fence)
 			step *= 2
+		case !e.born.IsZero() && !list.Born.Equal(e.born):
+			// The clock of the next incarnation, and the numbers of its ends, start anew.
+			k.lastSeq, e.born, e.clock = 0, list.Born, &remoteclock.Clock{}
 		case len(list.Running) > 0:
 			k.lastSeq = list.LastSeq
+			e.born = list.Born
 			klog.InfoS("CH1132 endpoint still runs earlier tasks", "agent", k.sidecar.deps.Name, "tasks", len(list.Running))
 			for _, run := range list.Running {
-				go k.stop("", run)
+				go k.sidecar.deps.Endpoint.Stop(ctx, k.target(e), run)
 			}
 			pause.For(ctx, k.sidecar.deps.Clock, listRetryInterval)
 		default:
 			k.lastSeq = list.LastSeq
-			k.born = list.Born
-			klog.InfoS("CH1133 endpoint taken over", "agent", k.sidecar.deps.Name, "instance", k.target().Instance, "born", list.Born, "fence", k.fence.Load())
-			k.takenOverOnce.Do(func() { close(k.takenOver) })
-			k.notifyRunner(endpointTakenOver{born: list.Born, reason: "the endpoint was taken over anew"})
-			return true
+			e.born = list.Born
+			e.lease = lease.New(k.sidecar.deps.Clock.Now())
+			klog.InfoS("CH1133 endpoint taken over", "agent", k.sidecar.deps.Name, "instance", k.target(e).Instance, "born", e.born, "fence", e.fence)
+			return e
 		}
 	}
-	return false
+	return nil
 }
 
 // pollEndpoint renews the lease and reports the ended runs to the runner, until the endpoint
 // has to be taken over again.
-func (k *leaseKeeper) pollEndpoint(ctx context.Context) {
+func (k *leaseKeeper) pollEndpoint(ctx context.Context, e *epoch) {
 	var o outage
 	for ctx.Err() == nil {
 		select {
 		case born := <-k.announcedBorn:
-			if !born.Equal(k.born) {
+			if !born.Equal(e.born) {
 				k.notifyRunner(endpointUnavailable{reason: "the endpoint has begun a new life"})
 				return
 			}
@@ -173,23 +209,22 @@
 			return
 		default:
 		}
-		listCall := k.sidecar.deps.Endpoint.List
-		if !o.lostSince.IsZero() && (o.connectionRefused || k.sidecar.deps.Clock.Since(o.lostSince) > renewalGrace) {
-			listCall = k.sidecar.deps.Endpoint.ListWithoutRenewal
+		var leaseEnd time.Time
+		if o.lostSince.IsZero() || !o.connectionRefused && k.sidecar.deps.Clock.Since(o.lostSince) <= renewalGrace {
+			leaseEnd = e.lease.Extend(k.sidecar.deps.Clock.Now())
 		}
-		list, err := listCall(ctx, k.target(), k.lastSeq, k.pollTime())
+		list, err := k.sidecar.deps.Endpoint.List(ctx, k.target(e), k.lastSeq, k.pollTime(), leaseEnd)
 		now := k.sidecar.deps.Clock.Now()
 		switch {
 		case err != nil:
-			k.handleNoAnswer(&o, err, now)
+			k.handleNoAnswer(e, &o, err, now)
 			if !o.lostSince.IsZero() {
 				pause.For(ctx, k.sidecar.deps.Clock, listRetryInterval)
 			}
 			continue
-		case list.Fenced || !list.Born.Equal(k.born):
+		case list.Fenced || !list.Born.Equal(e.born):
 			klog.InfoS("CH1135 endpoint has restarted or another sidecar has taken it over", "agent", k.sidecar.deps.Name, "born", list.Born, "fenced", list.Fenced)
 			k.notifyRunner(endpointUnavailable{reason: "the endpoint is being taken over"})
-			k.sidecar.deps.Endpoint.ResetClock()
 			return
 		}
 		if !o.lostSince.IsZero() {
@@ -213,7 +248,7 @@
 }
 
 // handleNoAnswer notifies the runner of what follows from a poll without an answer.
-func (k *leaseKeeper) handleNoAnswer(o *outage, err error, now time.Time) {
+func (k *leaseKeeper) handleNoAnswer(e *epoch, o *outage, err error, now time.Time) {
 	o.missed++
 	o.connectionRefused = errors.Is(err, syscall.ECONNREFUSED)
 	if o.brokenSince.IsZero() && !errors.Is(err, context.DeadlineExceeded) {
@@ -229,9 +264,9 @@
 	}
 	if o.connectionRefused {
 		// Nothing listens on this machine, so that the process has gone.
-		k.notifyRunner(endpointGone{born: k.born, at: o.brokenSince})
+		k.notifyRunner(endpointGone{born: e.born, at: o.brokenSince})
 	}
-	if now.After(k.sidecar.deps.Endpoint.LeaseExpiry().Add(runner.LeaseLapseTime() - runner.LeaseDuration)) {
+	if e.lease.Lapsed(now) {
 		// Sent with each poll, as a late result of an order may add a run after the first
 		// time; its lease has lapsed too.
 		k.notifyRunner(leaseLapsed{})
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -14,6 +14,8 @@
 
 	"github.com/corianderhook/corianderhook/common/instance"
 	"github.com/corianderhook/corianderhook/common/pause"
+	"github.com/corianderhook/corianderhook/connection/remoteclock"
+	"github.com/corianderhook/corianderhook/process/lease"
 	"github.com/corianderhook/corianderhook/process/metrics"
 	"github.com/corianderhook/corianderhook/process/registration"
 	"github.com/corianderhook/corianderhook/process/runner"
@@ -34,21 +36,15 @@
 
 // Endpoint calls the endpoint beside the sidecar. Each call has a timeout of its own.
 type Endpoint interface {
-	// Start sends a start order; the text is the reason if it has not been accepted.
-	Start(ctx context.Context, at Target, o runner.Order) (runner.Result, string)
+	// Start sends a start order, which extends the lease up to the given time; the text is the
+	// reason if it has not been accepted.
+	Start(ctx context.Context, at Target, o runner.Order, leaseEnd time.Time) (runner.Result, string)
 	// Stop sends a stop order; true means that the endpoint has accepted it.
 	Stop(ctx context.Context, at Target, run runner.RunName) bool
-	// List renews the lease, acknowledges the ended runs with numbers up to last, and returns
-	// the current and the ended runs. It waits up to the given time for another run to end.
-	List(ctx context.Context, at Target, last uint64, wait time.Duration) (ListResult, error)
-	// ListWithoutRenewal is List without the renewal of the lease, for an endpoint that does
-	// not answer: its lease has to lapse.
-	ListWithoutRenewal(ctx context.Context, at Target, last uint64, wait time.Duration) (ListResult, error)
-	// ResetClock drops the estimate of the endpoint's clock, which does not hold for another
-	// incarnation.
-	ResetClock()
-	// LeaseExpiry returns the latest local time up to which a lease has been requested.
-	LeaseExpiry() time.Time
+	// List extends the lease up to the given time unless that is zero, acknowledges the ended
+	// runs with numbers up to last, and returns the current and the ended runs. It waits up to
+	// the given time for another run to end.
+	List(ctx context.Context, at Target, last uint64, wait time.Duration, leaseEnd time.Time) (ListResult, error)
 }
 
 // AnnouncementStore stores the last announcement of the endpoint for later sidecars.
@@ -66,6 +62,8 @@
 	Instance string
 	// Fence makes the endpoint reject orders of earlier sidecars, which have a lower fence.
 	Fence uint64
+	// Clock converts the ends of leases to the endpoint's clock and learns from the answers.
+	Clock *remoteclock.Clock
 }
 
 // ListResult is the endpoint's answer to List.
@@ -239,7 +237,7 @@
 	select {
 	case <-ctx.Done():
 	case <-s.keeper.takenOver:
-	case <-s.deps.Clock.After(runner.LeaseLapseTime()):
+	case <-s.deps.Clock.After(lease.LapseTime()):
 	}
 }
 
--- a/process/replay/crashes_test.go
+++ b/process/replay/crashes_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/corianderhook/corianderhook/process/lease"
 	"github.com/corianderhook/corianderhook/process/runner"
 	"github.com/corianderhook/corianderhook/wire"
 )
@@ -43,7 +44,7 @@
 		}
 		s.announce(crashes)
 	})
-	w.after(runner.LeaseLapseTime(), func() {
+	w.after(lease.LapseTime(), func() {
 		s.runner.Lapse("its lease ran out")
 		s.flush()
 	})
--- a/process/replay/sidecar_test.go
+++ b/process/replay/sidecar_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/corianderhook/corianderhook/process/crash"
+	"github.com/corianderhook/corianderhook/process/lease"
 	"github.com/corianderhook/corianderhook/process/runner"
 	"github.com/corianderhook/corianderhook/request/size"
 	"github.com/corianderhook/corianderhook/wire"
@@ -250,7 +251,7 @@
 	for _, e := range w.entries {
 		e.scheduler.DetachAgent(s.name)
 	}
-	w.after(runner.LeaseDuration*102/100, func() {
+	w.after(lease.Duration*102/100, func() {
 		if s.suspended {
 			for _, n := range s.runningRuns() {
 				s.endRun(n, runner.EndStopped)
@@ -338,7 +339,7 @@
 			return
 		}
 		s.ended[runKey(n)] = true
-		s.world.after(runner.StopDuration/2, func() {
+		s.world.after(lease.StopDuration/2, func() {
 			if s.runs[runKey(n)] {
 				s.endRun(n, runner.EndStopped)
 			}
@@ -346,7 +347,7 @@
 		s.world.after(orderLatency, func() {
 			s.runner.Stopped(name, true)
 			requestedAt := s.world.now.Add(time.Microsecond)
-			s.world.after(runner.StopDuration, func() {
+			s.world.after(lease.StopDuration, func() {
 				s.reportAllRuns(requestedAt)
 			})
 		})
--- a/process/runner/report.go
+++ b/process/runner/report.go
@@ -121,12 +121,6 @@
 	}
 }
 
-// LeaseLapseTime returns the time after the last renewal of a lease within which every
-// run has ended. It allows for a slow clock at the endpoint.
-func LeaseLapseTime() time.Duration {
-	return LeaseDuration + LeaseDuration*clockErrorPercent/100 + StopDuration
-}
-
 // Tick stops the tasks of dispatchers that have been silent for too long and returns
 // waiting tasks that are past their latest start.
 func (r *Runner) Tick() {
--- a/process/runner/runner.go
+++ b/process/runner/runner.go
@@ -25,19 +25,13 @@
 )
 
 // Timeouts that ensure that no task of a lost dispatcher runs any more when its callers
-// submit their jobs again. SilenceTimeout and LeaseLapseTime together stay below the
+// submit their jobs again. SilenceTimeout and lease.LapseTime together stay below the
 // resubmission time of the settings.
 const (
 	// SilenceTimeout is how long a dispatcher may be silent before its tasks are stopped.
 	SilenceTimeout = 560 * time.Millisecond
-	// LeaseDuration is how long an endpoint runs tasks without a renewal.
-	LeaseDuration = 500 * time.Millisecond
 	// MaxStartSilence is how long a dispatcher may be silent for its tasks to start.
 	MaxStartSilence = 350 * time.Millisecond
-	// StopDuration is how long an endpoint takes to carry out a stop.
-	StopDuration = 50 * time.Millisecond
-	// clockErrorPercent is how much slower the endpoint's clock may run.
-	clockErrorPercent = 2
 	// maxStartTries is how often a start order without an answer is sent in all.
 	maxStartTries = 4
 )
--- a/process/runner/runner_test.go
+++ b/process/runner/runner_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/corianderhook/corianderhook/process/lease"
 	"github.com/corianderhook/corianderhook/request/size"
 	"github.com/corianderhook/corianderhook/wire"
 )
@@ -81,7 +82,7 @@
 			r, h := newRunner()
 			r.Offer(dispatcher, offer(1, 1, 4000))
 			c.act(r, h.name())
-			h.advance(LeaseLapseTime())
+			h.advance(lease.LapseTime())
 			r.Lapse("its lease ran out")
 			is.New(t).Equal(h.last(), c.want)
 		})
@@ -238,7 +239,7 @@
 // No task of a lost dispatcher may run when its callers submit their jobs again.
 func TestTimeoutsStayBelowResubmission(t *testing.T) {
 	const resubmission = 1300 * time.Millisecond
-	if total := SilenceTimeout + LeaseLapseTime(); total >= resubmission {
+	if total := SilenceTimeout + lease.LapseTime(); total >= resubmission {
 		t.Fatalf("silence timeout and lease take %s together, callers resubmit after %s", total, resubmission)
 	}
 	if MaxStartSilence >= SilenceTimeout {
