--- a/commands/process.go
+++ b/commands/process.go
@@ -18,7 +18,6 @@
 	"k8s.io/klog/v2"
 
 	"github.com/corianderhook/corianderhook/common/eventlog"
-	"github.com/corianderhook/corianderhook/process/lease"
 	"github.com/corianderhook/corianderhook/process/runner"
 	"github.com/corianderhook/corianderhook/version/config"
 )
@@ -58,7 +57,7 @@
 	if err := settings.CheckRole(role); err != nil {
 		return nil, usageError{err}
 	}
-	if stopTime := runner.SilenceTimeout + lease.LapseTime(); settings.Runtime().Resubmission <= stopTime {
+	if stopTime := runner.OrphanTime(); settings.Runtime().Resubmission <= stopTime {
 		return nil, usageError{config.ValidationError{
 			File: filepath.Base(path), Section: "runtime", Key: "resubmission", Value: settings.Runtime().Resubmission.String(),
 			Reason: fmt.Sprintf("must be longer than %s, the time within which the tasks of a lost process are stopped", stopTime),
--- a/node/sidecar/actor.go
+++ b/node/sidecar/actor.go
@@ -65,13 +65,12 @@
 		born   time.Time
 		reason string
 	}
-	// listReceived, endpointUnavailable and leaseLapsed come from polling the endpoint.
+	// listReceived and endpointUnavailable come from polling the endpoint.
 	listReceived        struct{ report runner.Report }
 	endpointUnavailable struct{ reason string }
 	// endpointGone means that the incarnation that started at born has ended; its connections
 	// broke at the given time.
 	endpointGone struct{ born, at time.Time }
-	leaseLapsed  struct{}
 )
 
 // sentEvent is an event kept for replayWindow.
@@ -102,6 +101,9 @@
 	// unavailableReason is the reason why the endpoint cannot be used, or empty.
 	unavailableReason string
 	draining          bool
+	// leaseLapsed is true while the lease of the endpoint has lapsed, leaseLimited while it must
+	// not be extended.
+	leaseLapsed, leaseLimited bool
 	// evacuated is true if endpointState says that the zone is evacuated.
 	evacuated bool
 	// endpointState and capacityReport are the current state and report for dispatchers.
@@ -128,6 +130,7 @@
 	})
 	switch m := c.Message().(type) {
 	case tick:
+		a.checkLease()
 		a.runner.Tick()
 		a.sidecar.runsInDoubt.Store(int64(a.runner.InDoubt()))
 		a.tick()
@@ -171,9 +174,8 @@
 		a.updateEndpointState()
 	case endpointGone:
 		a.recordCrash(m.born, m.at)
-	case leaseLapsed:
-		a.runner.Lapse("its lease ran out")
 	}
+	a.limitLease()
 	a.capacityReport = a.runner.Room()
 	a.sidecar.taskCount.Store(int64(a.capacityReport.GetRunning() + a.capacityReport.GetWaiting()))
 	a.flush()
@@ -202,7 +204,7 @@
 	}
 	for _, run := range a.runner.HandleReport(report) {
 		klog.InfoS("CH1114 endpoint reports an unknown run", "agent", a.sidecar.deps.Name, "job", run.Job, "step", run.Step, "index", run.Index, "run", run.Run)
-		go a.sidecar.keeper.stop("", run)
+		go a.sidecar.keeper.stopStray(run)
 	}
 }
 
--- /dev/null
+++ b/node/sidecar/lease.go
@@ -0,0 +1,34 @@
+package sidecar
+
+import "k8s.io/klog/v2"
+
+// checkLease ends the tasks of a lease that has lapsed. The lease is read when its end is applied
+// to the tasks: one that was extended for a later order has not lapsed.
+func (a *runnerActor) checkLease() {
+	e := a.sidecar.keeper.epoch.Load()
+	lapsed := e != nil && e.lease.Lapsed(a.Now())
+	if lapsed {
+		a.runner.Lapse("its lease ran out")
+	}
+	if lapsed && !a.leaseLapsed {
+		a.sidecar.metrics.CountLapsedLease()
+	}
+	a.leaseLapsed = lapsed
+}
+
+// limitLease keeps the lease from being extended beyond the time by which runs have to have
+// ended. Meanwhile the endpoint takes no tasks.
+func (a *runnerActor) limitLease() {
+	e := a.sidecar.keeper.epoch.Load()
+	limited := false
+	if e != nil {
+		e.lease.SetLimit(a.runner.LeaseLimit())
+		limited = e.lease.Limited(a.Now())
+	}
+	if limited == a.leaseLimited {
+		return
+	}
+	a.leaseLimited = limited
+	klog.InfoS("CH1119 lease limited", "agent", a.sidecar.deps.Name, "limited", limited, "doubtful", a.runner.InDoubt())
+	a.updateEndpointState()
+}
--- a/node/sidecar/lease_keeper.go
+++ b/node/sidecar/lease_keeper.go
@@ -29,6 +29,8 @@
 	// renewalGrace is how long the lease of an unavailable endpoint is still renewed, as the
 	// endpoint may only be slow. It is not renewed while connections are refused.
 	renewalGrace = 400 * time.Millisecond
+	// maxStopOrders is the number of stop orders for a run of which none has an answer yet.
+	maxStopOrders = 8
 	// listRetryInterval is the time between polls of an endpoint that does not answer.
 	listRetryInterval = 40 * time.Millisecond
 	// initialFenceStep is added to the fence when the endpoint rejects it as too low. The
@@ -37,8 +39,11 @@
 	initialFenceStep = uint64(time.Hour / time.Microsecond)
 )
 
-// takingOverReason is the reason why an order is not sent while the endpoint is being taken over.
-const takingOverReason = "the endpoint is being taken over"
+// Reasons why a start order is not sent.
+const (
+	takingOverReason   = "the endpoint is being taken over"
+	leaseLimitedReason = "the lease is about to end, as a stop order has no answer"
+)
 
 // leaseKeeper takes the endpoint over, then polls it: it renews the lease and reads which
 // runs have ended.
@@ -119,22 +124,59 @@
 	if e == nil {
 		return runner.Doubtful, takingOverReason
 	}
-	return k.sidecar.deps.Endpoint.Start(context.Background(), k.target(e), o, e.lease.Extend(k.sidecar.deps.Clock.Now()))
+	now := k.sidecar.deps.Clock.Now()
+	leaseEnd := e.lease.Extend(now)
+	if leaseEnd.Before(now.Add(lease.Duration)) {
+		return runner.Refused, leaseLimitedReason
+	}
+	return k.sidecar.deps.Endpoint.Start(context.Background(), k.target(e), o, leaseEnd)
 }
 
-// stop sends a stop order for a run. The runner is notified of the result unless name is
-// empty.
+// stop has a task's run stopped and notifies the runner of the result.
 func (k *leaseKeeper) stop(name string, run runner.RunName) {
-	acknowledged := false
-	// A takeover stops all runs itself.
-	if e := k.epoch.Load(); e != nil {
-		acknowledged = k.sidecar.deps.Endpoint.Stop(context.Background(), k.target(e), run)
+	k.notifyRunner(stopResult{name: name, acknowledged: k.sendStopOrders(run)})
+}
+
+// sendStopOrders sends stop orders for a run until one is acknowledged or all have failed. It
+// does not wait for an answer before it sends the next order, since orders without an answer take
+// a third of a lease to time out on a slow endpoint.
+func (k *leaseKeeper) sendStopOrders(run runner.RunName) bool {
+	clock := k.sidecar.deps.Clock
+	e := k.epoch.Load()
+	if e == nil {
+		// The takeover stops all runs itself.
+		pause.For(context.Background(), clock, stopRetryInterval)
+		return false
 	}
-	if !acknowledged {
-		pause.For(context.Background(), k.sidecar.deps.Clock, stopRetryInterval)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	answers := make(chan bool, maxStopOrders)
+	timer := clock.NewTimer(0)
+	defer timer.Stop()
+	for sent, failed := 0, 0; failed < maxStopOrders; {
+		select {
+		case <-timer.Chan():
+			if sent == maxStopOrders {
+				continue
+			}
+			sent++
+			go func() { answers <- k.sidecar.deps.Endpoint.Stop(ctx, k.target(e), run) }()
+			timer.Reset(stopRetryInterval)
+		case acknowledged := <-answers:
+			if acknowledged {
+				return true
+			}
+			failed++
+		}
 	}
-	if name != "" {
-		k.sidecar.deps.System.Root.Send(k.sidecar.runner, stopResult{name: name, acknowledged: acknowledged})
+	return false
+}
+
+// stopStray sends one stop order for a run that the runner does not know. Each list that shows
+// the run has it sent again.
+func (k *leaseKeeper) stopStray(run runner.RunName) {
+	if e := k.epoch.Load(); e != nil {
+		k.sidecar.deps.Endpoint.Stop(context.Background(), k.target(e), run)
 	}
 }
 
@@ -244,7 +286,6 @@
 	// unavailable.
 	brokenSince, lostSince time.Time
 	connectionRefused      bool
-	lapseCounted           bool
 }
 
 // handleNoAnswer notifies the runner of what follows from a poll without an answer.
@@ -266,13 +307,4 @@
 		// Nothing listens on this machine, so that the process has gone.
 		k.notifyRunner(endpointGone{born: e.born, at: o.brokenSince})
 	}
-	if e.lease.Lapsed(now) {
-		// Sent with each poll, as a late result of an order may add a run after the first
-		// time; its lease has lapsed too.
-		k.notifyRunner(leaseLapsed{})
-		if !o.lapseCounted {
-			k.sidecar.metrics.CountLapsedLease()
-		}
-		o.lapseCounted = true
-	}
 }
--- a/node/sidecar/state.go
+++ b/node/sidecar/state.go
@@ -27,6 +27,8 @@
 		reason = "the endpoint drains"
 	case a.unavailableReason != "":
 		reason = a.unavailableReason
+	case a.leaseLimited:
+		reason = leaseLimitedReason
 	case !current.Born.Equal(a.endpointBorn):
 		reason = "the endpoint has begun a new life"
 	}
--- a/process/lease/lease.go
+++ b/process/lease/lease.go
@@ -27,17 +27,41 @@
 	mu sync.Mutex
 	// end is the latest time up to which the lease has been extended.
 	end time.Time
+	// limit is the time beyond which it must not be extended, or zero.
+	limit time.Time
 }
 
 // New returns a lease of an endpoint that runs nothing at the given time.
 func New(now time.Time) *Lease { return &Lease{end: now} }
 
+// SetLimit sets the time beyond which the lease must not be extended; zero is no limit.
+func (l *Lease) SetLimit(limit time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limit = limit
+}
+
+// Limited reports whether the limit keeps the lease from being extended by Duration. Nothing
+// must start then.
+func (l *Lease) Limited(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.limit.IsZero() && l.limit.Before(now.Add(Duration))
+}
+
 // Extend extends the lease by Duration from the given time, which is when the order or the
-// renewal was decided, and returns its end. It has to be called before the message is sent.
+// renewal was decided, but not beyond the limit. It returns the end for the message, the zero
+// time if the message must not extend the lease. It has to be called before the message is sent.
 func (l *Lease) Extend(from time.Time) time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	end := from.Add(Duration)
+	if !l.limit.IsZero() && l.limit.Before(end) {
+		end = l.limit
+	}
+	if !end.After(from) {
+		return time.Time{}
+	}
 	if end.After(l.end) {
 		l.end = end
 	}
--- a/process/runner/report.go
+++ b/process/runner/report.go
@@ -66,6 +66,7 @@
 			unknown = append(unknown, run)
 		}
 	}
+	r.noteStrays(unknown)
 	if report.Complete {
 		r.endMissing(report.RequestedAt, listed)
 	}
@@ -109,18 +110,6 @@
 	}
 }
 
-// Lapse ends the tasks whose start or stop the endpoint acknowledged. It is called when
-// the endpoint's lease must have expired, so that none of them runs any more, whether a
-// stop was answered or not. A start order without an answer stays in doubt.
-func (r *Runner) Lapse(reason string) {
-	for _, t := range r.sortedTasks() {
-		if t.startAcknowledged || t.phase == stopped {
-			r.lapsed = append(r.lapsed, crashedRun(t, r.host.Now()))
-			r.end(t, wire.TaskEventKind_TASK_EVENT_KIND_LOST, reason)
-		}
-	}
-}
-
 // Tick stops the tasks of dispatchers that have been silent for too long and returns
 // waiting tasks that are past their latest start.
 func (r *Runner) Tick() {
--- a/process/runner/runner.go
+++ b/process/runner/runner.go
@@ -19,23 +19,33 @@
 	"github.com/corianderhook/corianderhook/process/backlog"
 	"github.com/corianderhook/corianderhook/process/crash"
 	"github.com/corianderhook/corianderhook/process/endpointhealth"
+	"github.com/corianderhook/corianderhook/process/lease"
 	"github.com/corianderhook/corianderhook/process/ledger"
 	"github.com/corianderhook/corianderhook/request/size"
 	"github.com/corianderhook/corianderhook/wire"
 )
 
 // Timeouts that ensure that no task of a lost dispatcher runs any more when its callers
-// submit their jobs again. SilenceTimeout and lease.LapseTime together stay below the
-// resubmission time of the settings.
+// submit their jobs again. OrphanTime stays below the resubmission time of the settings.
 const (
 	// SilenceTimeout is how long a dispatcher may be silent before its tasks are stopped.
 	SilenceTimeout = 560 * time.Millisecond
 	// MaxStartSilence is how long a dispatcher may be silent for its tasks to start.
 	MaxStartSilence = 350 * time.Millisecond
+	// StopGrace is how long a stop order may go without an answer before the lease is no
+	// longer extended.
+	StopGrace = 100 * time.Millisecond
+	// maxOrphanTime is the time from the last word of a dispatcher to the end of the last
+	// lease of its runs.
+	maxOrphanTime = SilenceTimeout + StopGrace + lease.Duration
 	// maxStartTries is how often a start order without an answer is sent in all.
 	maxStartTries = 4
 )
 
+// OrphanTime returns the time from the last word of a dispatcher to the end of its last run,
+// whether the endpoint answers or not.
+func OrphanTime() time.Duration { return SilenceTimeout + StopGrace + lease.LapseTime() }
+
 // tooLargeReason is the reason of returning a task that the endpoint can never take.
 const tooLargeReason = "it is larger than the endpoint's capacity"
 
@@ -68,6 +78,11 @@
 	tries      int
 	// startAcknowledged is true once the endpoint has accepted a start order.
 	startAcknowledged bool
+	// endBy is the time by which the run has to have ended, since the job's caller may submit
+	// it again; zero if it may run on.
+	endBy time.Time
+	// leaseOver is set once the lease has lapsed since the run was ordered to stop.
+	leaseOver bool
 }
 
 type session struct {
@@ -91,6 +106,9 @@
 	// lapsed holds the runs that ended with the lease since the endpoint last answered: if it
 	// has crashed, they were there.
 	lapsed []crash.Run
+	// strays holds the runs at the endpoint that the runner does not know, with the time by
+	// which they have to have ended.
+	strays map[string]time.Time
 	// crashedBorn is the start of the incarnation that crashed last.
 	crashedBorn time.Time
 }
@@ -105,6 +123,7 @@
 		tasks:         map[string]*task{},
 		byRun:         map[string]*task{},
 		sessions:      map[uint64]*session{},
+		strays:        map[string]time.Time{},
 		refusalReason: "no endpoint has announced itself",
 	}
 }
@@ -163,6 +182,7 @@
 			r.end(t, wire.TaskEventKind_TASK_EVENT_KIND_LOST, reason)
 		}
 	}
+	clear(r.strays)
 	r.ledger.Clear()
 	r.evidence.Reset()
 }
@@ -192,9 +212,13 @@
 
 // dropDispatcher stops all tasks of a dispatcher and forgets its session.
 func (r *Runner) dropDispatcher(dispatcher uint64, reason string) {
+	endBy := r.stopDeadline()
+	if orphanEnd := r.sessions[dispatcher].heardAt.Add(maxOrphanTime); orphanEnd.Before(endBy) {
+		endBy = orphanEnd
+	}
 	for _, t := range r.sortedTasks() {
 		if t.dispatcher == dispatcher {
-			r.stop(t, reason)
+			r.stopBy(t, endBy, reason)
 		}
 	}
 	delete(r.sessions, dispatcher)
@@ -260,7 +284,7 @@
 // Cancel stops a task that its dispatcher no longer needs.
 func (r *Runner) Cancel(dispatcher, ref uint64) {
 	if t, known := r.tasks[taskName(dispatcher, ref)]; known {
-		r.stop(t, "canceled by its dispatcher")
+		r.stopBy(t, r.stopDeadline(), "canceled by its dispatcher")
 	}
 }
 
@@ -335,6 +359,14 @@
 	}
 }
 
+// stopBy stops a task whose run has to end by the given time.
+func (r *Runner) stopBy(t *task, endBy time.Time, reason string) {
+	if t.endBy.IsZero() || endBy.Before(t.endBy) {
+		t.endBy = endBy
+	}
+	r.stop(t, reason)
+}
+
 // stop returns a waiting task, or orders the endpoint to stop a started one.
 func (r *Runner) stop(t *task, reason string) {
 	switch t.phase {
--- a/process/runner/runner_test.go
+++ b/process/runner/runner_test.go
@@ -239,8 +239,8 @@
 // No task of a lost dispatcher may run when its callers submit their jobs again.
 func TestTimeoutsStayBelowResubmission(t *testing.T) {
 	const resubmission = 1300 * time.Millisecond
-	if total := SilenceTimeout + lease.LapseTime(); total >= resubmission {
-		t.Fatalf("silence timeout and lease take %s together, callers resubmit after %s", total, resubmission)
+	if total := OrphanTime(); total >= resubmission {
+		t.Fatalf("a lost dispatcher's runs take %s to end, callers resubmit after %s", total, resubmission)
 	}
 	if MaxStartSilence >= SilenceTimeout {
 		t.Fatalf("tasks start within %s of silence, but are stopped after %s", MaxStartSilence, SilenceTimeout)
