--- a/node/sidecar/lease_keeper.go
+++ b/node/sidecar/lease_keeper.go
@@ -58,9 +58,9 @@
 	announcedBorn chan time.Time
 	// takeoverRequested is signaled when the takeover has to be repeated.
 	takeoverRequested chan struct{}
-	// takenOver is closed after the first takeover.
-	takenOver     chan struct{}
-	takenOverOnce sync.Once
+	// endpointEmpty is closed once no run of an earlier sidecar can exist at the endpoint.
+	endpointEmpty     chan struct{}
+	endpointEmptyOnce sync.Once
 	lastSeq       uint64
 }
 
@@ -76,7 +76,7 @@
 }
 
 func newLeaseKeeper(s *Sidecar) *leaseKeeper {
-	k := &leaseKeeper{sidecar: s, announcedBorn: make(chan time.Time, 1), takeoverRequested: make(chan struct{}, 1), takenOver: make(chan struct{})}
+	k := &leaseKeeper{sidecar: s, announcedBorn: make(chan time.Time, 1), takeoverRequested: make(chan struct{}, 1), endpointEmpty: make(chan struct{})}
 	k.fence.Store(uint64(s.deps.Clock.Now().UnixMicro()))
 	none := ""
 	k.instance.Store(&none)
@@ -187,7 +187,7 @@
 	for ctx.Err() == nil {
 		if e := k.takeOver(ctx); e != nil {
 			k.epoch.Store(e)
-			k.takenOverOnce.Do(func() { close(k.takenOver) })
+			k.noteEmpty()
 			k.notifyRunner(endpointTakenOver{born: e.born, reason: "the endpoint was taken over anew"})
 			k.pollEndpoint(ctx, e)
 			k.epoch.Store(nil)
@@ -195,27 +195,36 @@
 	}
 }
 
+// noteEmpty notes that no run of an earlier sidecar can exist.
+func (k *leaseKeeper) noteEmpty() { k.endpointEmptyOnce.Do(func() { close(k.endpointEmpty) }) }
+
 // takeOver raises the fence and stops all runs until the endpoint is empty. From then on no
-// run of an earlier epoch or sidecar exists, and a delayed order cannot start one. It returns nil
-// if the context ends.
+// run of an earlier epoch or sidecar exists, and a delayed order cannot start one. The lease is
+// not extended, so that it ends the runs whose stop orders get no answer. It returns nil if the
+// context ends.
 func (k *leaseKeeper) takeOver(ctx context.Context) *epoch {
 	// The endpoint rejects delayed orders that have the previous fence.
-	e := &epoch{fence: k.fence.Add(1), clock: &remoteclock.Clock{}}
+	e := &epoch{fence: k.fence.Add(1)}
 	k.lastSeq = 0
 	step := initialFenceStep
 	for ctx.Err() == nil {
-		now := k.sidecar.deps.Clock.Now()
-		list, err := k.sidecar.deps.Endpoint.List(ctx, k.target(e), k.lastSeq, 0, now.Add(lease.Duration))
+		// The endpoint may restart at any time, so that only the last answer tells the clock of
+		// the incarnation that is taken over.
+		e.clock = &remoteclock.Clock{}
+		list, err := k.sidecar.deps.Endpoint.List(ctx, k.target(e), k.lastSeq, 0, time.Time{})
 		switch {
 		case err != nil:
+			if errors.Is(err, syscall.ECONNREFUSED) && k.sidecar.deps.Clock.Since(k.sidecar.startedAt) > lease.LapseTime() {
+				k.noteEmpty()
+			}
 			pause.For(ctx, k.sidecar.deps.Clock, listRetryInterval)
 		case list.Fenced:
 			e.fence = k.fence.Add(step)
 			klog.InfoS("CH1131 fence raised", "agent", k.sidecar.deps.Name, "fence", e.fence)
 			step *= 2
 		case !e.born.IsZero() && !list.Born.Equal(e.born):
-			// The clock of the next incarnation, and the numbers of its ends, start anew.
-			k.lastSeq, e.born, e.clock = 0, list.Born, &remoteclock.Clock{}
+			// The next incarnation numbers its ends anew.
+			k.lastSeq, e.born = 0, list.Born
 		case len(list.Running) > 0:
 			k.lastSeq = list.LastSeq
 			e.born = list.Born
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -15,7 +15,6 @@
 	"github.com/corianderhook/corianderhook/common/instance"
 	"github.com/corianderhook/corianderhook/common/pause"
 	"github.com/corianderhook/corianderhook/connection/remoteclock"
-	"github.com/corianderhook/corianderhook/process/lease"
 	"github.com/corianderhook/corianderhook/process/metrics"
 	"github.com/corianderhook/corianderhook/process/registration"
 	"github.com/corianderhook/corianderhook/process/runner"
@@ -229,15 +228,15 @@
 	}
 }
 
-// awaitEndpointEmpty returns when no run of an earlier sidecar can exist at the endpoint:
-// after the takeover, or when every lease from before this process has lapsed. Sessions must
-// not be opened earlier, because dispatchers take the first frame of a new sidecar as proof
-// that the tasks sent to the earlier one have ended.
+// awaitEndpointEmpty returns when no run of an earlier sidecar can exist at the endpoint: after
+// the takeover, or when every lease from before this process has lapsed and nothing listens at
+// the endpoint. At an endpoint that only does not answer, an order of the earlier sidecar may
+// still be carried out. Sessions must not be opened earlier, because dispatchers take the first
+// frame of a new sidecar as proof that the tasks sent to the earlier one have ended.
 func (s *Sidecar) awaitEndpointEmpty(ctx context.Context) {
 	select {
 	case <-ctx.Done():
-	case <-s.keeper.takenOver:
-	case <-s.deps.Clock.After(lease.LapseTime()):
+	case <-s.keeper.endpointEmpty:
 	}
 }
 
