--- a/node/sidecar/actor.go
+++ b/node/sidecar/actor.go
@@ -62,7 +62,7 @@
 	// endpointTakenOver means that the endpoint runs no earlier task and accepts only the
 	// orders of this sidecar.
 	endpointTakenOver struct {
-		born   time.Time
+		epoch  *epoch
 		reason string
 	}
 	// listReceived and endpointUnavailable come from polling the endpoint.
@@ -92,6 +92,8 @@
 	recentEvents      map[uint64][]sentEvent
 	// storedAnnouncement is the announcement stored by an earlier sidecar, or nil.
 	storedAnnouncement *registration.Announcement
+	// epoch is the epoch in which orders are decided, nil before the first takeover.
+	epoch *epoch
 	// endpointBorn is the start time of the incarnation that was taken over.
 	endpointBorn time.Time
 	// departingBorn is the start time of the last incarnation that has said that it leaves.
@@ -185,11 +187,11 @@
 // is another incarnation than before, the previous one has crashed unless it had announced its
 // end.
 func (a *runnerActor) handleTakeover(m endpointTakenOver) {
-	if !a.endpointBorn.IsZero() && !a.endpointBorn.Equal(m.born) {
+	if !a.endpointBorn.IsZero() && !a.endpointBorn.Equal(m.epoch.born) {
 		a.recordCrash(a.endpointBorn, a.Now())
 	}
+	a.epoch, a.endpointBorn = m.epoch, m.epoch.born
 	a.runner.EndpointRestarted(m.reason)
-	a.endpointBorn = m.born
 	a.unavailableReason = ""
 	a.restoreAnnouncement()
 	a.updateEndpointState()
@@ -313,8 +315,9 @@
 
 // Start sends a start order to the endpoint; the result arrives as a startResult.
 func (a *runnerActor) Start(name string, o runner.Order) {
+	e, decidedAt := a.epoch, a.Now()
 	go func() {
-		result, reason := a.sidecar.keeper.start(o)
+		result, reason := a.sidecar.keeper.start(e, o, decidedAt)
 		a.sidecar.deps.System.Root.Send(a.sidecar.runner, startResult{name: name, result: result, reason: reason})
 	}()
 }
--- a/node/sidecar/lease_keeper.go
+++ b/node/sidecar/lease_keeper.go
@@ -61,7 +61,7 @@
 	// endpointEmpty is closed once no run of an earlier sidecar can exist at the endpoint.
 	endpointEmpty     chan struct{}
 	endpointEmptyOnce sync.Once
-	lastSeq       uint64
+	lastSeq           uint64
 }
 
 // epoch is the time from a takeover of the endpoint to the next one. Fences, readings of the
@@ -115,18 +115,19 @@
 	return idlePollTime
 }
 
-// start sends a start order, unless the zone has been evacuated since the decision to start.
-func (k *leaseKeeper) start(o runner.Order) (runner.Result, string) {
+// start sends a start order that was decided in an epoch at the given time, unless the zone has
+// been evacuated since. The takeover that ends the epoch ends the run. The end of the lease is
+// counted from the decision, so that the endpoint refuses the order if this process stands still
+// before it is sent.
+func (k *leaseKeeper) start(e *epoch, o runner.Order, decidedAt time.Time) (runner.Result, string) {
 	if k.sidecar.evacuated() {
 		return runner.Refused, evacuatedReason
 	}
-	e := k.epoch.Load()
-	if e == nil {
+	if e == nil || e != k.epoch.Load() {
 		return runner.Doubtful, takingOverReason
 	}
-	now := k.sidecar.deps.Clock.Now()
-	leaseEnd := e.lease.Extend(now)
-	if leaseEnd.Before(now.Add(lease.Duration)) {
+	leaseEnd := e.lease.Extend(decidedAt)
+	if leaseEnd.Before(decidedAt.Add(lease.Duration)) {
 		return runner.Refused, leaseLimitedReason
 	}
 	return k.sidecar.deps.Endpoint.Start(context.Background(), k.target(e), o, leaseEnd)
@@ -188,7 +189,7 @@
 		if e := k.takeOver(ctx); e != nil {
 			k.epoch.Store(e)
 			k.noteEmpty()
-			k.notifyRunner(endpointTakenOver{born: e.born, reason: "the endpoint was taken over anew"})
+			k.notifyRunner(endpointTakenOver{epoch: e, reason: "the endpoint was taken over anew"})
 			k.pollEndpoint(ctx, e)
 			k.epoch.Store(nil)
 		}
--- a/node/sidecar/lease_keeper_test.go
+++ b/node/sidecar/lease_keeper_test.go
@@ -15,13 +15,21 @@
 	"github.com/corianderhook/corianderhook/process/lease"
 	"github.com/corianderhook/corianderhook/process/metrics"
 	"github.com/corianderhook/corianderhook/process/runner"
+	"github.com/corianderhook/corianderhook/request/size"
+	"github.com/corianderhook/corianderhook/wire"
 )
 
 // scriptedEndpoint answers as the test says. It is safe for concurrent use.
 type scriptedEndpoint struct {
 	mu     sync.Mutex
 	list   func(at Target, leaseEnd time.Time) (ListResult, error)
-	starts []Target
+	starts []sentStart
+}
+
+// sentStart is a start order as the endpoint receives it.
+type sentStart struct {
+	fence    uint64
+	leaseEnd time.Time
 }
 
 func (e *scriptedEndpoint) setList(list func(at Target, leaseEnd time.Time) (ListResult, error)) {
@@ -30,10 +38,10 @@
 	e.list = list
 }
 
-func (e *scriptedEndpoint) Start(_ context.Context, at Target, _ runner.Order, _ time.Time) (runner.Result, string) {
+func (e *scriptedEndpoint) Start(_ context.Context, at Target, _ runner.Order, leaseEnd time.Time) (runner.Result, string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.starts = append(e.starts, at)
+	e.starts = append(e.starts, sentStart{at.Fence, leaseEnd})
 	return runner.Doubtful, "no answer"
 }
 
@@ -84,3 +92,64 @@
 	poll()
 	i.True(isEmpty())
 }
+
+// Guards against a run that is started beside the next one of its task: the endpoint has been
+// taken over, which the runner takes as the end of the run, and an order from before goes out
+// with the fence of the takeover.
+func TestOrdersOfAnEarlierEpochAreNotSent(t *testing.T) {
+	i := is.New(t)
+	clock := clockwork.NewFakeClock()
+	e := &scriptedEndpoint{}
+	k := newKeeper(clock, e)
+	first := &epoch{fence: 1, lease: lease.New(clock.Now())}
+	second := &epoch{fence: 2, lease: lease.New(clock.Now())}
+	for _, current := range []*epoch{nil, second} {
+		k.epoch.Store(current)
+		result, _ := k.start(first, runner.Order{Job: "j"}, clock.Now())
+		i.Equal(result, runner.Doubtful)
+		i.Equal(len(e.starts), 0)
+	}
+	k.epoch.Store(first)
+	k.start(first, runner.Order{Job: "j"}, clock.Now())
+	i.Equal(len(e.starts), 1)
+	i.Equal(e.starts[0].fence, uint64(1))
+}
+
+// Guards against a run that starts long after its dispatcher has gone: this process stands still
+// between the decision and the order, and the order extends the lease when it is sent.
+func TestDelayedOrderCarriesTheLeaseOfItsDecision(t *testing.T) {
+	i := is.New(t)
+	clock := clockwork.NewFakeClock()
+	e := &scriptedEndpoint{}
+	k := newKeeper(clock, e)
+	current := &epoch{fence: 1, lease: lease.New(clock.Now())}
+	k.epoch.Store(current)
+	decidedAt := clock.Now()
+	clock.Advance(3 * time.Second)
+	k.start(current, runner.Order{Job: "j"}, decidedAt)
+	i.Equal(e.starts[0].leaseEnd, decidedAt.Add(lease.Duration))
+}
+
+// Guards against a run that is taken for ended while it goes on: the lease had lapsed when an
+// order extended it, and the tasks of the lapsed one are ended after that.
+func TestExtendedLeaseHasNotLapsed(t *testing.T) {
+	i := is.New(t)
+	clock := clockwork.NewFakeClock()
+	a, sessions := newActor(clock)
+	current := &epoch{lease: lease.New(clock.Now())}
+	a.sidecar.keeper.epoch.Store(current)
+	a.handleFrame(sessions[1], &wire.DispatcherFrame{Offers: oneTask(1)})
+	a.epoch = current
+	a.sidecar.deps.Endpoint = &scriptedEndpoint{}
+	a.runner.Accept(size.Size{CPU: 1})
+	held := a.runner.HeldBy(1)
+	i.Equal(len(held), 1)
+	a.runner.Started("1/1", runner.Running, "")
+	clock.Advance(lease.LapseTime())
+	current.lease.Extend(clock.Now())
+	a.checkLease()
+	i.Equal(len(a.runner.HeldBy(1)), 1)
+	clock.Advance(lease.LapseTime() + time.Millisecond)
+	a.checkLease()
+	i.Equal(len(a.runner.HeldBy(1)), 0)
+}
