--- a/process/runner/runner.go
+++ b/process/runner/runner.go
@@ -309,9 +309,9 @@
 // start sends the start order of a task, or returns the task if it must not start.
 func (r *Runner) start(t *task) {
 	now := r.host.Now()
-	s, known := r.sessions[t.dispatcher]
+	silence, known := r.silence(t.dispatcher)
 	switch {
-	case !known || now.Sub(s.heardAt) > MaxStartSilence:
+	case !known || silence > MaxStartSilence:
 		r.returnTask(t, "its dispatcher has not been heard of late")
 		return
 	case r.byRun[runKey(t.order)] != nil:
@@ -325,11 +325,27 @@
 	t.phase = starting
 	t.orderedAt = now
 	t.tries = 1
-	r.host.LogDecision("CH1126 task started", t.order, "waited", now.Sub(t.offeredAt), "free", r.ledger.Free(), "heard", now.Sub(s.heardAt))
+	r.host.LogDecision("CH1126 task started", t.order, "waited", now.Sub(t.offeredAt), "free", r.ledger.Free(), "heard", silence)
 	r.host.Start(t.name, t.order)
 	r.host.Send(t.dispatcher, &wire.TaskEvent{Ref: t.ref, Kind: wire.TaskEventKind_TASK_EVENT_KIND_STARTED, WaitedMs: millis(now.Sub(t.offeredAt))})
 }
 
+// silence returns the time since the last word of a dispatcher; false if it has no session.
+func (r *Runner) silence(dispatcher uint64) (time.Duration, bool) {
+	s, known := r.sessions[dispatcher]
+	if !known {
+		return 0, false
+	}
+	return r.host.Now().Sub(s.heardAt), true
+}
+
+// mayRepeatStart reports whether a start order without an answer is sent again. The condition on
+// the dispatcher is that of a first order, since the repeated one may be the first that arrives.
+func (r *Runner) mayRepeatStart(t *task) bool {
+	silence, known := r.silence(t.dispatcher)
+	return t.tries < maxStartTries && !r.closed && known && silence <= MaxStartSilence
+}
+
 func millis(d time.Duration) uint32 { return uint32(max(0, d.Milliseconds())) }
 
 // Started handles the result of a start order.
@@ -348,7 +364,7 @@
 	case t.phase != starting:
 	case result == Running:
 		t.phase = running
-	case result == Doubtful && t.tries < maxStartTries && !r.closed:
+	case result == Doubtful && r.mayRepeatStart(t):
 		// The endpoint starts the same run only once, so that a delayed copy of the first
 		// order has no effect.
 		t.tries++
--- a/process/runner/runner_test.go
+++ b/process/runner/runner_test.go
@@ -316,3 +316,18 @@
 	r.Started(h.names[2], Doubtful, "timeout")
 	i.Equal(len(h.starts), 5)
 }
+
+// Guards against a start for a dispatcher that has long been silent: the process stood still while
+// an order had no answer, and would have sent the order again before it noticed the silence.
+func TestStartIsNotRepeatedForASilentDispatcher(t *testing.T) {
+	i := is.New(t)
+	r, h := newRunner()
+	r.Offer(dispatcher, offer(1, 2, 1000))
+	h.advance(MaxStartSilence)
+	r.Started(h.names[0], Doubtful, "no answer")
+	i.Equal(len(h.starts), 3)
+	h.advance(time.Millisecond)
+	r.Started(h.names[1], Doubtful, "no answer")
+	i.Equal(len(h.starts), 3)
+	i.Equal(len(h.stops), 1)
+}
