--- a/process/runner/runner.go
+++ b/process/runner/runner.go
@@ -175,8 +175,10 @@
 	}
 }
 
-// EndpointRestarted handles a new incarnation of the endpoint: no earlier run is left.
+// EndpointRestarted handles a new incarnation of the endpoint: no earlier run is left. Nothing
+// starts until Accept is called.
 func (r *Runner) EndpointRestarted(reason string) {
+	r.accepting, r.refusalReason = false, reason
 	for _, t := range r.sortedTasks() {
 		if t.phase != waiting {
 			r.end(t, wire.TaskEventKind_TASK_EVENT_KIND_LOST, reason)
--- a/process/runner/runner_test.go
+++ b/process/runner/runner_test.go
@@ -331,3 +331,17 @@
 	i.Equal(len(h.starts), 3)
 	i.Equal(len(h.stops), 1)
 }
+
+// Guards against a run that is taken for ended although its order is on the way: the end of the
+// tasks of the earlier incarnation makes room for one that waits.
+func TestNothingStartsWhileAnEndpointRestarts(t *testing.T) {
+	i := is.New(t)
+	r, h := newRunner()
+	r.Offer(dispatcher, offer(1, 5, 1000))
+	i.Equal(len(h.starts), 4)
+	r.EndpointRestarted("new incarnation")
+	i.Equal(len(h.starts), 4)
+	r.Accept(size.Size{CPU: 4000, Memory: 1000})
+	i.Equal(len(h.starts), 5)
+	i.Equal(r.Free().CPU, 3000)
+}
