--- a/node/dispatcher/actor.go
+++ b/node/dispatcher/actor.go
@@ -7,6 +7,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/corianderhook/corianderhook/common/recovery"
+	"github.com/corianderhook/corianderhook/process/attachment"
 	"github.com/corianderhook/corianderhook/process/fleet"
 	"github.com/corianderhook/corianderhook/process/scheduler"
 	"github.com/corianderhook/corianderhook/wire"
@@ -52,10 +53,12 @@
 	dispatcher *Dispatcher
 	scheduler  *scheduler.Scheduler
 	sessions   map[string]*session
+	// attachments tells late first frames from new ones.
+	attachments *attachment.Log
 }
 
 func newSchedulerActor(d *Dispatcher) *schedulerActor {
-	a := &schedulerActor{dispatcher: d, sessions: map[string]*session{}}
+	a := &schedulerActor{dispatcher: d, sessions: map[string]*session{}, attachments: attachment.New()}
 	a.scheduler = scheduler.New(a, fleet.New(d.deps.Zone), d.firstRun, scheduler.WithCrashLog(d.crashes))
 	return a
 }
@@ -106,11 +109,16 @@
 
 func (a *schedulerActor) attach(m sessionOpened) {
 	name := m.session.sidecar
+	hello := m.firstFrame.GetHello()
+	if !a.attachments.Accept(name, attachment.Hello{Incarnation: hello.GetIncarnation(), Stamp: m.firstFrame.GetStampUs()}, a.Now()) {
+		klog.InfoS("CH1013 delayed session refused", "entry", a.dispatcher.deps.Name, "agent", name, "incarnation", hello.GetIncarnation())
+		m.session.close()
+		return
+	}
 	if previous, exists := a.sessions[name]; exists {
 		previous.close()
 	}
 	a.sessions[name] = m.session
-	hello := m.firstFrame.GetHello()
 	held := hello.GetHeld()
 	if hello.GetDispatcher() != a.dispatcher.incarnation {
 		held = nil
@@ -125,6 +133,7 @@
 		return
 	}
 	delete(a.sessions, s.sidecar)
+	a.attachments.Detach(s.sidecar, a.Now())
 	klog.InfoS("CH1012 agent detached", "entry", a.dispatcher.deps.Name, "agent", s.sidecar)
 	a.scheduler.DetachAgent(s.sidecar)
 }
