--- a/connection/remoteclock/remoteclock.go
+++ b/connection/remoteclock/remoteclock.go
@@ -13,24 +13,48 @@
 	hasReading bool
 	readingMS  int64
 	observedAt time.Time
+	restarted  bool
 }
 
-// Observe records a reading of the remote clock, in milliseconds, from a response that
-// arrived at a local monotonic time. The remote clock was read no later than that.
-func (c *Clock) Observe(remoteMS int64, at time.Time) {
+const (
+	// readingTTL is how long the least delayed reading is kept. A slow remote clock drifts by up
+	// to 2 % in this time.
+	readingTTL = time.Second
+	// maxDriftPercent and toleranceMS allow for the different speeds of the clocks, and for
+	// readings in whole milliseconds.
+	maxDriftPercent = 3
+	toleranceMS     = 5
+)
+
+// Observe records a reading of the remote clock, in milliseconds, from the response to a request.
+// Both times are local monotonic ones. The remote clock was read between them. Observe returns
+// false if the reading is that of another incarnation, whose clock has started anew.
+func (c *Clock) Observe(remoteMS int64, requestedAt, at time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.hasReading {
+		elapsed := requestedAt.Sub(c.observedAt)
+		drift := elapsed.Abs() * maxDriftPercent / 100
+		if remoteMS+toleranceMS < c.readingMS+(elapsed-drift).Milliseconds() {
+			c.restarted = true
+			return false
+		}
+	}
 	// Responses may overtake each other. The one that puts the remote clock furthest ahead
 	// was the least delayed.
 	if c.hasReading && remoteMS <= c.readingMS+at.Sub(c.observedAt).Milliseconds() && at.Sub(c.observedAt) < readingTTL {
-		return
+		return true
 	}
 	c.hasReading, c.readingMS, c.observedAt = true, remoteMS, at
+	return true
 }
 
-// readingTTL is how long the least delayed reading is kept. A slow remote clock drifts by up
-// to 2 % in this time.
-const readingTTL = time.Second
+// Restarted reports whether a reading has shown another incarnation.
+func (c *Clock) Restarted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.restarted
+}
 
 // Convert returns the remote time, in milliseconds, of a local monotonic time. It returns false
 // if there is no reading yet.
--- a/node/sidecar/lease_keeper.go
+++ b/node/sidecar/lease_keeper.go
@@ -123,7 +123,7 @@
 	if k.sidecar.evacuated() {
 		return runner.Refused, evacuatedReason
 	}
-	if e == nil || e != k.epoch.Load() {
+	if e == nil || e != k.epoch.Load() || e.clock.Restarted() {
 		return runner.Doubtful, takingOverReason
 	}
 	leaseEnd := e.lease.Extend(decidedAt)
@@ -261,6 +261,11 @@
 			return
 		default:
 		}
+		if e.clock.Restarted() {
+			klog.InfoS("CH1137 endpoint's clock has started anew", "agent", k.sidecar.deps.Name, "born", e.born)
+			k.notifyRunner(endpointUnavailable{reason: "the endpoint has restarted"})
+			return
+		}
 		var leaseEnd time.Time
 		if o.lostSince.IsZero() || !o.connectionRefused && k.sidecar.deps.Clock.Since(o.lostSince) <= renewalGrace {
 			leaseEnd = e.lease.Extend(k.sidecar.deps.Clock.Now())
--- a/node/sidecar/lease_keeper_test.go
+++ b/node/sidecar/lease_keeper_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
+	"github.com/corianderhook/corianderhook/connection/remoteclock"
 	"github.com/corianderhook/corianderhook/process/lease"
 	"github.com/corianderhook/corianderhook/process/metrics"
 	"github.com/corianderhook/corianderhook/process/runner"
@@ -101,8 +102,8 @@
 	clock := clockwork.NewFakeClock()
 	e := &scriptedEndpoint{}
 	k := newKeeper(clock, e)
-	first := &epoch{fence: 1, lease: lease.New(clock.Now())}
-	second := &epoch{fence: 2, lease: lease.New(clock.Now())}
+	first := &epoch{fence: 1, clock: &remoteclock.Clock{}, lease: lease.New(clock.Now())}
+	second := &epoch{fence: 2, clock: &remoteclock.Clock{}, lease: lease.New(clock.Now())}
 	for _, current := range []*epoch{nil, second} {
 		k.epoch.Store(current)
 		result, _ := k.start(first, runner.Order{Job: "j"}, clock.Now())
@@ -122,7 +123,7 @@
 	clock := clockwork.NewFakeClock()
 	e := &scriptedEndpoint{}
 	k := newKeeper(clock, e)
-	current := &epoch{fence: 1, lease: lease.New(clock.Now())}
+	current := &epoch{fence: 1, clock: &remoteclock.Clock{}, lease: lease.New(clock.Now())}
 	k.epoch.Store(current)
 	decidedAt := clock.Now()
 	clock.Advance(3 * time.Second)
@@ -136,7 +137,7 @@
 	i := is.New(t)
 	clock := clockwork.NewFakeClock()
 	a, sessions := newActor(clock)
-	current := &epoch{lease: lease.New(clock.Now())}
+	current := &epoch{clock: &remoteclock.Clock{}, lease: lease.New(clock.Now())}
 	a.sidecar.keeper.epoch.Store(current)
 	a.handleFrame(sessions[1], &wire.DispatcherFrame{Offers: oneTask(1)})
 	a.epoch = current
