--- a/node/dispatcher/actor.go
+++ b/node/dispatcher/actor.go
@@ -73,7 +73,10 @@
 		a.dispatcher.longestSilence.Store(int64(a.scheduler.Fleet().LongestSilence(a.Now())))
 	case submit:
 		now := a.Now()
-		a.dispatcher.pressure.Observe(now.Sub(m.sentAt), now)
+		waited := now.Sub(m.sentAt)
+		a.dispatcher.pressure.Observe(waited, now)
+		// The caller's time has run since the request was read.
+		m.request.Budget -= waited
 		a.scheduler.Submit(m.request)
 	case callerLeft:
 		a.scheduler.CallerLeft(m.job)
--- a/node/dispatcher/recovery_test.go
+++ b/node/dispatcher/recovery_test.go
@@ -78,3 +78,20 @@
 		i.True(err != nil)
 	}
 }
+
+// Guards against a job that outlives its caller: the process stands still between reading the
+// request and the decision on it, and the caller's time counts from the decision.
+func TestBudgetCountsFromTheRequest(t *testing.T) {
+	i := is.New(t)
+	d, _ := startDispatcher(t, "d1")
+	adopt(t, d, 3)
+	work, err := workload.New("00000000000000aa", "", []workload.Step{{Count: 1, Estimate: 50 * time.Millisecond}})
+	i.NoErr(err)
+	const standstill, budget = time.Second, 800 * time.Millisecond
+	began := time.Now()
+	go d.runOnScheduler(t.Context(), func(*scheduler.Scheduler) { time.Sleep(standstill) })
+	time.Sleep(standstill / 8)
+	// The job would wait for endpoints, as the dispatcher has just started.
+	d.Submit(t.Context(), work, catalog.Queue{Name: "q", Service: "s", Stretch: 20, TargetLatency: time.Second}, budget)
+	i.True(time.Since(began) < standstill+budget/2)
+}
