--- a/node/sidecar/actor.go
+++ b/node/sidecar/actor.go
@@ -31,6 +31,7 @@
 // Messages to the runner actor.
 type (
 	tick                 struct{}
+	resumed              struct{ suspension time.Duration }
 	drain                struct{ done chan<- struct{} }
 	announcementReceived struct{ announcement registration.Announcement }
 	announcementRestored struct{ announcement registration.Announcement }
@@ -136,6 +137,9 @@
 		a.runner.Tick()
 		a.sidecar.runsInDoubt.Store(int64(a.runner.InDoubt()))
 		a.tick()
+	case resumed:
+		klog.InfoS("CH1106 process was suspended", "agent", a.sidecar.deps.Name, "for", m.suspension)
+		a.runner.Resumed(m.suspension)
 	case drain:
 		a.draining = true
 		a.updateEndpointState()
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -14,6 +14,7 @@
 
 	"github.com/corianderhook/corianderhook/common/instance"
 	"github.com/corianderhook/corianderhook/common/pause"
+	"github.com/corianderhook/corianderhook/common/suspension"
 	"github.com/corianderhook/corianderhook/connection/remoteclock"
 	"github.com/corianderhook/corianderhook/process/metrics"
 	"github.com/corianderhook/corianderhook/process/registration"
@@ -29,6 +30,9 @@
 	// idleTickInterval is the time between ticks while no task is held: a sixth of a
 	// heartbeat.
 	idleTickInterval = 25 * time.Millisecond
+	// suspensionThreshold is the length of a suspension after which dispatchers may have gone
+	// meanwhile.
+	suspensionThreshold = 100 * time.Millisecond
 	// storeRetryInterval is the time between two attempts to store an announcement.
 	storeRetryInterval = time.Second
 )
@@ -169,7 +173,11 @@
 		s.awaitEndpointEmpty(ctx)
 		s.sessions.run(ctx)
 	})
+	detector := suspension.New()
 	for pause.For(ctx, s.deps.Clock, s.tickInterval()) {
+		if d := detector.SuspendedSinceLastCall(); d > suspensionThreshold {
+			s.deps.System.Root.Send(s.runner, resumed{suspension: d})
+		}
 		s.deps.System.Root.Send(s.runner, tick{})
 	}
 }
--- a/process/runner/runner.go
+++ b/process/runner/runner.go
@@ -109,6 +109,9 @@
 	// strays holds the runs at the endpoint that the runner does not know, with the time by
 	// which they have to have ended.
 	strays map[string]time.Time
+	// resumedAt is when the machine was last resumed, suspension how long it was suspended.
+	resumedAt  time.Time
+	suspension time.Duration
 	// crashedBorn is the start of the incarnation that crashed last.
 	crashedBorn time.Time
 }
@@ -191,6 +194,9 @@
 
 // Heard records that a dispatcher was alive at the given time.
 func (r *Runner) Heard(dispatcher uint64, address string, at time.Time) {
+	if at.Before(r.resumedAt) {
+		at = at.Add(-r.suspension)
+	}
 	s, known := r.sessions[dispatcher]
 	if !known {
 		s = &session{}
@@ -203,6 +209,15 @@
 	}
 }
 
+// Resumed records that the machine was suspended for some time, which the clock does not count.
+// The last words of the dispatchers are older by that time.
+func (r *Runner) Resumed(suspension time.Duration) {
+	r.resumedAt, r.suspension = r.host.Now(), suspension
+	for _, s := range r.sessions {
+		s.heardAt = s.heardAt.Add(-suspension)
+	}
+}
+
 // dropPredecessors stops the tasks of earlier incarnations of the dispatcher at an address.
 func (r *Runner) dropPredecessors(dispatcher uint64, address string) {
 	for d, s := range r.sessions {
--- a/process/runner/runner_test.go
+++ b/process/runner/runner_test.go
@@ -345,3 +345,30 @@
 	i.Equal(len(h.starts), 5)
 	i.Equal(r.Free().CPU, 3000)
 }
+
+// Guards against a run that goes on beside the second sending of its job: the machine was suspended
+// while the dispatcher was lost, and the clock does not count the suspension. A word from before
+// it, read after it, is as old as the suspension.
+func TestSuspensionCountsAsSilence(t *testing.T) {
+	for name, read := range map[string]func(r *Runner, at time.Time){
+		"nothing is read":         func(*Runner, time.Time) {},
+		"an earlier word is read": func(r *Runner, at time.Time) { r.Heard(dispatcher, "10.0.0.1:1", at) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := is.New(t)
+			r, h := newRunner()
+			r.Offer(dispatcher, offer(1, 1, 1000))
+			r.Started(h.name(), Running, "")
+			h.advance(50 * time.Millisecond)
+			before := h.now
+			h.advance(10 * time.Millisecond)
+			r.Resumed(3 * time.Second)
+			read(r, before)
+			r.Tick()
+			i.Equal(len(h.stops), 1)
+			r.Heard(dispatcher, "10.0.0.1:1", h.now)
+			r.Offer(dispatcher, offer(2, 1, 1000))
+			i.Equal(len(h.starts), 1) // the same run is known already
+		})
+	}
+}
