--- a/node/dispatcher/actor.go
+++ b/node/dispatcher/actor.go
@@ -90,6 +90,7 @@
 		a.detach(m.session)
 	case frameReceived:
 		if a.sessions[m.session.sidecar] == m.session {
+			a.learnCancellations(m.frame.GetCancellations())
 			a.scheduler.HandleFrame(m.session.sidecar, m.frame)
 			a.announceCrashes(m.frame)
 		}
@@ -127,6 +128,7 @@
 		held = nil
 	}
 	klog.InfoS("CH1011 agent attached", "entry", a.dispatcher.deps.Name, "agent", name, "zone", hello.GetZone(), "incarnation", hello.GetIncarnation(), "held", len(held))
+	a.learnCancellations(m.firstFrame.GetCancellations())
 	a.scheduler.AttachAgent(name, hello.GetZone(), held, m.firstFrame)
 	a.announceCrashes(m.firstFrame)
 }
--- a/node/dispatcher/attach_test.go
+++ b/node/dispatcher/attach_test.go
@@ -22,13 +22,8 @@
 	i := is.New(t)
 	d, address := startDispatcher(t, "d1")
 	adopt(t, d, 3)
-	conn, err := grpc.NewClient(address, grpc.WithTransportCredentials(insecure.NewCredentials()))
-	i.NoErr(err)
-	defer conn.Close()
-	open := func(stamp uint64) grpc.BidiStreamingClient[wire.SidecarFrame, wire.DispatcherFrame] {
-		stream, err := wire.NewDispatcherClient(conn).Work(t.Context())
-		i.NoErr(err)
-		_, err = stream.Recv()
+	open := func(stamp uint64) workStream {
+		stream, err := dialWork(t, address)
 		i.NoErr(err)
 		capacity := size.Size{CPU: 1000, Memory: 1000}.Wire()
 		i.NoErr(stream.Send(&wire.SidecarFrame{
@@ -60,8 +55,26 @@
 	i.Equal((<-answered).Outcome(), outcome.Complete)
 }
 
+type workStream = grpc.BidiStreamingClient[wire.SidecarFrame, wire.DispatcherFrame]
+
+// dialWork opens a session with a dispatcher and reads its first frame.
+func dialWork(t *testing.T, address string) (workStream, error) {
+	t.Helper()
+	conn, err := grpc.NewClient(address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		return nil, err
+	}
+	t.Cleanup(func() { conn.Close() })
+	stream, err := wire.NewDispatcherClient(conn).Work(t.Context())
+	if err != nil {
+		return nil, err
+	}
+	_, err = stream.Recv()
+	return stream, err
+}
+
 // awaitOffer returns the first task that is offered in a session.
-func awaitOffer(t *testing.T, stream grpc.BidiStreamingClient[wire.SidecarFrame, wire.DispatcherFrame]) *wire.OfferedTask {
+func awaitOffer(t *testing.T, stream workStream) *wire.OfferedTask {
 	t.Helper()
 	for {
 		f, err := stream.Recv()
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -16,6 +16,7 @@
 
 	"github.com/corianderhook/corianderhook/common/instance"
 	"github.com/corianderhook/corianderhook/common/suspension"
+	"github.com/corianderhook/corianderhook/process/cancellation"
 	"github.com/corianderhook/corianderhook/process/cpupressure"
 	"github.com/corianderhook/corianderhook/process/crash"
 	"github.com/corianderhook/corianderhook/process/metrics"
@@ -81,10 +82,13 @@
 	// gate holds the evacuated zones.
 	gate *zonegate.Gate
 	// crashes holds the recent crashes of endpoints.
-	crashes  *crash.Log
-	peers    *peers
-	pressure cpupressure.Monitor
-	draining atomic.Bool
+	crashes *crash.Log
+	// cancellations holds the recently canceled jobs that were not held where they were
+	// canceled.
+	cancellations *cancellation.Log
+	peers         *peers
+	pressure      cpupressure.Monitor
+	draining      atomic.Bool
 	// jobCount is the number of running and parked jobs; parked jobs wait for endpoints.
 	jobCount atomic.Int64
 	// stopsAt is the time at which a planned stop ends; nil if none has begun.
@@ -105,11 +109,12 @@
 // New returns a dispatcher that has not started; Run starts it.
 func New(deps Dependencies) *Dispatcher {
 	d := &Dispatcher{
-		deps:        deps,
-		incarnation: instance.Hash(deps.Address, deps.Clock.Now()),
-		metrics:     deps.Metrics,
-		gate:        zonegate.New(),
-		crashes:     crash.NewLog(),
+		deps:          deps,
+		incarnation:   instance.Hash(deps.Address, deps.Clock.Now()),
+		metrics:       deps.Metrics,
+		gate:          zonegate.New(),
+		crashes:       crash.NewLog(),
+		cancellations: cancellation.New(),
 	}
 	d.metrics.RegisterGauge("corianderhook_jobs_under_way", "Jobs that have been taken and not answered.", func() float64 { return float64(d.jobCount.Load()) })
 	d.metrics.RegisterGauge("corianderhook_agents_attached", "Agents with a session.", func() float64 { return float64(d.agentCount.Load()) })
@@ -256,6 +261,11 @@
 		d.metrics.CountRefusal(queue.Name, "busy")
 		return answer.New(outcome.NotRun, "busy", "this entry is short of processor time").WithRetryAfter(busyRetryAfter)
 	}
+	if canceled, _ := d.cancellations.Contains(work.ID(), submittedAt); canceled {
+		klog.InfoS("CH1016 canceled job refused", "job", work.ID(), "queue", queue.Name)
+		d.metrics.CountRefusal(queue.Name, "canceled")
+		return answer.New(outcome.NotRun, "canceled", canceledDetail)
+	}
 	reply := make(chan answer.Answer, 1)
 	d.deps.System.Root.Send(d.scheduler, submit{sentAt: submittedAt, request: scheduler.Request{
 		Work: work, Queue: queue, Budget: budget, ConfigVersion: d.Catalog().Version(),
@@ -299,13 +309,6 @@
 	return count
 }
 
-// Cancel cancels a job and reports whether it was known here.
-func (d *Dispatcher) Cancel(ctx context.Context, id string) bool {
-	known := false
-	d.runOnScheduler(ctx, func(s *scheduler.Scheduler) { known = s.Cancel(id, "canceled by the caller") })
-	return known
-}
-
 // runOnScheduler runs a function on the scheduler, within the actor, and waits until it has
 // returned or the context ends.
 func (d *Dispatcher) runOnScheduler(ctx context.Context, run func(s *scheduler.Scheduler)) {
--- a/node/dispatcher/peers.go
+++ b/node/dispatcher/peers.go
@@ -88,6 +88,14 @@
 	}
 }
 
+// handleCancellations applies the canceled jobs in a message from another dispatcher. The answer
+// to the message says which of them were held here.
+func (p *peers) handleCancellations(k *wire.Knowledge) {
+	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
+	defer cancel()
+	p.dispatcher.learnCancellations(ctx, k.GetCancellations())
+}
+
 func (p *peers) addSession(s *session) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -128,7 +136,7 @@
 	k := &wire.Knowledge{
 		Address: p.dispatcher.deps.Address, CatalogVersion: p.version(),
 		Evacuation: p.dispatcher.gate.Message(p.dispatcher.deps.Clock.Now()), Crashes: p.dispatcher.sharedCrashes(),
-		Quarantines: *p.dispatcher.quarantines.Load(),
+		Quarantines: *p.dispatcher.quarantines.Load(), Cancellations: p.dispatcher.cancellations.Recent(p.dispatcher.deps.Clock.Now()),
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -144,6 +152,7 @@
 func (p *peers) handleKnowledge(k *wire.Knowledge, requestedAt time.Time) {
 	p.handleEvacuation(k.GetEvacuation(), requestedAt, k.GetAddress())
 	p.handleCrashes(k)
+	p.handleCancellations(k)
 	p.mu.Lock()
 	p.gossip.HeardFrom(k.GetAddress())
 	p.mu.Unlock()
--- a/node/dispatcher/session.go
+++ b/node/dispatcher/session.go
@@ -76,6 +76,7 @@
 	d := v.dispatcher
 	if err := stream.Send(&wire.DispatcherFrame{
 		Incarnation: d.incarnation, Dispatchers: d.peers.addresses(), Evacuation: d.gate.Message(d.deps.Clock.Now()),
+		Cancellations: d.cancellations.Recent(d.deps.Clock.Now()),
 	}); err != nil {
 		return err
 	}
@@ -166,6 +167,7 @@
 		merged.Offers = append(merged.Offers, f.GetOffers()...)
 		merged.Cancels = append(merged.Cancels, f.GetCancels()...)
 		merged.Withdraws = append(merged.Withdraws, f.GetWithdraws()...)
+		merged.Cancellations = append(merged.Cancellations, f.GetCancellations()...)
 		merged.Number = max(merged.GetNumber(), f.GetNumber())
 		if len(f.GetDispatchers()) > 0 {
 			merged.Dispatchers = append(merged.Dispatchers, f.GetDispatchers()...)
--- a/node/sidecar/actor.go
+++ b/node/sidecar/actor.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/corianderhook/corianderhook/common/recovery"
+	"github.com/corianderhook/corianderhook/process/cancellation"
 	"github.com/corianderhook/corianderhook/process/crash"
 	"github.com/corianderhook/corianderhook/process/registration"
 	"github.com/corianderhook/corianderhook/process/runner"
@@ -101,6 +102,8 @@
 	departingBorn time.Time
 	// crashes holds the recent crashes of the endpoint.
 	crashes *crash.Log
+	// cancellations holds the recently canceled jobs.
+	cancellations *cancellation.Log
 	// unavailableReason is the reason why the endpoint cannot be used, or empty.
 	unavailableReason string
 	draining          bool
@@ -118,7 +121,7 @@
 	a := &runnerActor{
 		sidecar: s, registration: registration.New(), sessions: map[uint64]*session{},
 		pendingEvents: map[uint64][]*wire.TaskEvent{}, urgentDispatchers: map[uint64]bool{}, recentEvents: map[uint64][]sentEvent{},
-		crashes: crash.NewLog(), unavailableReason: "the endpoint has not answered yet", endpointState: &wire.EndpointState{},
+		crashes: crash.NewLog(), cancellations: cancellation.New(), unavailableReason: "the endpoint has not answered yet", endpointState: &wire.EndpointState{},
 	}
 	a.runner = runner.New(a)
 	return a
@@ -138,8 +141,7 @@
 		a.sidecar.runsInDoubt.Store(int64(a.runner.InDoubt()))
 		a.tick()
 	case resumed:
-		klog.InfoS("CH1106 process was suspended", "agent", a.sidecar.deps.Name, "for", m.suspension)
-		a.runner.Resumed(m.suspension)
+		a.handleResumption(m.suspension)
 	case drain:
 		a.draining = true
 		a.updateEndpointState()
@@ -150,11 +152,7 @@
 		a.storedAnnouncement = &m.announcement
 		a.restoreAnnouncement()
 	case endpointLeft:
-		a.noteDeparture()
-		if a.registration.Leave(m.instance) {
-			klog.InfoS("CH1112 endpoint left", "agent", a.sidecar.deps.Name, "instance", m.instance)
-			a.updateEndpointState()
-		}
+		a.handleDeparture(m.instance)
 	case evacuationChanged:
 		a.applyEvacuation()
 	case sessionOpened:
@@ -221,6 +219,7 @@
 	s.dispatcher = m.welcome.GetIncarnation()
 	a.sidecar.handleEvacuation(m.welcome.GetEvacuation(), s.openedStamp, s.address)
 	a.applyEvacuation()
+	a.learnCancellations(m.welcome.GetCancellations())
 	a.sessions[s.dispatcher] = s
 	a.runner.Heard(s.dispatcher, s.address, a.sidecar.stampTime(s.openedStamp))
 	f := &wire.SidecarFrame{
@@ -228,7 +227,7 @@
 			Name: a.sidecar.deps.Name, Zone: a.sidecar.deps.Zone, Incarnation: a.sidecar.incarnation,
 			Dispatcher: s.dispatcher, Held: a.runner.HeldBy(s.dispatcher),
 		},
-		Endpoint: a.stateFor(s), Crashes: a.recentCrashes(),
+		Endpoint: a.stateFor(s), Crashes: a.recentCrashes(), Cancellations: a.cancellations.Recent(a.Now()),
 	}
 	for _, e := range a.recentEvents[s.dispatcher] {
 		f.Events = append(f.Events, e.event)
@@ -253,6 +252,8 @@
 	if f.GetNumber() > 0 {
 		s.lastFrameNumber = f.GetNumber()
 	}
+	a.learnCancellations(f.GetCancellations())
+	a.returnCanceled(s, f)
 	a.runner.HandleFrame(s.dispatcher, f)
 }
 
--- a/node/sidecar/crashes.go
+++ b/node/sidecar/crashes.go
@@ -18,6 +18,15 @@
 	}
 }
 
+// handleDeparture applies the message of an endpoint instance that it has left for good.
+func (a *runnerActor) handleDeparture(instance string) {
+	a.noteDeparture()
+	if a.registration.Leave(instance) {
+		klog.InfoS("CH1112 endpoint left", "agent", a.sidecar.deps.Name, "instance", instance)
+		a.updateEndpointState()
+	}
+}
+
 // recordCrash records a crash of the incarnation that started at born, noticed at the given
 // time, and tells every dispatcher what ran there. A planned end is no crash.
 func (a *runnerActor) recordCrash(born, at time.Time) {
--- a/node/sidecar/lease.go
+++ b/node/sidecar/lease.go
@@ -1,6 +1,10 @@
 package sidecar
 
-import "k8s.io/klog/v2"
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+)
 
 // checkLease ends the tasks of a lease that has lapsed. The lease is read when its end is applied
 // to the tasks: one that was extended for a later order has not lapsed.
@@ -16,6 +20,12 @@
 	a.leaseLapsed = lapsed
 }
 
+// handleResumption applies that the machine was suspended.
+func (a *runnerActor) handleResumption(suspension time.Duration) {
+	klog.InfoS("CH1106 process was suspended", "agent", a.sidecar.deps.Name, "for", suspension)
+	a.runner.Resumed(suspension)
+}
+
 // limitLease keeps the lease from being extended beyond the time by which runs have to have
 // ended. Meanwhile the endpoint takes no tasks.
 func (a *runnerActor) limitLease() {
--- a/node/sidecar/sessions.go
+++ b/node/sidecar/sessions.go
@@ -271,6 +271,7 @@
 		merged.Seen = f.GetSeen()
 		merged.Events = append(merged.Events, f.GetEvents()...)
 		merged.Crashes = append(merged.Crashes, f.GetCrashes()...)
+		merged.Cancellations = append(merged.Cancellations, f.GetCancellations()...)
 	}
 	s.sentStamp.Store(merged.GetStampUs())
 	return stream.Send(merged)
--- a/process/runner/runner.go
+++ b/process/runner/runner.go
@@ -85,11 +85,6 @@
 	leaseOver bool
 }
 
-type session struct {
-	heardAt time.Time
-	address string
-}
-
 // Runner holds the tasks of one endpoint. It is not safe for concurrent use.
 type Runner struct {
 	host          Host
@@ -192,55 +187,6 @@
 	r.evidence.Reset()
 }
 
-// Heard records that a dispatcher was alive at the given time.
-func (r *Runner) Heard(dispatcher uint64, address string, at time.Time) {
-	if at.Before(r.resumedAt) {
-		at = at.Add(-r.suspension)
-	}
-	s, known := r.sessions[dispatcher]
-	if !known {
-		s = &session{}
-		r.sessions[dispatcher] = s
-		r.dropPredecessors(dispatcher, address)
-	}
-	s.address = address
-	if at.After(s.heardAt) {
-		s.heardAt = at
-	}
-}
-
-// Resumed records that the machine was suspended for some time, which the clock does not count.
-// The last words of the dispatchers are older by that time.
-func (r *Runner) Resumed(suspension time.Duration) {
-	r.resumedAt, r.suspension = r.host.Now(), suspension
-	for _, s := range r.sessions {
-		s.heardAt = s.heardAt.Add(-suspension)
-	}
-}
-
-// dropPredecessors stops the tasks of earlier incarnations of the dispatcher at an address.
-func (r *Runner) dropPredecessors(dispatcher uint64, address string) {
-	for d, s := range r.sessions {
-		if d != dispatcher && s.address == address {
-			r.dropDispatcher(d, "the dispatcher has started anew")
-		}
-	}
-}
-
-// dropDispatcher stops all tasks of a dispatcher and forgets its session.
-func (r *Runner) dropDispatcher(dispatcher uint64, reason string) {
-	endBy := r.stopDeadline()
-	if orphanEnd := r.sessions[dispatcher].heardAt.Add(maxOrphanTime); orphanEnd.Before(endBy) {
-		endBy = orphanEnd
-	}
-	for _, t := range r.sortedTasks() {
-		if t.dispatcher == dispatcher {
-			r.stopBy(t, endBy, reason)
-		}
-	}
-	delete(r.sessions, dispatcher)
-}
-
 // HandleFrame handles a dispatcher's frame. A frame holds all messages since the previous
 // one, so that it may cancel a task that it offers. Cancels go first: the capacity that
 // they free is available to the offers.
@@ -305,6 +251,15 @@
 	}
 }
 
+// CancelJob stops all tasks of a job, whichever dispatcher has sent them.
+func (r *Runner) CancelJob(job, reason string) {
+	for _, t := range r.sortedTasks() {
+		if t.order.Job == job {
+			r.stopBy(t, r.stopDeadline(), reason)
+		}
+	}
+}
+
 // Withdraw returns a task if it has not started; a started task runs on.
 func (r *Runner) Withdraw(dispatcher, ref uint64) {
 	if t, known := r.tasks[taskName(dispatcher, ref)]; known && t.phase == waiting {
@@ -347,15 +302,6 @@
 	r.host.Send(t.dispatcher, &wire.TaskEvent{Ref: t.ref, Kind: wire.TaskEventKind_TASK_EVENT_KIND_STARTED, WaitedMs: millis(now.Sub(t.offeredAt))})
 }
 
-// silence returns the time since the last word of a dispatcher; false if it has no session.
-func (r *Runner) silence(dispatcher uint64) (time.Duration, bool) {
-	s, known := r.sessions[dispatcher]
-	if !known {
-		return 0, false
-	}
-	return r.host.Now().Sub(s.heardAt), true
-}
-
 // mayRepeatStart reports whether a start order without an answer is sent again. The condition on
 // the dispatcher is that of a first order, since the repeated one may be the first that arrives.
 func (r *Runner) mayRepeatStart(t *task) bool {
--- /dev/null
+++ b/process/runner/sessions.go
@@ -0,0 +1,66 @@
+package runner
+
+import "time"
+
+type session struct {
+	heardAt time.Time
+	address string
+}
+
+// Heard records that a dispatcher was alive at the given time.
+func (r *Runner) Heard(dispatcher uint64, address string, at time.Time) {
+	if at.Before(r.resumedAt) {
+		at = at.Add(-r.suspension)
+	}
+	s, known := r.sessions[dispatcher]
+	if !known {
+		s = &session{}
+		r.sessions[dispatcher] = s
+		r.dropPredecessors(dispatcher, address)
+	}
+	s.address = address
+	if at.After(s.heardAt) {
+		s.heardAt = at
+	}
+}
+
+// Resumed records that the machine was suspended for some time, which the clock does not count.
+// The last words of the dispatchers are older by that time.
+func (r *Runner) Resumed(suspension time.Duration) {
+	r.resumedAt, r.suspension = r.host.Now(), suspension
+	for _, s := range r.sessions {
+		s.heardAt = s.heardAt.Add(-suspension)
+	}
+}
+
+// dropPredecessors stops the tasks of earlier incarnations of the dispatcher at an address.
+func (r *Runner) dropPredecessors(dispatcher uint64, address string) {
+	for d, s := range r.sessions {
+		if d != dispatcher && s.address == address {
+			r.dropDispatcher(d, "the dispatcher has started anew")
+		}
+	}
+}
+
+// dropDispatcher stops all tasks of a dispatcher and forgets its session.
+func (r *Runner) dropDispatcher(dispatcher uint64, reason string) {
+	endBy := r.stopDeadline()
+	if orphanEnd := r.sessions[dispatcher].heardAt.Add(maxOrphanTime); orphanEnd.Before(endBy) {
+		endBy = orphanEnd
+	}
+	for _, t := range r.sortedTasks() {
+		if t.dispatcher == dispatcher {
+			r.stopBy(t, endBy, reason)
+		}
+	}
+	delete(r.sessions, dispatcher)
+}
+
+// silence returns the time since the last word of a dispatcher; false if it has no session.
+func (r *Runner) silence(dispatcher uint64) (time.Duration, bool) {
+	s, known := r.sessions[dispatcher]
+	if !known {
+		return 0, false
+	}
+	return r.host.Now().Sub(s.heardAt), true
+}
