--- a/node/sidecar/actor.go
+++ b/node/sidecar/actor.go
@@ -64,8 +64,10 @@
 	// endpointTakenOver means that the endpoint runs no earlier task and accepts only the
 	// orders of this sidecar.
 	endpointTakenOver struct {
-		epoch  *epoch
-		reason string
+		epoch *epoch
+		// brokenAt is when a connection to the endpoint broke before, or zero.
+		brokenAt time.Time
+		reason   string
 	}
 	// listReceived and endpointUnavailable come from polling the endpoint.
 	listReceived        struct{ report runner.Report }
@@ -190,7 +192,11 @@
 // end.
 func (a *runnerActor) handleTakeover(m endpointTakenOver) {
 	if !a.endpointBorn.IsZero() && !a.endpointBorn.Equal(m.epoch.born) {
-		a.recordCrash(a.endpointBorn, a.Now())
+		at := m.brokenAt
+		if at.IsZero() {
+			at = a.Now()
+		}
+		a.recordCrash(a.endpointBorn, at)
 	}
 	a.epoch, a.endpointBorn = m.epoch, m.epoch.born
 	a.runner.EndpointRestarted(m.reason)
--- a/node/sidecar/lease_keeper.go
+++ b/node/sidecar/lease_keeper.go
@@ -62,6 +62,8 @@
 	endpointEmpty     chan struct{}
 	endpointEmptyOnce sync.Once
 	lastSeq           uint64
+	// brokenAt is when a connection broke before the current takeover, or zero.
+	brokenAt time.Time
 }
 
 // epoch is the time from a takeover of the endpoint to the next one. Fences, readings of the
@@ -189,7 +191,7 @@
 		if e := k.takeOver(ctx); e != nil {
 			k.epoch.Store(e)
 			k.noteEmpty()
-			k.notifyRunner(endpointTakenOver{epoch: e, reason: "the endpoint was taken over anew"})
+			k.notifyRunner(endpointTakenOver{epoch: e, brokenAt: k.brokenAt, reason: "the endpoint was taken over anew"})
 			k.pollEndpoint(ctx, e)
 			k.epoch.Store(nil)
 		}
@@ -249,6 +251,7 @@
 // has to be taken over again.
 func (k *leaseKeeper) pollEndpoint(ctx context.Context, e *epoch) {
 	var o outage
+	defer func() { k.brokenAt = o.brokenSince }()
 	for ctx.Err() == nil {
 		select {
 		case born := <-k.announcedBorn:
--- a/node/sidecar/lease_keeper_test.go
+++ b/node/sidecar/lease_keeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"sync"
 	"syscall"
 	"testing"
@@ -154,3 +155,25 @@
 	a.checkLease()
 	i.Equal(len(a.runner.HeldBy(1)), 0)
 }
+
+// A crash counts from the time when the connection broke, not from the takeover of the next
+// incarnation: orders in between were not there.
+func TestCrashCountsFromTheBrokenConnection(t *testing.T) {
+	i := is.New(t)
+	clock := clockwork.NewFakeClock()
+	brokeAt := clock.Now()
+	polls := 0
+	e := &scriptedEndpoint{}
+	e.setList(func(Target, time.Time) (ListResult, error) {
+		polls++
+		if polls == 1 {
+			return ListResult{}, io.ErrUnexpectedEOF
+		}
+		clock.Advance(time.Second)
+		return ListResult{Born: brokeAt.Add(time.Second)}, nil
+	})
+	k := newKeeper(clock, e)
+	k.pollEndpoint(t.Context(), &epoch{born: brokeAt.Add(-time.Minute), clock: &remoteclock.Clock{}, lease: lease.New(clock.Now())})
+	i.Equal(polls, 2)
+	i.Equal(k.brokenAt, brokeAt)
+}
