--- a/node/sidecar/lease.go
+++ b/node/sidecar/lease.go
@@ -7,10 +7,10 @@
 )
 
 // checkLease ends the tasks of a lease that has lapsed. The lease is read when its end is applied
-// to the tasks: one that was extended for a later order has not lapsed.
+// to the tasks: one that was extended for a later order has not lapsed. A takeover does not extend
+// it, so that it also lapses while the endpoint is being taken over.
 func (a *runnerActor) checkLease() {
-	e := a.sidecar.keeper.epoch.Load()
-	lapsed := e != nil && e.lease.Lapsed(a.Now())
+	lapsed := a.epoch != nil && a.epoch.lease.Lapsed(a.Now())
 	if lapsed {
 		a.runner.Lapse("its lease ran out")
 	}
@@ -29,11 +29,10 @@
 // limitLease keeps the lease from being extended beyond the time by which runs have to have
 // ended. Meanwhile the endpoint takes no tasks.
 func (a *runnerActor) limitLease() {
-	e := a.sidecar.keeper.epoch.Load()
 	limited := false
-	if e != nil {
-		e.lease.SetLimit(a.runner.LeaseLimit())
-		limited = e.lease.Limited(a.Now())
+	if a.epoch != nil {
+		a.epoch.lease.SetLimit(a.runner.LeaseLimit())
+		limited = a.epoch.lease.Limited(a.Now())
 	}
 	if limited == a.leaseLimited {
 		return
--- a/node/sidecar/lease_keeper.go
+++ b/node/sidecar/lease_keeper.go
@@ -29,8 +29,10 @@
 	// renewalGrace is how long the lease of an unavailable endpoint is still renewed, as the
 	// endpoint may only be slow. It is not renewed while connections are refused.
 	renewalGrace = 400 * time.Millisecond
-	// maxStopOrders is the number of stop orders for a run of which none has an answer yet.
-	maxStopOrders = 8
+	// maxStopOrders is the number of stop orders for a run after which the runner decides again,
+	// maxPendingStopOrders that of the orders without an answer at a time.
+	maxStopOrders        = 8
+	maxPendingStopOrders = 4
 	// listRetryInterval is the time between polls of an endpoint that does not answer.
 	listRetryInterval = 40 * time.Millisecond
 	// initialFenceStep is added to the fence when the endpoint rejects it as too low. The
@@ -159,11 +161,10 @@
 	for sent, failed := 0, 0; failed < maxStopOrders; {
 		select {
 		case <-timer.Chan():
-			if sent == maxStopOrders {
-				continue
+			if sent < maxStopOrders && sent-failed < maxPendingStopOrders {
+				sent++
+				go func() { answers <- k.sidecar.deps.Endpoint.Stop(ctx, k.target(e), run) }()
 			}
-			sent++
-			go func() { answers <- k.sidecar.deps.Endpoint.Stop(ctx, k.target(e), run) }()
 			timer.Reset(stopRetryInterval)
 		case acknowledged := <-answers:
 			if acknowledged {
--- a/node/sidecar/lease_keeper_test.go
+++ b/node/sidecar/lease_keeper_test.go
@@ -151,6 +151,8 @@
 	current.lease.Extend(clock.Now())
 	a.checkLease()
 	i.Equal(len(a.runner.HeldBy(1)), 1)
+	// The endpoint may be silent from the beginning of a takeover, which does not extend the lease.
+	a.sidecar.keeper.epoch.Store(nil)
 	clock.Advance(lease.LapseTime() + time.Millisecond)
 	a.checkLease()
 	i.Equal(len(a.runner.HeldBy(1)), 0)
