--- a/node/sidecar/lease_keeper.go
+++ b/node/sidecar/lease_keeper.go
@@ -323,7 +323,7 @@
 		k.notifyRunner(endpointUnavailable{reason: "the endpoint does not answer"})
 	}
 	if o.connectionRefused {
-		// Nothing listens on this machine, so that the process has gone.
+		// The process has gone, or a firewall refuses for it. Its runs end with the lease either way.
 		k.notifyRunner(endpointGone{born: e.born, at: o.brokenSince})
 	}
 }
