Pass cancellations on with their age, by one piece of code

Change: what is passed on is the message that was received, or the log's own with its age (Find, in place of two answers of Contains). One function applies cancellations inside and outside the scheduler's actor, and one loop queues a frame for every sidecar, also for addresses and evacuated zones, which had loops of their own.

--- a/node/dispatcher/cancellations.go
+++ b/node/dispatcher/cancellations.go
@@ -23,6 +23,7 @@
 	if d.cancelHere(ctx, id) {
 		return true
 	}
+	// This looks once more for the job, which may have been submitted meanwhile.
 	d.learnCancellations(ctx, []*wire.Cancellation{{Job: id}})
 	return d.peers.cancelElsewhere(ctx, id)
 }
@@ -39,55 +40,35 @@
 	}
 }
 
-// learnCancellations cancels the jobs that other processes say are canceled, and passes them on.
-// It returns when the jobs that are held here have ended, or with the context.
+// learnCancellations cancels the jobs that other processes say are canceled. It returns when the
+// jobs that are held here have ended, or with the context.
 func (d *Dispatcher) learnCancellations(ctx context.Context, list []*wire.Cancellation) {
-	added := d.cancellations.AddAll(list, d.deps.Clock.Now())
-	for _, job := range added {
-		d.noteCanceled(job, d.cancelHere(ctx, job))
-	}
-	d.passOnCancellations(added)
+	d.applyCancellations(list, func(job string) bool { return d.cancelHere(ctx, job) })
 }
 
 // learnCancellations does the same within the actor.
 func (a *schedulerActor) learnCancellations(list []*wire.Cancellation) {
-	added := a.dispatcher.cancellations.AddAll(list, a.Now())
-	for _, job := range added {
-		a.dispatcher.noteCanceled(job, a.scheduler.Cancel(job, canceledDetail))
-	}
-	a.dispatcher.passOnCancellations(added)
-}
-
-// noteCanceled records whether a canceled job was held here.
-func (d *Dispatcher) noteCanceled(job string, held bool) {
-	klog.InfoS("CH1014 canceled job looked for", "entry", d.deps.Name, "job", job, "held", held)
-	if held {
-		d.cancellations.Add(job, true, d.deps.Clock.Now())
-	}
+	a.dispatcher.applyCancellations(list, func(job string) bool { return a.scheduler.Cancel(job, canceledDetail) })
 }
 
-// passOnCancellations tells the sidecars and the other dispatchers of canceled jobs.
-func (d *Dispatcher) passOnCancellations(jobs []string) {
-	if len(jobs) == 0 {
+// applyCancellations cancels the jobs that are new in a list, records which of them were held
+// here, and passes them on to the sidecars and the other dispatchers.
+func (d *Dispatcher) applyCancellations(list []*wire.Cancellation, cancel func(job string) (held bool)) {
+	added := d.cancellations.AddAll(list, d.deps.Clock.Now())
+	if len(added) == 0 {
 		return
 	}
-	f := &wire.DispatcherFrame{}
-	for _, job := range jobs {
-		f.Cancellations = append(f.Cancellations, &wire.Cancellation{Job: job})
+	for _, m := range added {
+		held := cancel(m.GetJob())
+		klog.InfoS("CH1014 canceled job looked for", "entry", d.deps.Name, "job", m.GetJob(), "held", held)
+		if held {
+			d.cancellations.Add(m.GetJob(), true, d.deps.Clock.Now())
+		}
 	}
-	d.peers.sendToSidecars(f)
+	d.peers.sendToSidecars(&wire.DispatcherFrame{Cancellations: added})
 	d.peers.requestRound()
 }
 
-// sendToSidecars queues a frame for every sidecar with a session.
-func (p *peers) sendToSidecars(f *wire.DispatcherFrame) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for s := range p.sessions {
-		s.out.Put(f)
-	}
-}
-
 // cancelElsewhere asks the other dispatchers to cancel a job. It returns false if none holds it.
 func (p *peers) cancelElsewhere(ctx context.Context, job string) bool {
 	var others []string
@@ -115,6 +96,5 @@
 	for range asked {
 		all = <-answered && all
 	}
-	_, found := p.dispatcher.cancellations.Contains(job, p.dispatcher.deps.Clock.Now())
-	return found || !all
+	return !all || p.dispatcher.cancellations.Find(job, p.dispatcher.deps.Clock.Now()).GetFound()
 }
--- a/node/dispatcher/cancellations_test.go
+++ b/node/dispatcher/cancellations_test.go
@@ -15,9 +15,9 @@
 const canceledJob = "00000000000000aa"
 
 // submitParked submits a job that waits for endpoints, and returns its answer.
-func submitParked(t *testing.T, d *Dispatcher) <-chan answer.Answer {
+func submitParked(t *testing.T, d *Dispatcher, job string) <-chan answer.Answer {
 	t.Helper()
-	work, err := workload.New(canceledJob, "", []workload.Step{{Count: 1, Estimate: 50 * time.Millisecond}})
+	work, err := workload.New(job, "", []workload.Step{{Count: 1, Estimate: 50 * time.Millisecond}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -49,12 +49,7 @@
 	i.True(!d2.Cancel(t.Context(), canceledJob)) // nobody holds it yet
 
 	other := "00000000000000bb"
-	work, err := workload.New(other, "", []workload.Step{{Count: 1, Estimate: 50 * time.Millisecond}})
-	i.NoErr(err)
-	answered := make(chan answer.Answer, 1)
-	go func() {
-		answered <- d1.Submit(t.Context(), work, catalog.Queue{Name: "q", Service: "s", Stretch: 20, TargetLatency: 10 * time.Second}, 20*time.Second)
-	}()
+	answered := submitParked(t, d1, other)
 	for d1.JobCount() == 0 {
 		time.Sleep(time.Millisecond)
 	}
@@ -62,7 +57,7 @@
 	i.Equal((<-answered).Reason(), "canceled")
 
 	// The job is not taken elsewhere either.
-	i.Equal((<-submitParked(t, d2)).Reason(), "canceled")
+	i.Equal((<-submitParked(t, d2, canceledJob)).Reason(), "canceled")
 }
 
 // A dispatcher that does not answer may hold the job. It learns of the cancellation from the first
@@ -77,7 +72,7 @@
 
 	d1, address := startDispatcher(t, "d1")
 	adopt(t, d1, 3)
-	answered := submitParked(t, d1)
+	answered := submitParked(t, d1, canceledJob)
 	for d1.JobCount() == 0 {
 		time.Sleep(time.Millisecond)
 	}
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -261,7 +261,7 @@
 		d.metrics.CountRefusal(queue.Name, "busy")
 		return answer.New(outcome.NotRun, "busy", "this entry is short of processor time").WithRetryAfter(busyRetryAfter)
 	}
-	if canceled, _ := d.cancellations.Contains(work.ID(), submittedAt); canceled {
+	if d.cancellations.Find(work.ID(), submittedAt) != nil {
 		klog.InfoS("CH1016 canceled job refused", "job", work.ID(), "queue", queue.Name)
 		d.metrics.CountRefusal(queue.Name, "canceled")
 		return answer.New(outcome.NotRun, "canceled", canceledDetail)
--- a/node/dispatcher/evacuation.go
+++ b/node/dispatcher/evacuation.go
@@ -15,12 +15,8 @@
 // announceEvacuation passes a changed set of evacuated zones on to sidecars and other
 // dispatchers.
 func (p *peers) announceEvacuation() {
-	p.mu.Lock()
-	for s := range p.sessions {
-		// The session adds the set to the frame.
-		s.out.Put(&wire.DispatcherFrame{})
-	}
-	p.mu.Unlock()
+	// Each session adds the set to the frame.
+	p.sendToSidecars(&wire.DispatcherFrame{})
 	p.requestRound()
 }
 
--- a/node/dispatcher/peers.go
+++ b/node/dispatcher/peers.go
@@ -77,12 +77,18 @@
 // announce sends the new addresses to every sidecar.
 func (p *peers) announce() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.unannounced) == 0 {
-		return
-	}
-	f := &wire.DispatcherFrame{Dispatchers: p.unannounced}
+	addresses := p.unannounced
 	p.unannounced = nil
+	p.mu.Unlock()
+	if len(addresses) > 0 {
+		p.sendToSidecars(&wire.DispatcherFrame{Dispatchers: addresses})
+	}
+}
+
+// sendToSidecars queues a frame for every sidecar with a session.
+func (p *peers) sendToSidecars(f *wire.DispatcherFrame) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for s := range p.sessions {
 		s.out.Put(f)
 	}
--- a/process/cancellation/cancellation.go
+++ b/process/cancellation/cancellation.go
@@ -39,12 +39,13 @@
 // process, or one that it heard of, held the job.
 func (l *Log) Add(job string, found bool, now time.Time) bool { return l.add(job, found, now, now) }
 
-// AddAll records the cancellations in a message that was received now and returns the new jobs.
-func (l *Log) AddAll(list []*wire.Cancellation, now time.Time) []string {
-	var added []string
+// AddAll records the cancellations in a message that was received now and returns the new ones,
+// to be passed on with their age.
+func (l *Log) AddAll(list []*wire.Cancellation, now time.Time) []*wire.Cancellation {
+	var added []*wire.Cancellation
 	for _, m := range list {
 		if l.add(m.GetJob(), m.GetFound(), now.Add(-time.Duration(m.GetAgeMs())*time.Millisecond), now) {
-			added = append(added, m.GetJob())
+			added = append(added, m)
 		}
 	}
 	return added
@@ -70,23 +71,29 @@
 func (l *Log) makeRoom(now time.Time) {
 	maps.DeleteFunc(l.records, func(_ string, r record) bool { return now.Sub(r.at) > retention })
 	if len(l.records) >= maxRecords {
-		delete(l.records, slices.MinFunc(l.jobs(), l.compareAge))
+		delete(l.records, slices.MinFunc(slices.Collect(maps.Keys(l.records)), l.compareAge))
 	}
 }
 
-func (l *Log) jobs() []string { return slices.Collect(maps.Keys(l.records)) }
-
 // compareAge orders jobs by the time of their cancellation.
 func (l *Log) compareAge(a, b string) int {
 	return cmp.Or(l.records[a].at.Compare(l.records[b].at), cmp.Compare(a, b))
 }
 
-// Contains reports whether a job was canceled recently, and whether a dispatcher held it.
-func (l *Log) Contains(job string, now time.Time) (canceled, found bool) {
+// Find returns the recent cancellation of a job as a message that is sent now, or nil.
+func (l *Log) Find(job string, now time.Time) *wire.Cancellation {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.message(job, now)
+}
+
+// message returns the message of a job that was canceled recently, else nil.
+func (l *Log) message(job string, now time.Time) *wire.Cancellation {
 	r, known := l.records[job]
-	return known && now.Sub(r.at) <= retention, r.found
+	if !known || now.Sub(r.at) > retention {
+		return nil
+	}
+	return &wire.Cancellation{Job: job, AgeMs: uint32(max(0, now.Sub(r.at).Milliseconds())), Found: r.found}
 }
 
 // Recent returns the recent cancellations as messages that are sent now, the oldest first.
@@ -95,8 +102,8 @@
 	defer l.mu.Unlock()
 	var list []*wire.Cancellation
 	for _, job := range slices.SortedFunc(maps.Keys(l.records), l.compareAge) {
-		if r := l.records[job]; now.Sub(r.at) <= retention {
-			list = append(list, &wire.Cancellation{Job: job, AgeMs: uint32(max(0, now.Sub(r.at).Milliseconds())), Found: r.found})
+		if m := l.message(job, now); m != nil {
+			list = append(list, m)
 		}
 	}
 	return list
