Derive what the sidecar kept twice, and test one condition in one place

Cause, from reading the change: the start of the incarnation stood in the actor and in its epoch; the time of a broken connection was a field that one function left for another; first and repeated start orders tested the dispatcher's silence by two conditions; the threshold of a suspension stood in dispatcher and sidecar; a loop searched a slice. Change: the epoch's start is used, pollEndpoint returns the time, silence says whether tasks may start, suspension.Threshold, slices.Contains. No behaviour changes.

--- a/common/suspension/suspension.go
+++ b/common/suspension/suspension.go
@@ -8,6 +8,10 @@
 	"golang.org/x/sys/unix"
 )
 
+// Threshold is the length of a suspension after which other processes may have given up on this
+// one.
+const Threshold = 100 * time.Millisecond
+
 // Detector compares the boot clock, which counts suspensions, with the monotonic clock, which
 // does not.
 type Detector struct {
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -32,9 +32,6 @@
 )
 
 const (
-	// suspensionThreshold is the length of a suspension after which agents may have stopped
-	// this process's tasks.
-	suspensionThreshold = 100 * time.Millisecond
 	// busyRetryAfter is the Retry-After of an entry under pressure.
 	busyRetryAfter = time.Second
 	// maxReportsPerSecond is the rate of plain capacity reports, those not sent with events
@@ -240,7 +237,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.Chan():
-			if s := detector.SuspendedSinceLastCall(); s > suspensionThreshold {
+			if s := detector.SuspendedSinceLastCall(); s > suspension.Threshold {
 				klog.InfoS("CH1003 process was suspended", "entry", d.deps.Name, "for", s)
 				d.deps.System.Root.Send(d.scheduler, hostSuspended{duration: s})
 			}
--- a/node/sidecar/actor.go
+++ b/node/sidecar/actor.go
@@ -98,8 +98,6 @@
 	storedAnnouncement *registration.Announcement
 	// epoch is the epoch in which orders are decided, nil before the first takeover.
 	epoch *epoch
-	// endpointBorn is the start time of the incarnation that was taken over.
-	endpointBorn time.Time
 	// departingBorn is the start time of the last incarnation that has said that it leaves.
 	departingBorn time.Time
 	// crashes holds the recent crashes of the endpoint.
@@ -191,14 +189,14 @@
 // is another incarnation than before, the previous one has crashed unless it had announced its
 // end.
 func (a *runnerActor) handleTakeover(m endpointTakenOver) {
-	if !a.endpointBorn.IsZero() && !a.endpointBorn.Equal(m.epoch.born) {
+	if a.epoch != nil && !a.epoch.born.Equal(m.epoch.born) {
 		at := m.brokenAt
 		if at.IsZero() {
 			at = a.Now()
 		}
-		a.recordCrash(a.endpointBorn, at)
+		a.recordCrash(a.epoch.born, at)
 	}
-	a.epoch, a.endpointBorn = m.epoch, m.epoch.born
+	a.epoch = m.epoch
 	a.runner.EndpointRestarted(m.reason)
 	a.unavailableReason = ""
 	a.restoreAnnouncement()
--- a/node/sidecar/lease_keeper.go
+++ b/node/sidecar/lease_keeper.go
@@ -64,8 +64,6 @@
 	endpointEmpty     chan struct{}
 	endpointEmptyOnce sync.Once
 	lastSeq           uint64
-	// brokenAt is when a connection broke before the current takeover, or zero.
-	brokenAt time.Time
 }
 
 // epoch is the time from a takeover of the endpoint to the next one. Fences, readings of the
@@ -188,12 +186,13 @@
 
 // run takes the endpoint over and polls it, repeatedly until the context ends.
 func (k *leaseKeeper) run(ctx context.Context) {
+	var brokenAt time.Time
 	for ctx.Err() == nil {
 		if e := k.takeOver(ctx); e != nil {
 			k.epoch.Store(e)
 			k.noteEmpty()
-			k.notifyRunner(endpointTakenOver{epoch: e, brokenAt: k.brokenAt, reason: "the endpoint was taken over anew"})
-			k.pollEndpoint(ctx, e)
+			k.notifyRunner(endpointTakenOver{epoch: e, brokenAt: brokenAt, reason: "the endpoint was taken over anew"})
+			brokenAt = k.pollEndpoint(ctx, e)
 			k.epoch.Store(nil)
 		}
 	}
@@ -249,26 +248,25 @@
 }
 
 // pollEndpoint renews the lease and reports the ended runs to the runner, until the endpoint
-// has to be taken over again.
-func (k *leaseKeeper) pollEndpoint(ctx context.Context, e *epoch) {
+// has to be taken over again. It returns since when the connection has been broken, or zero.
+func (k *leaseKeeper) pollEndpoint(ctx context.Context, e *epoch) time.Time {
 	var o outage
-	defer func() { k.brokenAt = o.brokenSince }()
 	for ctx.Err() == nil {
 		select {
 		case born := <-k.announcedBorn:
 			if !born.Equal(e.born) {
 				k.notifyRunner(endpointUnavailable{reason: "the endpoint has begun a new life"})
-				return
+				return o.brokenSince
 			}
 		case <-k.takeoverRequested:
 			k.notifyRunner(endpointUnavailable{reason: "the endpoint is taken over anew after an unexpected error"})
-			return
+			return o.brokenSince
 		default:
 		}
 		if e.clock.Restarted() {
 			klog.InfoS("CH1137 endpoint's clock has started anew", "agent", k.sidecar.deps.Name, "born", e.born)
 			k.notifyRunner(endpointUnavailable{reason: "the endpoint has restarted"})
-			return
+			return o.brokenSince
 		}
 		var leaseEnd time.Time
 		if o.lostSince.IsZero() || !o.connectionRefused && k.sidecar.deps.Clock.Since(o.lostSince) <= renewalGrace {
@@ -286,7 +284,7 @@
 		case list.Fenced || !list.Born.Equal(e.born):
 			klog.InfoS("CH1135 endpoint has restarted or another sidecar has taken it over", "agent", k.sidecar.deps.Name, "born", list.Born, "fenced", list.Fenced)
 			k.notifyRunner(endpointUnavailable{reason: "the endpoint is being taken over"})
-			return
+			return o.brokenSince
 		}
 		if !o.lostSince.IsZero() {
 			klog.InfoS("CH1136 endpoint answers again", "agent", k.sidecar.deps.Name, "after", now.Sub(o.lostSince))
@@ -295,6 +293,7 @@
 		k.lastSeq = list.LastSeq
 		k.notifyRunner(listReceived{report: list.Report})
 	}
+	return o.brokenSince
 }
 
 // outage is what is known of an endpoint that does not answer.
--- a/node/sidecar/lease_keeper_test.go
+++ b/node/sidecar/lease_keeper_test.go
@@ -175,7 +175,7 @@
 		return ListResult{Born: brokeAt.Add(time.Second)}, nil
 	})
 	k := newKeeper(clock, e)
-	k.pollEndpoint(t.Context(), &epoch{born: brokeAt.Add(-time.Minute), clock: &remoteclock.Clock{}, lease: lease.New(clock.Now())})
+	brokenAt := k.pollEndpoint(t.Context(), &epoch{born: brokeAt.Add(-time.Minute), clock: &remoteclock.Clock{}, lease: lease.New(clock.Now())})
 	i.Equal(polls, 2)
-	i.Equal(k.brokenAt, brokeAt)
+	i.Equal(brokenAt, brokeAt)
 }
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -30,9 +30,6 @@
 	// idleTickInterval is the time between ticks while no task is held: a sixth of a
 	// heartbeat.
 	idleTickInterval = 25 * time.Millisecond
-	// suspensionThreshold is the length of a suspension after which dispatchers may have gone
-	// meanwhile.
-	suspensionThreshold = 100 * time.Millisecond
 	// storeRetryInterval is the time between two attempts to store an announcement.
 	storeRetryInterval = time.Second
 )
@@ -175,7 +172,7 @@
 	})
 	detector := suspension.New()
 	for pause.For(ctx, s.deps.Clock, s.tickInterval()) {
-		if d := detector.SuspendedSinceLastCall(); d > suspensionThreshold {
+		if d := detector.SuspendedSinceLastCall(); d > suspension.Threshold {
 			s.deps.System.Root.Send(s.runner, resumed{suspension: d})
 		}
 		s.deps.System.Root.Send(s.runner, tick{})
--- a/node/sidecar/state.go
+++ b/node/sidecar/state.go
@@ -29,15 +29,15 @@
 		reason = a.unavailableReason
 	case a.leaseLimited:
 		reason = leaseLimitedReason
-	case !current.Born.Equal(a.endpointBorn):
+	case a.epoch == nil || !current.Born.Equal(a.epoch.born):
 		reason = "the endpoint has begun a new life"
 	}
 	state := &wire.EndpointState{
 		Instance: current.Instance, Service: current.Service, Labels: current.Labels, Accepting: reason == "", Reason: reason,
 		Capacity: current.Capacity.Wire(), StaysMs: uint32(current.MinRemaining.Milliseconds()),
 	}
-	if !a.endpointBorn.IsZero() {
-		state.BornMs = a.endpointBorn.UnixMilli()
+	if a.epoch != nil {
+		state.BornMs = a.epoch.born.UnixMilli()
 	}
 	if state.GetReason() != a.endpointState.GetReason() || state.GetInstance() != a.endpointState.GetInstance() {
 		klog.InfoS("CH1111 endpoint state", "agent", a.sidecar.deps.Name, "instance", state.GetInstance(), "accepting", state.GetAccepting(), "reason", reason,
@@ -126,10 +126,10 @@
 // restoreAnnouncement applies the announcement stored by an earlier sidecar if the endpoint
 // is still the same incarnation.
 func (a *runnerActor) restoreAnnouncement() {
-	if a.storedAnnouncement == nil || a.endpointBorn.IsZero() || !a.registration.Restore(*a.storedAnnouncement, a.endpointBorn) {
+	if a.storedAnnouncement == nil || a.epoch == nil || !a.registration.Restore(*a.storedAnnouncement, a.epoch.born) {
 		return
 	}
-	klog.InfoS("CH1115 stored announcement restored", "agent", a.sidecar.deps.Name, "instance", a.storedAnnouncement.Instance, "born", a.endpointBorn)
-	a.sidecar.keeper.setIncarnation(a.storedAnnouncement.Instance, a.endpointBorn)
+	klog.InfoS("CH1115 stored announcement restored", "agent", a.sidecar.deps.Name, "instance", a.storedAnnouncement.Instance, "born", a.epoch.born)
+	a.sidecar.keeper.setIncarnation(a.storedAnnouncement.Instance, a.epoch.born)
 	a.updateEndpointState()
 }
--- a/process/attachment/attachment.go
+++ b/process/attachment/attachment.go
@@ -1,7 +1,10 @@
 // Package attachment decides which of a sidecar's sessions is the current one.
 package attachment
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// retention is how long the sessions of a sidecar that has none any more are remembered.
@@ -50,10 +53,8 @@
 			return false
 		}
 	} else {
-		for _, incarnation := range s.earlier {
-			if h.Incarnation == incarnation {
-				return false
-			}
+		if slices.Contains(s.earlier, h.Incarnation) {
+			return false
 		}
 		s.earlier = append(s.earlier, s.last.Incarnation)
 		s.earlier = s.earlier[max(0, len(s.earlier)-maxEarlier):]
--- a/process/runner/runner.go
+++ b/process/runner/runner.go
@@ -281,9 +281,9 @@
 // start sends the start order of a task, or returns the task if it must not start.
 func (r *Runner) start(t *task) {
 	now := r.host.Now()
-	silence, known := r.silence(t.dispatcher)
+	silence, mayStart := r.silence(t.dispatcher)
 	switch {
-	case !known || silence > MaxStartSilence:
+	case !mayStart:
 		r.returnTask(t, "its dispatcher has not been heard of late")
 		return
 	case r.byRun[runKey(t.order)] != nil:
@@ -305,8 +305,8 @@
 // mayRepeatStart reports whether a start order without an answer is sent again. The condition on
 // the dispatcher is that of a first order, since the repeated one may be the first that arrives.
 func (r *Runner) mayRepeatStart(t *task) bool {
-	silence, known := r.silence(t.dispatcher)
-	return t.tries < maxStartTries && !r.closed && known && silence <= MaxStartSilence
+	_, mayStart := r.silence(t.dispatcher)
+	return mayStart && t.tries < maxStartTries && !r.closed
 }
 
 func millis(d time.Duration) uint32 { return uint32(max(0, d.Milliseconds())) }
--- a/process/runner/sessions.go
+++ b/process/runner/sessions.go
@@ -56,11 +56,12 @@
 	delete(r.sessions, dispatcher)
 }
 
-// silence returns the time since the last word of a dispatcher; false if it has no session.
-func (r *Runner) silence(dispatcher uint64) (time.Duration, bool) {
+// silence returns the time since the last word of a dispatcher, and whether its tasks may start.
+func (r *Runner) silence(dispatcher uint64) (silence time.Duration, mayStart bool) {
 	s, known := r.sessions[dispatcher]
 	if !known {
 		return 0, false
 	}
-	return r.host.Now().Sub(s.heardAt), true
+	silence = r.host.Now().Sub(s.heardAt)
+	return silence, silence <= MaxStartSilence
 }
