--- a/process/replay/counter_test.go
+++ b/process/replay/counter_test.go
@@ -64,6 +64,7 @@
 // Bursts of everything and of the long jobs, from two thirds of the endpoints' capacity to a
 // fifth above it.
 func TestCounterUnderLoad(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name  string
 		times float64
--- a/process/replay/depot_test.go
+++ b/process/replay/depot_test.go
@@ -69,6 +69,7 @@
 // From three quarters of the endpoints' capacity to a third above it, the short urgent jobs,
 // which have the most tasks, stay on time.
 func TestDepotUnderLoad(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct{ times, least float64 }{{1.3, minShareWithinCapacity}, {1.6, 0.95}, {1.9, 0.87}, {2.3, 0.78}} {
 		t.Run(fmt.Sprint(c.times), func(t *testing.T) {
 			i := is.New(t)
--- a/process/replay/faults_test.go
+++ b/process/replay/faults_test.go
@@ -19,6 +19,7 @@
 // endpoint runs more than its capacity and no task runs twice at a time (beginRun checks both),
 // and every caller gets an answer.
 func TestFaultsBreakNoPromise(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(r *rapid.T) {
 		w := newWorld(t, rapid.Uint64().Draw(r, "seed"), 3, runFactors(6))
 		load := scaleLoad(kinds(), "", rapid.Float64Range(0.3, 1).Draw(r, "load"))
@@ -125,6 +126,7 @@
 // Of forty endpoints four turn slow and four fail every run. Each of the twenty dispatchers
 // sees few of their runs, so that they have to learn of it from the endpoints' sidecars.
 func TestManyDispatchersShareEvidence(t *testing.T) {
+	t.Parallel()
 	i := is.New(t)
 	w := newWorld(t, 6, 20, runFactors(40))
 	w.load(scaleLoad(kinds(), "", 3), 9*time.Second)
--- a/process/replay/loads_test.go
+++ b/process/replay/loads_test.go
@@ -150,6 +150,7 @@
 // In a burst above capacity jobs of every kind are answered on time, and few jobs are started
 // and not completed.
 func TestBurstOfEverything(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		times, least float64
 	}{{1.6, 0.97}, {2, 0.95}, {2.5, 0.8}} {
@@ -182,6 +183,7 @@
 // are some milliseconds old. They must not all choose the endpoint that looks best: it would be
 // full when their tasks arrive.
 func TestManyDispatchersSpreadOverEndpoints(t *testing.T) {
+	t.Parallel()
 	for _, times := range []float64{4, 6} {
 		t.Run(fmt.Sprint(times), func(t *testing.T) {
 			i := is.New(t)
