--- a/lab/bench/bench.go
+++ b/lab/bench/bench.go
@@ -15,6 +15,7 @@
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/corianderhook/corianderhook/common/cputime"
 	"github.com/corianderhook/corianderhook/lab/load"
 	"github.com/corianderhook/corianderhook/lab/local"
 	"github.com/corianderhook/corianderhook/lab/sample"
@@ -160,9 +161,9 @@
 	defer cancel()
 	failed := make(chan error, 1)
 	go func() { failed <- r.injectFaults(ctx, s.Faults) }()
-	cpu, bytes := cpuTime(), trafficBytes(l)
+	cpu, bytes := cputime.Used(), trafficBytes(l)
 	results := r.Driver.Run(ctx, plan)
-	cpu, bytes = cpuTime()-cpu, trafficBytes(l)-bytes
+	cpu, bytes = cputime.Used()-cpu, trafficBytes(l)-bytes
 	duration := settings.Clock.Since(r.start)
 	select {
 	case err := <-failed:
--- a/lab/bench/scale.go
+++ b/lab/bench/scale.go
@@ -4,9 +4,9 @@
 	"context"
 	"fmt"
 	"runtime"
-	"syscall"
 	"time"
 
+	"github.com/corianderhook/corianderhook/common/cputime"
 	"github.com/corianderhook/corianderhook/lab/local"
 	"github.com/corianderhook/corianderhook/version/config"
 )
@@ -41,9 +41,9 @@
 	}
 	defer l.Stop()
 	settings.Clock.Sleep(startupTime)
-	cpu, bytes := cpuTime(), trafficBytes(l)
+	cpu, bytes := cputime.Used(), trafficBytes(l)
 	settings.Clock.Sleep(measureTime)
-	usedCPU := cpuTime() - cpu
+	usedCPU := cputime.Used() - cpu
 	usedBytes := trafficBytes(l) - bytes
 	runtime.GC()
 	var memory runtime.MemStats
@@ -68,11 +68,3 @@
 	}
 	return total
 }
-
-// cpuTime returns the processor time that this process has used.
-func cpuTime() time.Duration {
-	var usage syscall.Rusage
-	// The call cannot fail for the process itself.
-	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
--- a/node/dispatcher/actor.go
+++ b/node/dispatcher/actor.go
@@ -11,6 +11,7 @@
 	"github.com/corianderhook/corianderhook/process/attachment"
 	"github.com/corianderhook/corianderhook/process/fleet"
 	"github.com/corianderhook/corianderhook/process/scheduler"
+	"github.com/corianderhook/corianderhook/process/usage"
 	"github.com/corianderhook/corianderhook/request/answer"
 	"github.com/corianderhook/corianderhook/request/outcome"
 	"github.com/corianderhook/corianderhook/wire"
@@ -78,6 +79,8 @@
 // dropped and the scheduler keeps its jobs.
 func (a *schedulerActor) Receive(c actor.Context) {
 	defer recovery.Catch("scheduler", func() { a.dispatcher.metrics.CountUnexpectedError("scheduler") })
+	began := a.Now()
+	defer func() { a.dispatcher.usage.AddTime(usage.DecisionTime, a.Now().Sub(began)) }()
 	switch m := c.Message().(type) {
 	case tick:
 		a.endSuspension()
@@ -223,5 +226,6 @@
 
 // LogDecision logs a decision on a job under a numbered event.
 func (a *schedulerActor) LogDecision(event, job string, details ...any) {
+	a.dispatcher.usage.Add(usage.Decisions, 1)
 	klog.InfoS(event, append([]any{"job", job}, details...)...)
 }
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc"
 	"k8s.io/klog/v2"
 
+	"github.com/corianderhook/corianderhook/common/cputime"
 	"github.com/corianderhook/corianderhook/common/instance"
 	"github.com/corianderhook/corianderhook/process/cancellation"
 	"github.com/corianderhook/corianderhook/process/cpupressure"
@@ -24,6 +25,7 @@
 	"github.com/corianderhook/corianderhook/process/scheduler"
 	"github.com/corianderhook/corianderhook/process/stall"
 	"github.com/corianderhook/corianderhook/process/transfer"
+	"github.com/corianderhook/corianderhook/process/usage"
 	"github.com/corianderhook/corianderhook/process/zonegate"
 	"github.com/corianderhook/corianderhook/version/catalog"
 	"github.com/corianderhook/corianderhook/version/evacuation"
@@ -86,6 +88,9 @@
 	peers     *peers
 	pressure  cpupressure.Monitor
 	stalls    *stall.Monitor
+	usage     usage.Meter
+	// usageReporter is used by the ticker only.
+	usageReporter *usage.Reporter
 	draining  atomic.Bool
 	// jobCount is the number of running and parked jobs; parked jobs wait for endpoints.
 	jobCount atomic.Int64
@@ -138,7 +143,9 @@
 		return float64(len(d.peers.addresses()))
 	})
 	zonegate.RegisterMetrics(d.metrics, d.gate, deps.Clock)
+	d.metrics.RegisterUsage(&d.usage, cputime.Used)
 	now := deps.Clock.Now()
+	d.usageReporter = usage.NewReporter(&d.usage, now, cputime.Used())
 	d.adoptedAt.Store(&now)
 	d.tickedAt.Store(&now)
 	d.storeAnsweredAt.Store(&time.Time{})
@@ -263,14 +270,22 @@
 	}
 }
 
-// noteTick records that the process runs, and logs for how long it did not.
+// noteTick records that the process runs, and logs for how long it did not and, every
+// usage.ReportInterval, what it has done.
 func (d *Dispatcher) noteTick(now time.Time) {
 	if s := d.stalls.Tick(now); s > 0 {
 		klog.InfoS("CH1029 process stood still", "entry", d.deps.Name, "for", s, "jobs", d.jobCount.Load())
 		d.metrics.CountStall(s)
 	}
+	if d.usageReporter.Due(now) {
+		r := d.usageReporter.Next(now, cputime.Used())
+		klog.InfoS("CH1046 work of the dispatcher", append([]any{"entry", d.deps.Name}, r.Details()...)...)
+	}
 }
 
+// CountWork counts work of this process that is not done by the dispatcher itself.
+func (d *Dispatcher) CountWork(k usage.Kind) { d.usage.Add(k, 1) }
+
 // RecentStall returns the length of a stall of this process in which what is read now may have
 // arrived, or 0.
 func (d *Dispatcher) RecentStall() time.Duration { return d.stalls.Recent(d.deps.Clock.Now()) }
--- a/node/dispatcher/inquiries.go
+++ b/node/dispatcher/inquiries.go
@@ -13,6 +13,7 @@
 	"github.com/corianderhook/corianderhook/common/address"
 	"github.com/corianderhook/corianderhook/common/pause"
 	"github.com/corianderhook/corianderhook/process/inquiry"
+	"github.com/corianderhook/corianderhook/process/usage"
 	"github.com/corianderhook/corianderhook/wire"
 )
 
@@ -173,12 +174,14 @@
 	if err != nil {
 		return nil, err
 	}
+	p.dispatcher.usage.Add(usage.InquirySent, 1)
 	return wire.NewDispatcherClient(conn).Holds(ctx, r)
 }
 
 // Holds answers the inquiry of another dispatcher.
 func (v *service) Holds(_ context.Context, r *wire.HoldsRequest) (*wire.HoldsReply, error) {
 	d := v.dispatcher
+	d.usage.Add(usage.InquiryReceived, 1)
 	if !address.Valid(r.GetAddress()) {
 		return nil, status.Errorf(codes.InvalidArgument, "address %q is not valid", r.GetAddress())
 	}
--- a/node/dispatcher/peers.go
+++ b/node/dispatcher/peers.go
@@ -14,6 +14,7 @@
 	"github.com/corianderhook/corianderhook/common/pause"
 	"github.com/corianderhook/corianderhook/connection/peer"
 	"github.com/corianderhook/corianderhook/process/gossip"
+	"github.com/corianderhook/corianderhook/process/usage"
 	"github.com/corianderhook/corianderhook/wire"
 )
 
@@ -235,6 +236,7 @@
 	if err != nil {
 		return nil, err
 	}
+	p.dispatcher.usage.Add(usage.Exchanges, 1)
 	k, err := wire.NewDispatcherClient(conn).Exchange(ctx, p.knowledge(peerDigest))
 	if err != nil {
 		return nil, errors.Wrap(err, "dispatcher "+address)
--- a/node/dispatcher/session.go
+++ b/node/dispatcher/session.go
@@ -15,6 +15,7 @@
 	"github.com/corianderhook/corianderhook/connection/outbox"
 	"github.com/corianderhook/corianderhook/connection/peer"
 	"github.com/corianderhook/corianderhook/process/metrics"
+	"github.com/corianderhook/corianderhook/process/usage"
 	"github.com/corianderhook/corianderhook/version/evacuation"
 	"github.com/corianderhook/corianderhook/wire"
 )
@@ -141,6 +142,7 @@
 
 // handleFrame passes a frame to the scheduler actor.
 func (v *service) handleFrame(s *session, f *wire.SidecarFrame) {
+	v.dispatcher.usage.Add(usage.FramesReceived, 1)
 	v.dispatcher.deps.System.Root.Send(v.dispatcher.scheduler, frameReceived{session: s, frame: f})
 	v.recordReceipt(s)
 }
@@ -187,11 +189,13 @@
 	}
 	merged.EchoUs = s.sentEcho
 	s.addEvacuation(d, merged)
+	d.usage.Add(usage.FramesSent, 1)
 	return stream.Send(merged)
 }
 
 // Exchange applies the state of another dispatcher and returns that of this one.
 func (v *service) Exchange(_ context.Context, k *wire.Knowledge) (*wire.Knowledge, error) {
+	v.dispatcher.usage.Add(usage.Exchanges, 1)
 	v.dispatcher.peers.handleKnowledge(k, time.Time{})
 	return v.dispatcher.peers.knowledge(k.GetMembers()), nil
 }
--- a/node/sidecar/actor.go
+++ b/node/sidecar/actor.go
@@ -13,6 +13,7 @@
 	"github.com/corianderhook/corianderhook/process/crash"
 	"github.com/corianderhook/corianderhook/process/registration"
 	"github.com/corianderhook/corianderhook/process/runner"
+	"github.com/corianderhook/corianderhook/process/usage"
 	"github.com/corianderhook/corianderhook/wire"
 )
 
@@ -141,6 +142,8 @@
 		a.sidecar.metrics.CountUnexpectedError("runner")
 		a.sidecar.keeper.requestTakeover()
 	})
+	began := a.Now()
+	defer func() { a.sidecar.usage.AddTime(usage.DecisionTime, a.Now().Sub(began)) }()
 	// What the message says may be from before the suspension.
 	if d := a.suspensions.SuspendedSinceLastCall(); d > suspension.Threshold {
 		a.handleResumption(d)
@@ -383,5 +386,6 @@
 
 // LogDecision logs a decision on a task under a numbered event.
 func (a *runnerActor) LogDecision(event string, o runner.Order, details ...any) {
+	a.sidecar.usage.Add(usage.Decisions, 1)
 	klog.InfoS(event, append([]any{"job", o.Job, "step", o.Step, "index", o.Index, "run", o.Run}, details...)...)
 }
--- a/node/sidecar/sessions.go
+++ b/node/sidecar/sessions.go
@@ -18,6 +18,7 @@
 	"github.com/corianderhook/corianderhook/connection/outbox"
 	"github.com/corianderhook/corianderhook/connection/peer"
 	"github.com/corianderhook/corianderhook/process/roster"
+	"github.com/corianderhook/corianderhook/process/usage"
 	"github.com/corianderhook/corianderhook/wire"
 )
 
@@ -247,6 +248,7 @@
 			return
 		}
 		s.heardStamp.Store(sidecar.stamp())
+		sidecar.usage.Add(usage.FramesReceived, 1)
 		sidecar.deps.System.Root.Send(sidecar.runner, frameReceived{session: s, frame: f})
 	}
 }
@@ -275,5 +277,6 @@
 		merged.Cancellations = append(merged.Cancellations, f.GetCancellations()...)
 	}
 	s.sentStamp.Store(merged.GetStampUs())
+	sidecar.usage.Add(usage.FramesSent, 1)
 	return stream.Send(merged)
 }
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/corianderhook/corianderhook/common/cputime"
 	"github.com/corianderhook/corianderhook/common/instance"
 	"github.com/corianderhook/corianderhook/common/pause"
 	"github.com/corianderhook/corianderhook/connection/remoteclock"
@@ -20,6 +21,7 @@
 	"github.com/corianderhook/corianderhook/process/registration"
 	"github.com/corianderhook/corianderhook/process/runner"
 	"github.com/corianderhook/corianderhook/process/stall"
+	"github.com/corianderhook/corianderhook/process/usage"
 	"github.com/corianderhook/corianderhook/process/zonegate"
 )
 
@@ -111,6 +113,9 @@
 	// gate holds the evacuated zones.
 	gate     *zonegate.Gate
 	stalls   *stall.Monitor
+	usage    usage.Meter
+	// usageReporter is used by the ticker only.
+	usageReporter *usage.Reporter
 	sessions *sessionPool
 	keeper   *leaseKeeper
 	// announcements holds the newest announcement that is to be stored.
@@ -141,6 +146,8 @@
 	s.metrics.RegisterGauge("corianderhook_endpoint_word_age_seconds", "Time since the endpoint last listed what it runs.", func() float64 {
 		return deps.Clock.Since(s.stampTime(max(1, s.lastListStamp.Load()))).Seconds()
 	})
+	s.metrics.RegisterUsage(&s.usage, cputime.Used)
+	s.usageReporter = usage.NewReporter(&s.usage, s.startedAt, cputime.Used())
 	s.sessions = newSessionPool(s)
 	s.keeper = newLeaseKeeper(s)
 	s.runner = deps.System.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return newRunnerActor(s) }))
@@ -183,12 +190,18 @@
 	}
 }
 
-// noteTick records that the process runs, and logs for how long it did not.
+// noteTick records that the process runs, and logs for how long it did not and, every
+// usage.ReportInterval, what it has done.
 func (s *Sidecar) noteTick() {
-	if d := s.stalls.Tick(s.deps.Clock.Now()); d > 0 {
+	now := s.deps.Clock.Now()
+	if d := s.stalls.Tick(now); d > 0 {
 		klog.InfoS("CH1108 process stood still", "agent", s.deps.Name, "for", d, "tasks", s.taskCount.Load())
 		s.metrics.CountStall(d)
 	}
+	if s.usageReporter.Due(now) {
+		r := s.usageReporter.Next(now, cputime.Used())
+		klog.InfoS("CH1109 work of the sidecar", append([]any{"agent", s.deps.Name}, r.Details()...)...)
+	}
 }
 
 func (s *Sidecar) tickInterval() time.Duration {
--- a/process/metrics/metrics.go
+++ b/process/metrics/metrics.go
@@ -9,6 +9,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/corianderhook/corianderhook/process/usage"
 )
 
 // Metrics holds the metrics of one process.
@@ -193,6 +195,19 @@
 	m.callSeconds.WithLabelValues(target, call).Observe(duration.Seconds())
 }
 
+// RegisterUsage registers what the process does by kind of work, and the processor time that it
+// uses, which processor returns.
+func (m *Metrics) RegisterUsage(meter *usage.Meter, processor func() time.Duration) {
+	for _, k := range usage.Kinds() {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "corianderhook_work_total", Help: "Work of this process by kind.", ConstLabels: prometheus.Labels{"kind": k.String()},
+		}, func() float64 { return float64(meter.Total(k)) }))
+	}
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "corianderhook_processor_seconds_total", Help: "Processor time that this process has used.",
+	}, func() float64 { return processor().Seconds() }))
+}
+
 // RegisterGauge registers a gauge whose value is read at each scrape.
 func (m *Metrics) RegisterGauge(name, help string, read func() float64) {
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
