--- a/process/scheduler/offers.go
+++ b/process/scheduler/offers.go
@@ -121,5 +121,11 @@
 
 // slack returns how long a task may wait before its start so that the job meets its objective.
 func (s *Scheduler) slack(j *job, run time.Duration) time.Duration {
-	return j.submittedAt.Add(j.objective - run - onTimeMargin).Sub(s.host.Now())
+	return j.latestStart(run).Sub(s.host.Now())
+}
+
+// latestStart returns the latest start of a task with the given run time at which the job meets its
+// objective.
+func (j *job) latestStart(run time.Duration) time.Time {
+	return j.submittedAt.Add(j.objective - run - onTimeMargin)
 }
--- a/process/scheduler/rebalance.go
+++ b/process/scheduler/rebalance.go
@@ -4,6 +4,9 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/corianderhook/corianderhook/process/placement"
+	"github.com/corianderhook/corianderhook/request/size"
 )
 
 const (
@@ -27,11 +30,16 @@
 	if !usable || candidate.Free.CPU <= 0 {
 		return
 	}
-	for _, p := range s.queuedElsewhere(agent, now) {
+	for _, w := range s.startableElsewhere(candidate, now) {
+		p := w.task
 		step, _ := p.job.work.StepAndIndex(p.number)
-		r := p.job.placementRequest(step, s.forecastRun(p.job, step), s.slack(p.job, p.expectedRun))
-		endsSooner := candidate.StartsAtOnce(r.Size, r.Slack) && candidate.RunTime(r)+moveLatency < p.expectedRemaining(now)
-		if r.MaxPerEndpoint > 0 || !candidate.Eligible(r) || !s.mayUse(p.job, agent) || !endsSooner && !candidate.MeetsDeadline(r) {
+		slack := w.latestStart.Sub(now)
+		if !candidate.StartsAtOnce(p.size(), slack) || !s.mayUse(p.job, agent) {
+			continue
+		}
+		r := p.job.placementRequest(step, s.forecastRun(p.job, step), slack)
+		endsSooner := candidate.RunTime(r)+moveLatency < p.expectedRemaining(now)
+		if r.MaxPerEndpoint > 0 || !candidate.Eligible(r) || !endsSooner && !candidate.MeetsDeadline(r) {
 			continue
 		}
 		candidate.Add(r.Size, r.Slack, p.expectedRun)
@@ -48,18 +56,34 @@
 	return max(over, -over) + p.expectedRun
 }
 
-// queuedElsewhere returns the tasks queued at other agents of the same service that may be
-// withdrawn, ordered by slack.
-func (s *Scheduler) queuedElsewhere(agent string, now time.Time) []*placedTask {
-	service := s.fleet.Service(agent)
-	var list []*placedTask
+// waitingTask is a task queued at an agent, with the latest start at which its job is on time.
+type waitingTask struct {
+	task        *placedTask
+	latestStart time.Time
+}
+
+// startableElsewhere returns the tasks queued at other agents of the same service that may be
+// withdrawn and fit into the free capacity of the candidate, ordered by slack. Most reports are of
+// endpoints without such capacity, so that these cost little however many tasks wait.
+func (s *Scheduler) startableElsewhere(candidate placement.Candidate, now time.Time) []waitingTask {
+	service := s.fleet.Service(candidate.Name)
+	var list []waitingTask
 	for _, p := range s.queued {
-		if !p.revoking && p.agent != agent && p.job.queue.Service == service && now.Before(p.job.deadline) && now.Sub(p.offeredAt) >= minWithdrawAge {
-			list = append(list, p)
+		if p.revoking || p.agent == candidate.Name || !p.size().Fits(candidate.Free) || now.Sub(p.offeredAt) < minWithdrawAge {
+			continue
+		}
+		if p.job.queue.Service == service && now.Before(p.job.deadline) {
+			list = append(list, waitingTask{task: p, latestStart: p.job.latestStart(p.expectedRun)})
 		}
 	}
-	slices.SortFunc(list, func(a, b *placedTask) int {
-		return cmp.Or(cmp.Compare(s.slack(a.job, a.expectedRun), s.slack(b.job, b.expectedRun)), cmp.Compare(a.ref, b.ref))
+	slices.SortFunc(list, func(a, b waitingTask) int {
+		return cmp.Or(a.latestStart.Compare(b.latestStart), cmp.Compare(a.task.ref, b.task.ref))
 	})
 	return list
 }
+
+// size returns what the task takes of an endpoint's capacity.
+func (p *placedTask) size() size.Size {
+	step, _ := p.job.work.StepAndIndex(p.number)
+	return p.job.work.Steps()[step].Size
+}
--- a/process/scheduler/scheduler_test.go
+++ b/process/scheduler/scheduler_test.go
@@ -24,9 +24,14 @@
 	withdraws    []uint64
 	disconnected map[string]bool
 	frameNumber  uint64
+	// clockReads counts the calls of Now.
+	clockReads int
 }
 
-func (h *fakeHost) Now() time.Time { return h.now }
+func (h *fakeHost) Now() time.Time {
+	h.clockReads++
+	return h.now
+}
 
 func (h *fakeHost) Send(agent string, o *wire.Offer) (uint64, bool) {
 	if h.disconnected[agent] {
