--- a/commands/process.go
+++ b/commands/process.go
@@ -14,10 +14,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/corianderhook/corianderhook/common/eventlog"
+	"github.com/corianderhook/corianderhook/common/logsink"
 	"github.com/corianderhook/corianderhook/process/runner"
 	"github.com/corianderhook/corianderhook/version/config"
 )
@@ -116,8 +118,9 @@
 	_ = flags.Set("one_output", "true")
 	log := eventlog.New(out)
 	klog.SetOutput(log)
+	klog.SetLogger(logr.New(logsink.New(log, realClock())))
 	return func() {
-		klog.Flush()
+		klog.ClearLogger()
 		log.Close(logFlushTimeout)
 	}
 }
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -91,7 +91,7 @@
 	usage     usage.Meter
 	// usageReporter is used by the ticker only.
 	usageReporter *usage.Reporter
-	draining  atomic.Bool
+	draining      atomic.Bool
 	// jobCount is the number of running and parked jobs; parked jobs wait for endpoints.
 	jobCount atomic.Int64
 	// stopsAt is the time at which a planned stop ends; nil if none has begun.
--- a/node/sidecar/actor.go
+++ b/node/sidecar/actor.go
@@ -148,7 +148,16 @@
 	if d := a.suspensions.SuspendedSinceLastCall(); d > suspension.Threshold {
 		a.handleResumption(d)
 	}
-	switch m := c.Message().(type) {
+	a.handle(c.Message())
+	a.limitLease()
+	a.capacityReport = a.runner.Room()
+	a.sidecar.taskCount.Store(int64(a.capacityReport.GetRunning() + a.capacityReport.GetWaiting()))
+	a.flush()
+}
+
+// handle applies a message to the runner.
+func (a *runnerActor) handle(message any) {
+	switch m := message.(type) {
 	case tick:
 		a.checkLease()
 		a.runner.Tick()
@@ -191,10 +200,6 @@
 	case endpointGone:
 		a.recordCrash(m.born, m.at)
 	}
-	a.limitLease()
-	a.capacityReport = a.runner.Room()
-	a.sidecar.taskCount.Store(int64(a.capacityReport.GetRunning() + a.capacityReport.GetWaiting()))
-	a.flush()
 }
 
 // handleTakeover applies that the endpoint has been taken over: it runs no earlier task. If it
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -111,13 +111,13 @@
 	metrics     *metrics.Metrics
 	runner      *actor.PID
 	// gate holds the evacuated zones.
-	gate     *zonegate.Gate
-	stalls   *stall.Monitor
-	usage    usage.Meter
+	gate   *zonegate.Gate
+	stalls *stall.Monitor
+	usage  usage.Meter
 	// usageReporter is used by the ticker only.
 	usageReporter *usage.Reporter
-	sessions *sessionPool
-	keeper   *leaseKeeper
+	sessions      *sessionPool
+	keeper        *leaseKeeper
 	// announcements holds the newest announcement that is to be stored.
 	announcements chan registration.Announcement
 	// taskCount is the number of tasks that wait or may run.
--- a/process/usage/usage.go
+++ b/process/usage/usage.go
@@ -17,18 +17,21 @@
 //go:generate stringer -type=Kind -linecomment
 
 const (
-	// Requests are the requests of callers, IdleRequests those on a connection that was idle for so
-	// long that nothing proves their age, HeldRequests those that something has held back.
-	Requests     Kind = iota // requests
-	IdleRequests             // idle-requests
-	HeldRequests             // held-requests
-	// InquirySent and InquiryReceived are messages about jobs between dispatchers.
-	InquirySent     // inquiry-messages-sent
+	// Requests are the requests of callers.
+	Requests Kind = iota // requests
+	// IdleRequests are those on a connection that was idle for so long that nothing proves their age.
+	IdleRequests // idle-requests
+	// HeldRequests are those that something has held back.
+	HeldRequests // held-requests
+	// InquirySent is a message about jobs to another dispatcher.
+	InquirySent // inquiry-messages-sent
+	// InquiryReceived is a message about jobs from another dispatcher.
 	InquiryReceived // inquiry-messages-received
-	// FramesSent and FramesReceived are the messages on the sessions between dispatchers and sidecars.
-	FramesSent     // frames-sent
+	// FramesSent are the messages sent on the sessions between dispatchers and sidecars.
+	FramesSent // frames-sent
+	// FramesReceived are the messages received on them.
 	FramesReceived // frames-received
-	// Exchanges are the messages of other dispatchers with their state.
+	// Exchanges are the messages between dispatchers about their state.
 	Exchanges // exchanges
 	// Decisions are the logged decisions on jobs and tasks.
 	Decisions // decisions
