--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -125,7 +125,7 @@
 		stalls:        stall.New(scheduler.TickInterval),
 	}
 	d.inquiries = inquiry.New(d.incarnation, runner.OrphanTime())
-	d.inquirer = &inquirer{dispatcher: d}
+	d.inquirer = newInquirer(d)
 	d.metrics.RegisterGauge("corianderhook_jobs_under_way", "Jobs that have been taken and not answered.", func() float64 { return float64(d.jobCount.Load()) })
 	d.metrics.RegisterGauge("corianderhook_agents_attached", "Agents with a session.", func() float64 { return float64(d.agentCount.Load()) })
 	d.quarantines.Store(&[]*wire.Quarantine{})
@@ -236,6 +236,7 @@
 	go d.runTicker(ctx)
 	go d.peers.run(ctx)
 	defer d.peers.close()
+	defer d.inquirer.close()
 	d.peers.learn(d.deps.Peers)
 	klog.InfoS("CH1002 dispatcher started", "entry", d.deps.Name, "incarnation", d.incarnation, "address", d.deps.Address, "zone", d.deps.Zone)
 	select {
--- a/node/dispatcher/inquiries.go
+++ b/node/dispatcher/inquiries.go
@@ -20,11 +20,21 @@
 const (
 	// inquiryTimeout limits the wait for the answer of another dispatcher to an inquiry.
 	inquiryTimeout = 150 * time.Millisecond
-	// inquiryWindow is the time in which inquiries are gathered, to share one message for each
-	// dispatcher: a process that was paused reads many requests at once.
-	inquiryWindow = 3 * time.Millisecond
+	// minInquiryWindow is the time in which inquiries are gathered, to share one message for each
+	// dispatcher: a process that was paused reads many requests at once. It grows by
+	// inquiryWindowStep for each other dispatcher, so that the messages per second stay bounded.
+	minInquiryWindow  = 3 * time.Millisecond
+	inquiryWindowStep = 750 * time.Microsecond
+	// callsTime is how long a dispatcher without streams of inquiries is asked by calls, until a
+	// stream is tried again.
+	callsTime = 30 * time.Second
 )
 
+// inquiryWindow returns how long inquiries to a number of dispatchers are gathered.
+func inquiryWindow(dispatchers int) time.Duration {
+	return minInquiryWindow + time.Duration(dispatchers)*inquiryWindowStep
+}
+
 // NoteArrival notes that a request of a job has been read, before it is decided whether the request
 // may be old. Done has to be called once it has been answered.
 func (d *Dispatcher) NoteArrival(job string) (done func()) {
@@ -45,70 +55,139 @@
 // The request reached this machine at arrivedAt, as far as that is known. The arrival has to be
 // noted, and the job is to be submitted at once if it is not held.
 func (d *Dispatcher) HeldElsewhere(ctx context.Context, job string, arrivedAt time.Time) inquiry.Holding {
-	return d.inquire(ctx, job, arrivedAt, append(d.peers.others(), d.inquiries.Askers(job, d.deps.Clock.Now())...))
+	return d.inquire(ctx, d.newQuestion(job, arrivedAt), d.allOthers(job))
+}
+
+// ObjectedElsewhere does the same for a request that is hardly suspicious: it waits until the
+// context ends for another dispatcher that holds the job, and does not need the others' answers.
+func (d *Dispatcher) ObjectedElsewhere(ctx context.Context, job string, arrivedAt time.Time) inquiry.Holding {
+	q := d.newQuestion(job, arrivedAt)
+	q.quiet = true
+	return d.inquire(ctx, q, d.allOthers(job))
 }
 
 // HeldByAskers does the same for a request that is not old itself: it asks only the dispatchers
 // that were let go ahead with the job.
 func (d *Dispatcher) HeldByAskers(ctx context.Context, job string, arrivedAt time.Time) inquiry.Holding {
-	return d.inquire(ctx, job, arrivedAt, d.inquiries.Askers(job, d.deps.Clock.Now()))
+	return d.inquire(ctx, d.newQuestion(job, arrivedAt), d.inquiries.Askers(job, d.deps.Clock.Now()))
 }
 
-func (d *Dispatcher) inquire(ctx context.Context, job string, arrivedAt time.Time, addresses []string) inquiry.Holding {
+// allOthers returns the addresses of the known dispatchers, and of those that were let go ahead
+// with the job.
+func (d *Dispatcher) allOthers(job string) []string {
+	addresses := append(d.peers.others(), d.inquiries.Askers(job, d.deps.Clock.Now())...)
 	slices.Sort(addresses)
-	addresses = slices.Compact(addresses)
+	return slices.Compact(addresses)
+}
+
+func (d *Dispatcher) newQuestion(job string, arrivedAt time.Time) *question {
+	return &question{job: job, arrivedAt: arrivedAt}
+}
+
+func (d *Dispatcher) inquire(ctx context.Context, q *question, addresses []string) inquiry.Holding {
 	askedAt := d.deps.Clock.Now()
-	decide := d.inquiries.Ask(job, arrivedAt, askedAt)
-	answered := d.inquirer.ask(ctx, job, arrivedAt, addresses)
-	if ctx.Err() != nil {
+	decide := d.inquiries.Ask(q.job, q.arrivedAt, askedAt)
+	answered := d.inquirer.ask(ctx, q, addresses)
+	if ctx.Err() != nil && answered != inquiry.Held {
 		answered = inquiry.Unknown
 	}
 	now := d.deps.Clock.Now()
 	decided := decide(answered, now)
 	d.metrics.CountInquiry(decided.String())
 	var level klog.Level
-	if decided == inquiry.NotHeld {
+	if decided == inquiry.NotHeld || q.quiet && decided == inquiry.Unknown {
 		level = 1
 	}
-	klog.V(level).InfoS("CH1017 job of an old request looked for", "job", job, "age", askedAt.Sub(arrivedAt), "asked", len(addresses), "answered", answered, "decided", decided, "took", now.Sub(askedAt))
+	klog.V(level).InfoS("CH1017 job of an old request looked for", "job", q.job, "age", askedAt.Sub(q.arrivedAt), "asked", len(addresses), "quiet", q.quiet, "answered", answered, "decided", decided, "took", now.Sub(askedAt))
 	return decided
 }
 
+// question is an inquiry about one job.
+type question struct {
+	job       string
+	arrivedAt time.Time
+	addresses []string
+	// quiet means that only a dispatcher that holds the job answers.
+	quiet bool
+	// deadline is when an answer is of no use any more.
+	deadline time.Time
+	// answers has room for the answers of all addresses.
+	answers chan dispatcherAnswer
+}
+
+// dispatcherAnswer is the answer of the dispatcher with an address.
+type dispatcherAnswer struct {
+	address string
+	holding inquiry.Holding
+}
+
+func (q *question) answer(address string, h inquiry.Holding) {
+	q.answers <- dispatcherAnswer{address: address, holding: h}
+}
+
+func answerAll(questions []*question, address string, h inquiry.Holding) {
+	for _, q := range questions {
+		q.answer(address, h)
+	}
+}
+
+// message returns the question as it is sent.
+func (q *question) message(now time.Time) *wire.InquiredJob {
+	return &wire.InquiredJob{Job: q.job, AgeMs: uint32(max(0, now.Sub(q.arrivedAt).Milliseconds())), Quiet: q.quiet}
+}
+
 // inquirer asks other dispatchers about jobs.
 type inquirer struct {
 	dispatcher *Dispatcher
-	mu         sync.Mutex
+	// ctx ends with the dispatcher.
+	ctx   context.Context
+	close context.CancelFunc
+	mu    sync.Mutex
 	// pending holds the questions that have not been sent.
 	pending []*question
+	// links holds the streams by address, calls until when an address is asked by calls.
+	links map[string]*inquiryLink
+	calls map[string]time.Time
 }
 
-// question is an inquiry about one job.
-type question struct {
-	job       string
-	arrivedAt time.Time
-	addresses []string
-	// answers has room for the answers of all addresses.
-	answers chan inquiry.Holding
+func newInquirer(d *Dispatcher) *inquirer {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &inquirer{dispatcher: d, ctx: ctx, close: cancel, links: map[string]*inquiryLink{}, calls: map[string]time.Time{}}
 }
 
 // ask returns Held if one of the dispatchers answers so, NotHeld if all answer that, else Unknown. A
 // dispatcher that is gone fails at once, and must not hide the answers of the others.
-func (q *inquirer) ask(ctx context.Context, job string, arrivedAt time.Time, addresses []string) inquiry.Holding {
+func (i *inquirer) ask(ctx context.Context, q *question, addresses []string) inquiry.Holding {
 	if len(addresses) == 0 {
 		return inquiry.NotHeld
 	}
-	asked := &question{job: job, arrivedAt: arrivedAt, addresses: addresses, answers: make(chan inquiry.Holding, len(addresses))}
-	q.mu.Lock()
-	q.pending = append(q.pending, asked)
-	if len(q.pending) == 1 {
-		go q.sendPending()
+	q.addresses = addresses
+	q.answers = make(chan dispatcherAnswer, len(addresses))
+	window := inquiryWindow(len(addresses))
+	q.deadline = i.dispatcher.deps.Clock.Now().Add(window + inquiryTimeout)
+	i.mu.Lock()
+	i.pending = append(i.pending, q)
+	if len(i.pending) == 1 {
+		go i.sendPending(window)
+	}
+	i.mu.Unlock()
+	if !q.quiet {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, window+inquiryTimeout)
+		defer cancel()
 	}
-	q.mu.Unlock()
+	return q.collect(ctx)
+}
+
+// collect waits for the answers until the context ends.
+func (q *question) collect(ctx context.Context) inquiry.Holding {
 	together := inquiry.NotHeld
-	for range addresses {
+	missing := slices.Clone(q.addresses)
+	for len(missing) > 0 {
 		select {
-		case h := <-asked.answers:
-			switch h {
+		case a := <-q.answers:
+			missing = slices.DeleteFunc(missing, func(address string) bool { return address == a.address })
+			switch a.holding {
 			case inquiry.Held:
 				return inquiry.Held
 			case inquiry.Unknown:
@@ -116,57 +195,89 @@
 			case inquiry.NotHeld:
 			}
 		case <-ctx.Done():
+			if !q.quiet {
+				klog.InfoS("CH1018 dispatcher does not answer an inquiry", "job", q.job, "addresses", missing)
+			}
 			return inquiry.Unknown
 		}
 	}
 	return together
 }
 
-// sendPending waits for inquiryWindow, and sends the questions that are pending then.
-func (q *inquirer) sendPending() {
-	pause.For(context.Background(), q.dispatcher.deps.Clock, inquiryWindow)
-	q.mu.Lock()
-	questions := q.pending
-	q.pending = nil
-	q.mu.Unlock()
+// sendPending waits for the window, and sends the questions that are pending then.
+func (i *inquirer) sendPending(window time.Duration) {
+	pause.For(context.Background(), i.dispatcher.deps.Clock, window)
+	i.mu.Lock()
+	questions := i.pending
+	i.pending = nil
+	i.mu.Unlock()
 	byAddress := map[string][]*question{}
-	for _, asked := range questions {
-		for _, a := range asked.addresses {
-			byAddress[a] = append(byAddress[a], asked)
+	for _, q := range questions {
+		for _, a := range q.addresses {
+			byAddress[a] = append(byAddress[a], q)
 		}
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), inquiryTimeout)
-	defer cancel()
-	var sent sync.WaitGroup
-	for a, asked := range byAddress {
-		sent.Go(func() { q.send(ctx, a, asked) })
+	for address, asked := range byAddress {
+		i.send(address, asked)
 	}
-	sent.Wait()
 }
 
-// send asks one dispatcher, and passes on its answers.
-func (q *inquirer) send(ctx context.Context, address string, questions []*question) {
-	d := q.dispatcher
+// send asks one dispatcher, on the stream to it or by a call.
+func (i *inquirer) send(address string, questions []*question) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	now := i.dispatcher.deps.Clock.Now()
+	if until, calls := i.calls[address]; calls && now.Before(until) {
+		go i.call(address, questions)
+		return
+	}
+	l, open := i.links[address]
+	if !open || !l.ask(questions) {
+		l = &inquiryLink{dispatcher: i.dispatcher, address: address, batches: make(chan []*question, maxQueuedBatches)}
+		l.ask(questions)
+		i.links[address] = l
+		go i.serve(l)
+	}
+}
+
+// serve runs a link. A dispatcher of a build without streams of inquiries is asked by calls.
+func (i *inquirer) serve(l *inquiryLink) {
+	unsupported := l.run(i.ctx)
+	i.mu.Lock()
+	if i.links[l.address] == l {
+		delete(i.links, l.address)
+	}
+	if len(unsupported) > 0 {
+		i.calls[l.address] = i.dispatcher.deps.Clock.Now().Add(callsTime)
+	}
+	i.mu.Unlock()
+	if len(unsupported) > 0 {
+		i.call(l.address, unsupported)
+	}
+}
+
+// call asks one dispatcher by a call, and passes on its answers.
+func (i *inquirer) call(address string, questions []*question) {
+	d := i.dispatcher
+	ctx, cancel := context.WithTimeout(i.ctx, inquiryTimeout)
+	defer cancel()
 	now := d.deps.Clock.Now()
 	r := &wire.HoldsRequest{Address: d.deps.Address, Incarnation: d.incarnation}
-	for _, asked := range questions {
-		r.Jobs = append(r.Jobs, &wire.InquiredJob{Job: asked.job, AgeMs: uint32(max(0, now.Sub(asked.arrivedAt).Milliseconds()))})
+	for _, q := range questions {
+		r.Jobs = append(r.Jobs, q.message(now))
 	}
 	reply, err := d.peers.holds(ctx, address, r)
-	for n, asked := range questions {
-		switch {
-		case status.Code(err) == codes.Unimplemented:
-			// A build from before inquiries; an upgrade must not refuse work.
-			asked.answers <- inquiry.NotHeld
-		case err != nil || n >= len(reply.GetHoldings()):
-			asked.answers <- inquiry.Unknown
-		default:
-			asked.answers <- inquiry.FromWire(reply.GetHoldings()[n])
+	switch {
+	case status.Code(err) == codes.Unimplemented:
+		// A build from before inquiries; an upgrade must not refuse work.
+		answerAll(questions, address, inquiry.NotHeld)
+	case err != nil:
+		answerAll(questions, address, inquiry.Unknown)
+	default:
+		for n, q := range questions {
+			q.answer(address, holdingAt(reply, n))
 		}
 	}
-	if err != nil {
-		klog.InfoS("CH1018 dispatcher does not answer an inquiry", "address", address, "jobs", len(questions), "error", err)
-	}
 }
 
 func (p *peers) holds(ctx context.Context, address string, r *wire.HoldsRequest) (*wire.HoldsReply, error) {
--- a/node/dispatcher/inquiries_test.go
+++ b/node/dispatcher/inquiries_test.go
@@ -16,6 +16,7 @@
 	"github.com/corianderhook/corianderhook/process/inquiry"
 	"github.com/corianderhook/corianderhook/process/runner"
 	"github.com/corianderhook/corianderhook/process/scheduler"
+	"github.com/corianderhook/corianderhook/process/usage"
 	"github.com/corianderhook/corianderhook/request/outcome"
 	"github.com/corianderhook/corianderhook/request/workload"
 	"github.com/corianderhook/corianderhook/version/catalog"
@@ -312,3 +313,68 @@
 	// On a busy machine some answers are late.
 	i.True(held >= 5)
 }
+
+// Guards against too little served: requests on idle connections, one by one, cost each of the other
+// dispatchers a call.
+func TestMessagesOfInquiriesAreBounded(t *testing.T) {
+	const (
+		others       = 8
+		maxPerSecond = 1000
+	)
+	i := is.New(t)
+	list := startDispatchers(t, others+1)
+	connect(t, list[0])
+	var group sync.WaitGroup
+	before, began := list[0].usage.Total(usage.InquirySent), time.Now()
+	for n := range 400 {
+		group.Go(func() { list[0].HeldElsewhere(t.Context(), fmt.Sprintf("%016x", n), time.Now()) })
+		time.Sleep(time.Millisecond)
+	}
+	sent, took := list[0].usage.Total(usage.InquirySent)-before, time.Since(began)
+	group.Wait()
+	if limit := maxPerSecond*took.Seconds() + 2*others; float64(sent) > limit {
+		t.Errorf("%d messages in %s, expected at most %.0f", sent, took, limit)
+	}
+	i.True(sent > 0)
+}
+
+// A quiet inquiry needs no answer, unless the job is held.
+func TestOnlyTheHolderAnswersAQuietInquiry(t *testing.T) {
+	i := is.New(t)
+	list := startDispatchers(t, 3)
+	connect(t, list[0])
+	defer list[0].NoteArrival(canceledJob)()
+	// The streams are open after an inquiry that was answered.
+	i.Equal(askOthers(t, list[0].HeldElsewhere), inquiry.NotHeld)
+	received := list[0].usage.Total(usage.InquiryReceived)
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	i.Equal(list[0].ObjectedElsewhere(ctx, canceledJob, time.Now()), inquiry.Unknown)
+	i.Equal(list[0].usage.Total(usage.InquiryReceived), received)
+
+	submitParked(t, list[2], canceledJob)
+	for list[2].JobCount() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	i.Equal(list[0].ObjectedElsewhere(t.Context(), canceledJob, time.Now()), inquiry.Held)
+	i.Equal(list[0].usage.Total(usage.InquiryReceived), received+1)
+}
+
+// A stream that fails is replaced, and what was asked on it is not known.
+func TestInquiriesReachADispatcherThatHasRestarted(t *testing.T) {
+	i := is.New(t)
+	l := listen(t)
+	address := l.Addr().String()
+	server := grpc.NewServer()
+	wire.RegisterDispatcherServer(server, &service{dispatcher: newDispatcher(address, clockwork.NewRealClock())})
+	go func() { _ = server.Serve(l) }()
+	d, _ := startDispatcher(t, "d1", address)
+	awaitPeers(t, d, 2)
+	i.Equal(askOthers(t, d.HeldElsewhere), inquiry.NotHeld)
+	server.Stop()
+	i.Equal(d.HeldElsewhere(t.Context(), canceledJob, time.Now()), inquiry.Unknown)
+	again, err := net.Listen("tcp", address)
+	i.NoErr(err)
+	serve(t, again, &service{dispatcher: newDispatcher(address, clockwork.NewRealClock())})
+	i.Equal(askOthers(t, d.HeldElsewhere), inquiry.NotHeld)
+}
