--- a/node/sidecar/actor.go
+++ b/node/sidecar/actor.go
@@ -113,7 +113,8 @@
 	leaseLapsed, leaseLimited bool
 	// evacuated is true if endpointState says that the zone is evacuated.
 	evacuated bool
-	// endpointState and capacityReport are the current state and report for dispatchers.
+	// endpointState is the current state for dispatchers, capacityReport the report, nil until a
+	// frame needs it: most messages lead to none.
 	endpointState  *wire.EndpointState
 	capacityReport *wire.Room
 	suspensions    suspensionDetector
@@ -150,9 +151,10 @@
 	}
 	a.handle(c.Message())
 	a.limitLease()
-	a.capacityReport = a.runner.Room()
-	a.sidecar.taskCount.Store(int64(a.capacityReport.GetRunning() + a.capacityReport.GetWaiting()))
+	a.sidecar.taskCount.Store(int64(a.runner.TaskCount()))
+	a.capacityReport = nil
 	a.flush()
+	a.capacityReport = nil
 }
 
 // handle applies a message to the runner.
@@ -259,7 +261,7 @@
 		f.Events = append(f.Events, e.event)
 	}
 	delete(a.pendingEvents, s.dispatcher)
-	a.capacityReport = a.runner.Room()
+	a.capacityReport = nil
 	a.sendFrame(s, f)
 }
 
@@ -301,6 +303,9 @@
 
 // sendFrame queues a frame, completed with the current capacity report.
 func (a *runnerActor) sendFrame(s *session, f *wire.SidecarFrame) {
+	if a.capacityReport == nil {
+		a.capacityReport = a.runner.Room()
+	}
 	f.Room = a.capacityReport
 	f.Seen = s.lastFrameNumber
 	s.sentReport = a.capacityReport
@@ -311,7 +316,8 @@
 // have timed out or are retired, and drops old events.
 func (a *runnerActor) tick() {
 	now := a.Now()
-	a.capacityReport = a.runner.Room()
+	a.capacityReport = nil
+	freeCPU, waits := a.runner.Free().CPU, a.runner.Waiting() > 0
 	for d, s := range a.sessions {
 		if s.timedOut(a.sidecar) {
 			s.cancel()
@@ -319,7 +325,7 @@
 		}
 		sinceLast := now.Sub(a.sidecar.stampTime(s.sentStamp.Load()))
 		heartbeatDue := sinceLast >= heartbeat
-		if heartbeatDue || len(a.pendingEvents[d]) > 0 && sinceLast >= maxStartEventDelay || sinceLast >= s.reportInterval && mattersForPlacement(s.sentReport, a.capacityReport) {
+		if heartbeatDue || len(a.pendingEvents[d]) > 0 && sinceLast >= maxStartEventDelay || sinceLast >= s.reportInterval && mattersForPlacement(s.sentReport, freeCPU, waits) {
 			a.sendPending(d)
 		}
 	}
@@ -334,11 +340,11 @@
 	}
 }
 
-// mattersForPlacement reports whether the change of the capacity report is relevant to
-// dispatchers that place tasks.
-func mattersForPlacement(reported, current *wire.Room) bool {
-	change := int(reported.GetFree().GetCpu()) - int(current.GetFree().GetCpu())
-	return change >= minCPUChange || change <= -minCPUChange || (reported.GetWaiting() == 0) != (current.GetWaiting() == 0)
+// mattersForPlacement reports whether a change of the free CPU, or of whether tasks wait, since the
+// reported state is relevant to dispatchers that place tasks.
+func mattersForPlacement(reported *wire.Room, freeCPU int, waits bool) bool {
+	change := int(reported.GetFree().GetCpu()) - freeCPU
+	return change >= minCPUChange || change <= -minCPUChange || (reported.GetWaiting() > 0) != waits
 }
 
 // Now returns the time of a monotonic clock.
--- a/node/sidecar/state.go
+++ b/node/sidecar/state.go
@@ -52,7 +52,7 @@
 	default:
 		a.runner.Refuse(reason)
 	}
-	a.capacityReport = a.runner.Room()
+	a.capacityReport = nil
 	for _, s := range a.sessions {
 		a.sendFrame(s, &wire.SidecarFrame{Endpoint: a.stateFor(s)})
 	}
--- a/process/endpointhealth/endpointhealth.go
+++ b/process/endpointhealth/endpointhealth.go
@@ -66,7 +66,6 @@
 // FailureRate returns the share of the recent runs that failed, smoothed by one added
 // failure and one added success. It is 0 unless the endpoint seems to be at fault.
 func (e *Tracker) FailureRate(now time.Time) float64 {
-	jobs := map[string]bool{}
 	failed, all := 0, 0
 	for _, r := range e.runs {
 		if now.Sub(r.at) > MaxRunAge {
@@ -75,30 +74,43 @@
 		all++
 		if r.failed {
 			failed++
-			jobs[r.job] = true
 		}
 	}
-	if len(jobs) < minFailedJobs {
+	if failed < minFailedJobs || e.failedJobs(now) < minFailedJobs {
 		return 0
 	}
 	return float64(failed+1) / float64(all+2)
 }
 
+// failedJobs returns the number of jobs of which a run has failed recently.
+func (e *Tracker) failedJobs(now time.Time) int {
+	jobs := map[string]bool{}
+	for _, r := range e.runs {
+		if r.failed && now.Sub(r.at) <= MaxRunAge {
+			jobs[r.job] = true
+		}
+	}
+	return len(jobs)
+}
+
 // Slowness returns the median ratio of run time to expected run time, or 0 if the
 // endpoint is not slow.
 func (e *Tracker) Slowness(now time.Time) float64 {
-	var ratios []float64
+	ratios := make([]float64, 0, MaxRuns)
+	slow := 0
 	for _, r := range e.runs {
-		if !r.failed && now.Sub(r.at) <= MaxRunAge {
-			ratios = append(ratios, r.ratio)
+		if r.failed || now.Sub(r.at) > MaxRunAge {
+			continue
+		}
+		ratios = append(ratios, r.ratio)
+		if r.ratio >= minSlowness {
+			slow++
 		}
 	}
-	if len(ratios) < minRuns {
+	// The median is one of the slow runs only if these are half of all.
+	if len(ratios) < minRuns || slow < len(ratios)-len(ratios)/2 {
 		return 0
 	}
 	slices.Sort(ratios)
-	if median := ratios[len(ratios)/2]; median >= minSlowness {
-		return median
-	}
-	return 0
+	return ratios[len(ratios)/2]
 }
--- a/process/endpointhealth/endpointhealth_test.go
+++ b/process/endpointhealth/endpointhealth_test.go
@@ -82,3 +82,17 @@
 	i.Equal(len(e.runs), MaxRuns)
 	i.Equal(e.Slowness(start), 0.0)
 }
+
+// Guards against too little served: every message to a sidecar had these computed, with a list, a
+// map and a sort each.
+func TestRatesOfASoundEndpointCostNoAllocations(t *testing.T) {
+	i := is.New(t)
+	e := New()
+	now := time.Unix(1_700_000_000, 0)
+	for n := range MaxRuns {
+		e.Succeeded(fmt.Sprint("job-", n), 100*time.Millisecond, 100*time.Millisecond, now)
+	}
+	i.Equal(testing.AllocsPerRun(50, func() {
+		i.Equal(e.FailureRate(now)+e.Slowness(now), 0.0)
+	}), 0.0)
+}
--- a/process/runner/report.go
+++ b/process/runner/report.go
@@ -157,6 +157,12 @@
 // Free returns the free capacity.
 func (r *Runner) Free() size.Size { return r.ledger.Free() }
 
+// TaskCount returns the number of tasks that wait or may run.
+func (r *Runner) TaskCount() int { return len(r.tasks) }
+
+// Waiting returns the number of tasks that wait.
+func (r *Runner) Waiting() int { return r.backlog.Len() }
+
 // Empty reports whether no task waits and none may run.
 func (r *Runner) Empty() bool { return len(r.tasks) == 0 }
 
