--- a/node/dispatcher/peers.go
+++ b/node/dispatcher/peers.go
@@ -114,6 +114,17 @@
 	p.sessions[s] = true
 }
 
+// closeSilentSessions closes the sessions on which nothing has arrived for sessionTimeout.
+func (p *peers) closeSilentSessions() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for s := range p.sessions {
+		if s.silence(p.dispatcher.deps.Clock) > sessionTimeout {
+			s.close()
+		}
+	}
+}
+
 func (p *peers) removeSession(s *session) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/node/dispatcher/session.go
+++ b/node/dispatcher/session.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -77,6 +78,11 @@
 	}
 }
 
+// silence returns the time since the last frame was received.
+func (s *session) silence(clock clockwork.Clock) time.Duration {
+	return clock.Since(s.openedAt) - time.Duration(s.heardAt.Load())
+}
+
 func (s *session) close() {
 	s.out.Close()
 	s.cancel()
@@ -114,12 +120,11 @@
 		// The receiving side reports the error of the stream.
 		_ = s.out.Run(ctx, func(batch []proto.Message) error { return s.send(d, stream, batch) })
 	}()
+	v.recordReceipt(s)
 	d.deps.System.Root.Send(d.scheduler, sessionOpened{session: s, firstFrame: first})
 	defer d.deps.System.Root.Send(d.scheduler, sessionClosed{session: s})
 	d.peers.addSession(s)
 	defer d.peers.removeSession(s)
-	go v.closeWhenSilent(ctx, s)
-	v.recordReceipt(s)
 	received := make(chan error, 1)
 	go func() { received <- v.receive(stream, s) }()
 	select {
@@ -152,22 +157,6 @@
 	s.heardAt.Store(int64(v.dispatcher.deps.Clock.Since(s.openedAt)))
 }
 
-// closeWhenSilent closes a session on which nothing arrives for sessionTimeout.
-func (v *service) closeWhenSilent(ctx context.Context, s *session) {
-	clock := v.dispatcher.deps.Clock
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-clock.After(sessionTimeout / 2):
-			if clock.Since(s.openedAt)-time.Duration(s.heardAt.Load()) > sessionTimeout {
-				s.close()
-				return
-			}
-		}
-	}
-}
-
 // send merges the queued frames into one and sends it.
 func (s *session) send(d *Dispatcher, stream grpc.BidiStreamingServer[wire.SidecarFrame, wire.DispatcherFrame], batch []proto.Message) error {
 	merged := &wire.DispatcherFrame{}
--- a/node/sidecar/actor.go
+++ b/node/sidecar/actor.go
@@ -11,6 +11,7 @@
 	"github.com/corianderhook/corianderhook/common/suspension"
 	"github.com/corianderhook/corianderhook/process/cancellation"
 	"github.com/corianderhook/corianderhook/process/crash"
+	"github.com/corianderhook/corianderhook/process/pacing"
 	"github.com/corianderhook/corianderhook/process/registration"
 	"github.com/corianderhook/corianderhook/process/runner"
 	"github.com/corianderhook/corianderhook/process/usage"
@@ -20,9 +21,6 @@
 const (
 	// stopRetryInterval is the time between two stop orders for a run.
 	stopRetryInterval = 20 * time.Millisecond
-	// maxStartEventDelay is how long the event of a start may wait for a frame that is sent
-	// for another reason.
-	maxStartEventDelay = 10 * time.Millisecond
 	// replayWindow is how long events are kept, to be sent again in a new session of the same
 	// dispatcher.
 	replayWindow = time.Second
@@ -117,7 +115,9 @@
 	// frame needs it: most messages lead to none.
 	endpointState  *wire.EndpointState
 	capacityReport *wire.Room
-	suspensions    suspensionDetector
+	// scratch is reused by paces.
+	scratch     []pacing.Session
+	suspensions suspensionDetector
 }
 
 // suspensionDetector reports how long the machine was suspended since the last call.
@@ -155,6 +155,7 @@
 	a.capacityReport = nil
 	a.flush()
 	a.capacityReport = nil
+	a.sidecar.ticker.require(pacing.Next(a.Now(), a.paces(), pacing.Tasks{Held: a.runner.TaskCount(), Waiting: a.runner.Waiting()}))
 }
 
 // handle applies a message to the runner.
@@ -317,15 +318,12 @@
 func (a *runnerActor) tick() {
 	now := a.Now()
 	a.capacityReport = nil
-	freeCPU, waits := a.runner.Free().CPU, a.runner.Waiting() > 0
+	due := pacing.HeartbeatDue(now, a.paces())
 	for d, s := range a.sessions {
-		if s.timedOut(a.sidecar) {
+		switch {
+		case s.timedOut(a.sidecar):
 			s.cancel()
-			continue
-		}
-		sinceLast := now.Sub(a.sidecar.stampTime(s.sentStamp.Load()))
-		heartbeatDue := sinceLast >= heartbeat
-		if heartbeatDue || len(a.pendingEvents[d]) > 0 && sinceLast >= maxStartEventDelay || sinceLast >= s.reportInterval && mattersForPlacement(s.sentReport, freeCPU, waits) {
+		case a.pace(d, s).Due(now, due):
 			a.sendPending(d)
 		}
 	}
@@ -340,11 +338,28 @@
 	}
 }
 
-// mattersForPlacement reports whether a change of the free CPU, or of whether tasks wait, since the
-// reported state is relevant to dispatchers that place tasks.
-func mattersForPlacement(reported *wire.Room, freeCPU int, waits bool) bool {
-	change := int(reported.GetFree().GetCpu()) - freeCPU
-	return change >= minCPUChange || change <= -minCPUChange || (reported.GetWaiting() > 0) != waits
+// pace returns what there is to send in the session with a dispatcher.
+func (a *runnerActor) pace(dispatcher uint64, s *session) pacing.Session {
+	return pacing.Session{
+		SentAt: a.sidecar.stampTime(s.sentStamp.Load()), ReportInterval: s.reportInterval,
+		EventWaits: len(a.pendingEvents[dispatcher]) > 0, ReportChanged: a.changed(s.sentReport),
+	}
+}
+
+// paces returns what there is to send in all sessions.
+func (a *runnerActor) paces() []pacing.Session {
+	a.scratch = a.scratch[:0]
+	for d, s := range a.sessions {
+		a.scratch = append(a.scratch, a.pace(d, s))
+	}
+	return a.scratch
+}
+
+// changed reports whether a change since the reported state is relevant to dispatchers that place
+// tasks: that of the free CPU, or of whether tasks wait.
+func (a *runnerActor) changed(reported *wire.Room) bool {
+	change := int(reported.GetFree().GetCpu()) - a.runner.Free().CPU
+	return change >= minCPUChange || change <= -minCPUChange || (reported.GetWaiting() > 0) != (a.runner.Waiting() > 0)
 }
 
 // Now returns the time of a monotonic clock.
@@ -368,7 +383,7 @@
 }
 
 // Send queues events for a dispatcher. They are sent at once, except that the event of a
-// start waits for the next frame, up to maxStartEventDelay.
+// start waits for the next frame.
 func (a *runnerActor) Send(dispatcher uint64, events ...*wire.TaskEvent) {
 	a.pendingEvents[dispatcher] = append(a.pendingEvents[dispatcher], events...)
 	now := a.Now()
--- a/node/sidecar/sessions.go
+++ b/node/sidecar/sessions.go
@@ -23,9 +23,6 @@
 )
 
 const (
-	// heartbeat is the longest time between two frames to a dispatcher. Three fit into the
-	// silence after which the dispatcher's tasks are stopped.
-	heartbeat = 150 * time.Millisecond
 	// sessionTimeout is the time without a frame after which a session is replaced: somewhat
 	// more than two heartbeats, each of which is echoed.
 	sessionTimeout = 330 * time.Millisecond
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -18,6 +18,7 @@
 	"github.com/corianderhook/corianderhook/common/pause"
 	"github.com/corianderhook/corianderhook/connection/remoteclock"
 	"github.com/corianderhook/corianderhook/process/metrics"
+	"github.com/corianderhook/corianderhook/process/pacing"
 	"github.com/corianderhook/corianderhook/process/registration"
 	"github.com/corianderhook/corianderhook/process/runner"
 	"github.com/corianderhook/corianderhook/process/stall"
@@ -26,13 +27,6 @@
 )
 
 const (
-	// busyTickInterval is the time between ticks while tasks are held. It also is the
-	// shortest time between two plain capacity reports; a few tasks start and end at an
-	// endpoint within it.
-	busyTickInterval = 10 * time.Millisecond
-	// idleTickInterval is the time between ticks while no task is held: a sixth of a
-	// heartbeat.
-	idleTickInterval = 25 * time.Millisecond
 	// storeRetryInterval is the time between two attempts to store an announcement.
 	storeRetryInterval = time.Second
 )
@@ -116,6 +110,7 @@
 	usage  usage.Meter
 	// usageReporter is used by the ticker only.
 	usageReporter *usage.Reporter
+	ticker        *ticker
 	sessions      *sessionPool
 	keeper        *leaseKeeper
 	// announcements holds the newest announcement that is to be stored.
@@ -136,7 +131,7 @@
 		startedAt:     deps.Clock.Now(),
 		metrics:       deps.Metrics,
 		gate:          zonegate.New(),
-		stalls:        stall.New(idleTickInterval),
+		stalls:        stall.New(pacing.IdleInterval),
 		announcements: make(chan registration.Announcement, 1),
 	}
 	zonegate.RegisterMetrics(s.metrics, s.gate, deps.Clock)
@@ -148,6 +143,7 @@
 	})
 	s.metrics.RegisterUsage(&s.usage, cputime.Used)
 	s.usageReporter = usage.NewReporter(&s.usage, s.startedAt, cputime.Used())
+	s.ticker = newTicker(deps.Clock)
 	s.sessions = newSessionPool(s)
 	s.keeper = newLeaseKeeper(s)
 	s.runner = deps.System.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return newRunnerActor(s) }))
@@ -184,10 +180,10 @@
 		s.awaitEndpointEmpty(ctx)
 		s.sessions.run(ctx)
 	})
-	for pause.For(ctx, s.deps.Clock, s.tickInterval()) {
+	s.ticker.run(ctx, func() {
 		s.noteTick()
 		s.deps.System.Root.Send(s.runner, tick{})
-	}
+	})
 }
 
 // noteTick records that the process runs, and logs for how long it did not and, every
@@ -204,13 +200,6 @@
 	}
 }
 
-func (s *Sidecar) tickInterval() time.Duration {
-	if s.taskCount.Load() > 0 {
-		return busyTickInterval
-	}
-	return idleTickInterval
-}
-
 // restoreAnnouncement reads the announcement that an earlier sidecar has stored, if the store
 // answers.
 func (s *Sidecar) restoreAnnouncement(ctx context.Context) {
@@ -280,10 +269,10 @@
 	case <-ctx.Done():
 	}
 	for ctx.Err() == nil && s.taskCount.Load() > 0 {
-		pause.For(ctx, s.deps.Clock, busyTickInterval)
+		pause.For(ctx, s.deps.Clock, pacing.MinInterval)
 	}
 	// Leave time to send the last events to the dispatchers.
-	pause.For(ctx, s.deps.Clock, 2*busyTickInterval)
+	pause.For(ctx, s.deps.Clock, 2*pacing.MinInterval)
 	klog.InfoS("CH1103 sidecar stopped", "agent", s.deps.Name, "tasks", s.taskCount.Load())
 }
 
