--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -25,7 +25,7 @@
 	// dialFactor is how many addresses are dialled at once per missing session if at least
 	// maxSessions addresses are unreachable: most of the others may also belong to
 	// dispatchers that were replaced.
-	dialFactor = 12
+	dialFactor = 18
 	// forgetAfter is how long an unreachable address is kept. It is longer than dispatchers
 	// keep each other's addresses; they announce one that is back.
 	forgetAfter = 3 * time.Minute
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -152,17 +152,19 @@
 // live ones are found within the recovery bound of 12 s, the number dialled at once is
 // bounded, and the dead ones are evicted if any dispatcher answers.
 func TestReplacedDispatchersAreForgotten(t *testing.T) {
-	const dead, live = 588, 12
+	const dead = 588
 	for name, c := range map[string]struct {
-		answers bool
-		known   int
+		answers     bool
+		live, known int
 	}{
-		"some answer":    {true, live + 1},
-		"nobody answers": {false, dead + live},
+		"some answer":    {true, maxSessions, maxSessions + 1},
+		"few sessions":   {true, 8, 9},
+		"nobody answers": {false, maxSessions, dead + maxSessions},
 	} {
 		t.Run(name, func(t *testing.T) {
 			i := is.New(t)
-			r := New("s", maxSessions)
+			live := c.live
+			r := New("s", live)
 			r.Pin("10.9.0.1:1")
 			for n := range dead - 1 {
 				r.Learn(fmt.Sprintf("10.9.%d.%d:1", 1+n/250, n%250+1))
@@ -173,7 +175,7 @@
 			found := time.Duration(0)
 			for now := start; now.Sub(start) < 3*forgetAfter; now = now.Add(250 * time.Millisecond) {
 				targets := r.Targets(now)
-				i.True(len(targets) <= (dialFactor+1)*maxSessions)
+				i.True(len(targets) <= (dialFactor+1)*live)
 				count := 0
 				for _, a := range targets {
 					if c.answers && strings.HasPrefix(a, "10.0.") {
--- a/version/config/fields.go
+++ b/version/config/fields.go
@@ -60,7 +60,7 @@
 			{Key: "endpoint", Unit: "ip:port", Doc: "The endpoint on the same VM.", set: setAddress(func(b *builder) *string { return &b.c.sidecar.Endpoint })},
 			{Key: "announcements", Unit: "ip:port", Doc: "Address where the endpoint announces itself.", set: setAddress(func(b *builder) *string { return &b.c.sidecar.Announcements })},
 			{Key: "dispatchers", Unit: "ip:port, ...", Doc: "Some dispatchers; the list may be out of date.", set: setAddresses(func(b *builder) *[]string { return &b.c.sidecar.Dispatchers })},
-			{Key: "sessions", Default: "12", Unit: "dispatchers", Doc: "Maximum number of dispatchers with an open session.", set: setInt(1, maxSessions, func(b *builder) *int { return &b.c.sidecar.Sessions })},
+			{Key: "sessions", Default: "8", Unit: "dispatchers", Doc: "Maximum number of dispatchers with an open session.", set: setInt(1, maxSessions, func(b *builder) *int { return &b.c.sidecar.Sessions })},
 		}},
 		{Name: "store", Fields: []Field{
 			{Key: "address", Unit: "ip:port", Doc: "The platform's metadata store.", set: setAddress(func(b *builder) *string { return &b.c.store })},
