--- a/node/dispatcher/inquiries_test.go
+++ b/node/dispatcher/inquiries_test.go
@@ -356,7 +356,9 @@
 	for list[2].JobCount() == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	i.Equal(list[0].ObjectedElsewhere(t.Context(), canceledJob, time.Now()), inquiry.Held)
+	ctx, cancel = context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	i.Equal(list[0].ObjectedElsewhere(ctx, canceledJob, time.Now()), inquiry.Held)
 	i.Equal(list[0].usage.Total(usage.InquiryReceived), received+1)
 }
 
