--- a/node/dispatcher/inquiries.go
+++ b/node/dispatcher/inquiries.go
@@ -272,6 +272,7 @@
 		// A build from before inquiries; an upgrade must not refuse work.
 		answerAll(questions, address, inquiry.NotHeld)
 	case err != nil:
+		klog.InfoS("CH1018 dispatcher does not answer an inquiry", "address", address, "jobs", len(questions), "error", err)
 		answerAll(questions, address, inquiry.Unknown)
 	default:
 		for n, q := range questions {
--- a/node/dispatcher/inquiry_link.go
+++ b/node/dispatcher/inquiry_link.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+	"k8s.io/klog/v2"
 
 	"github.com/corianderhook/corianderhook/process/inquiry"
 	"github.com/corianderhook/corianderhook/process/usage"
@@ -81,7 +82,15 @@
 			}
 		}
 	}
-	return l.close(status.Code(err) == codes.Unimplemented)
+	unanswered := l.close()
+	if status.Code(err) == codes.Unimplemented {
+		return unanswered
+	}
+	if len(unanswered) > 0 {
+		klog.InfoS("CH1018 dispatcher does not answer an inquiry", "address", l.address, "jobs", len(unanswered), "error", err)
+	}
+	answerAll(unanswered, l.address, inquiry.Unknown)
+	return nil
 }
 
 func (l *inquiryLink) open(ctx context.Context) (inquiryStream, error) {
@@ -148,8 +157,8 @@
 	return nil
 }
 
-// close answers the questions without an answer as unknown, or returns them.
-func (l *inquiryLink) close(returnAll bool) (unanswered []*question) {
+// close returns the questions without an answer. Nothing can be asked afterwards.
+func (l *inquiryLink) close() (unanswered []*question) {
 	l.mu.Lock()
 	l.closed = true
 	close(l.batches)
@@ -161,11 +170,7 @@
 	for questions := range l.batches {
 		unanswered = append(unanswered, questions...)
 	}
-	if returnAll {
-		return unanswered
-	}
-	answerAll(unanswered, l.address, inquiry.Unknown)
-	return nil
+	return unanswered
 }
 
 // holdingAt returns the answer about the n-th job of a request, unknown if the reply lacks it.
--- a/node/sidecar/actor.go
+++ b/node/sidecar/actor.go
@@ -152,6 +152,7 @@
 	a.handle(c.Message())
 	a.limitLease()
 	a.sidecar.taskCount.Store(int64(a.runner.TaskCount()))
+	// A frame that was sent while the message was handled had a report of that moment.
 	a.capacityReport = nil
 	a.flush()
 	a.capacityReport = nil
