--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -327,14 +327,14 @@
 		if a.service != service || !f.usable(a, now) {
 			continue
 		}
-		ejected, failureRate := f.health.State(a.name, now)
+		ejected := f.health.Ejected(a.name)
 		if ejected && !f.health.StartProbe(a.name, now) {
 			continue
 		}
 		c := a.candidate(f.zone, f.slowness(a, now))
 		if !ejected {
 			// A probe keeps a failure rate of 0, so that it gets its task.
-			c.FailureRate = max(a.failureRate, failureRate)
+			c.FailureRate = max(a.failureRate, f.health.FailureRate(a.name, now))
 		}
 		list = append(list, c)
 	}
--- a/process/health/health.go
+++ b/process/health/health.go
@@ -112,16 +112,7 @@
 // added failure and one added success. It is zero without recent failures, so that an
 // agent that is avoided for its failures is tried again.
 func (h *Health) FailureRate(agent string, now time.Time) float64 {
-	return h.record(agent).failureRate(now)
-}
-
-// State returns Ejected and FailureRate.
-func (h *Health) State(agent string, now time.Time) (ejected bool, failureRate float64) {
 	r := h.record(agent)
-	return r.ejected, r.failureRate(now)
-}
-
-func (r *record) failureRate(now time.Time) float64 {
 	if now.Sub(r.failedAt) > maxFailureAge {
 		return 0
 	}
