--- a/node/dispatcher/cancellations_test.go
+++ b/node/dispatcher/cancellations_test.go
@@ -28,6 +28,14 @@
 	return answered
 }
 
+// awaitJob waits until a dispatcher has a job.
+func awaitJob(t testing.TB, d *Dispatcher) {
+	t.Helper()
+	for d.JobCount() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 func awaitPeers(t testing.TB, d *Dispatcher, count int) {
 	t.Helper()
 	for until := time.Now().Add(5 * time.Second); len(d.peers.addresses()) < count; time.Sleep(5 * time.Millisecond) {
@@ -50,9 +58,7 @@
 
 	other := "00000000000000bb"
 	answered := submitParked(t, d1, other)
-	for d1.JobCount() == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	awaitJob(t, d1)
 	i.True(d2.Cancel(t.Context(), other))
 	i.Equal((<-answered).Reason(), "canceled")
 
@@ -73,9 +79,7 @@
 	d1, address := startDispatcher(t, "d1")
 	adopt(t, d1, 3)
 	answered := submitParked(t, d1, canceledJob)
-	for d1.JobCount() == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	awaitJob(t, d1)
 	stream, err := dialWork(t, address)
 	i.NoErr(err)
 	i.NoErr(stream.Send(&wire.SidecarFrame{
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -266,7 +266,7 @@
 				keptOpenAt = now
 				d.peers.sendToSidecars(&wire.DispatcherFrame{})
 			}
-			d.peers.closeSilentSessions()
+			d.peers.closeSilentSessions(now)
 			d.deps.System.Root.Send(d.scheduler, tick{sentAt: now})
 		}
 	}
--- a/node/dispatcher/inquiries.go
+++ b/node/dispatcher/inquiries.go
@@ -55,21 +55,19 @@
 // The request reached this machine at arrivedAt, as far as that is known. The arrival has to be
 // noted, and the job is to be submitted at once if it is not held.
 func (d *Dispatcher) HeldElsewhere(ctx context.Context, job string, arrivedAt time.Time) inquiry.Holding {
-	return d.inquire(ctx, d.newQuestion(job, arrivedAt), d.allOthers(job))
+	return d.inquire(ctx, &question{job: job, arrivedAt: arrivedAt}, d.allOthers(job))
 }
 
 // ObjectedElsewhere does the same for a request that is hardly suspicious: it waits until the
 // context ends for another dispatcher that holds the job, and does not need the others' answers.
 func (d *Dispatcher) ObjectedElsewhere(ctx context.Context, job string, arrivedAt time.Time) inquiry.Holding {
-	q := d.newQuestion(job, arrivedAt)
-	q.quiet = true
-	return d.inquire(ctx, q, d.allOthers(job))
+	return d.inquire(ctx, &question{job: job, arrivedAt: arrivedAt, quiet: true}, d.allOthers(job))
 }
 
 // HeldByAskers does the same for a request that is not old itself: it asks only the dispatchers
 // that were let go ahead with the job.
 func (d *Dispatcher) HeldByAskers(ctx context.Context, job string, arrivedAt time.Time) inquiry.Holding {
-	return d.inquire(ctx, d.newQuestion(job, arrivedAt), d.inquiries.Askers(job, d.deps.Clock.Now()))
+	return d.inquire(ctx, &question{job: job, arrivedAt: arrivedAt}, d.inquiries.Askers(job, d.deps.Clock.Now()))
 }
 
 // allOthers returns the addresses of the known dispatchers, and of those that were let go ahead
@@ -80,10 +78,6 @@
 	return slices.Compact(addresses)
 }
 
-func (d *Dispatcher) newQuestion(job string, arrivedAt time.Time) *question {
-	return &question{job: job, arrivedAt: arrivedAt}
-}
-
 func (d *Dispatcher) inquire(ctx context.Context, q *question, addresses []string) inquiry.Holding {
 	askedAt := d.deps.Clock.Now()
 	decide := d.inquiries.Ask(q.job, q.arrivedAt, askedAt)
@@ -131,9 +125,14 @@
 	}
 }
 
-// message returns the question as it is sent.
-func (q *question) message(now time.Time) *wire.InquiredJob {
-	return &wire.InquiredJob{Job: q.job, AgeMs: uint32(max(0, now.Sub(q.arrivedAt).Milliseconds())), Quiet: q.quiet}
+// holdsRequest returns the questions as they are sent now.
+func (d *Dispatcher) holdsRequest(questions []*question) *wire.HoldsRequest {
+	now := d.deps.Clock.Now()
+	r := &wire.HoldsRequest{Address: d.deps.Address, Incarnation: d.incarnation}
+	for _, q := range questions {
+		r.Jobs = append(r.Jobs, &wire.InquiredJob{Job: q.job, AgeMs: uint32(max(0, now.Sub(q.arrivedAt).Milliseconds())), Quiet: q.quiet})
+	}
+	return r
 }
 
 // inquirer asks other dispatchers about jobs.
@@ -261,12 +260,7 @@
 	d := i.dispatcher
 	ctx, cancel := context.WithTimeout(i.ctx, inquiryTimeout)
 	defer cancel()
-	now := d.deps.Clock.Now()
-	r := &wire.HoldsRequest{Address: d.deps.Address, Incarnation: d.incarnation}
-	for _, q := range questions {
-		r.Jobs = append(r.Jobs, q.message(now))
-	}
-	reply, err := d.peers.holds(ctx, address, r)
+	reply, err := d.peers.holds(ctx, address, d.holdsRequest(questions))
 	switch {
 	case status.Code(err) == codes.Unimplemented:
 		// A build from before inquiries; an upgrade must not refuse work.
--- a/node/dispatcher/inquiries_test.go
+++ b/node/dispatcher/inquiries_test.go
@@ -67,9 +67,7 @@
 	list := startDispatchers(t, 3)
 	connect(t, list[0])
 	answered := submitParked(t, list[2], canceledJob)
-	for list[2].JobCount() == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	awaitJob(t, list[2])
 	defer list[0].NoteArrival(canceledJob)()
 	i.Equal(askOthers(t, list[0].HeldElsewhere), inquiry.Held)
 
@@ -89,9 +87,7 @@
 	defer list[0].NoteArrival(canceledJob)()
 	i.Equal(askOthers(t, list[0].HeldElsewhere), inquiry.NotHeld)
 	submitParked(t, list[0], canceledJob)
-	for list[0].JobCount() == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	awaitJob(t, list[0])
 
 	defer list[1].NoteArrival(canceledJob)()
 	i.True(list[1].WasAskedFor(canceledJob))
@@ -146,9 +142,7 @@
 		defer close(left)
 		list[1].Submit(ctx, work, catalog.Queue{Name: "q", Service: "s", Stretch: 20, TargetLatency: 10 * time.Second}, 20*time.Second)
 	}()
-	for list[1].JobCount() == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	awaitJob(t, list[1])
 	cancel()
 	<-left
 	for list[1].JobCount() > 0 {
@@ -198,7 +192,7 @@
 	wire.UnimplementedDispatcherServer
 }
 
-func serve(t testing.TB, l net.Listener, s wire.DispatcherServer) {
+func serve(t testing.TB, l net.Listener, s wire.DispatcherServer) *grpc.Server {
 	server := grpc.NewServer()
 	wire.RegisterDispatcherServer(server, s)
 	go func() {
@@ -206,6 +200,7 @@
 		_ = server.Serve(l)
 	}()
 	t.Cleanup(server.Stop)
+	return server
 }
 
 // Builds run side by side in an upgrade, which must not refuse work.
@@ -301,9 +296,7 @@
 	connect(t, list[0])
 	list[0].Learn([]string{dead.Addr().String()})
 	submitParked(t, list[1], canceledJob)
-	for list[1].JobCount() == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	awaitJob(t, list[1])
 	held := 0
 	for range 10 {
 		if list[0].HeldElsewhere(t.Context(), canceledJob, time.Now()) == inquiry.Held {
@@ -353,9 +346,7 @@
 	i.Equal(list[0].usage.Total(usage.InquiryReceived), received)
 
 	submitParked(t, list[2], canceledJob)
-	for list[2].JobCount() == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	awaitJob(t, list[2])
 	ctx, cancel = context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
 	i.Equal(list[0].ObjectedElsewhere(ctx, canceledJob, time.Now()), inquiry.Held)
@@ -367,9 +358,7 @@
 	i := is.New(t)
 	l := listen(t)
 	address := l.Addr().String()
-	server := grpc.NewServer()
-	wire.RegisterDispatcherServer(server, &service{dispatcher: newDispatcher(address, clockwork.NewRealClock())})
-	go func() { _ = server.Serve(l) }()
+	server := serve(t, l, &service{dispatcher: newDispatcher(address, clockwork.NewRealClock())})
 	d, _ := startDispatcher(t, "d1", address)
 	awaitPeers(t, d, 2)
 	i.Equal(askOthers(t, d.HeldElsewhere), inquiry.NotHeld)
--- a/node/dispatcher/inquiry_link.go
+++ b/node/dispatcher/inquiry_link.go
@@ -71,9 +71,8 @@
 		go func() { received <- l.receive(stream) }()
 	}
 	for err == nil {
+		// The end of the context ends the stream.
 		select {
-		case <-ctx.Done():
-			err = ctx.Err()
 		case err = <-received:
 		case questions := <-l.batches:
 			// A failed stream tells its error to the receiver.
@@ -103,9 +102,7 @@
 
 // send sends the questions that can still be answered in time.
 func (l *inquiryLink) send(stream inquiryStream, questions []*question) error {
-	d := l.dispatcher
-	now := d.deps.Clock.Now()
-	r := &wire.HoldsRequest{Address: d.deps.Address, Incarnation: d.incarnation}
+	now := l.dispatcher.deps.Clock.Now()
 	var asked []*question
 	for _, q := range questions {
 		if now.After(q.deadline) {
@@ -113,11 +110,11 @@
 			continue
 		}
 		asked = append(asked, q)
-		r.Jobs = append(r.Jobs, q.message(now))
 	}
 	if len(asked) == 0 {
 		return nil
 	}
+	r := l.dispatcher.holdsRequest(asked)
 	l.mu.Lock()
 	l.lastNumber++
 	r.Number = l.lastNumber
@@ -126,7 +123,7 @@
 	}
 	l.sent = append(l.sent, sentInquiry{number: r.GetNumber(), at: now, questions: asked})
 	l.mu.Unlock()
-	d.usage.Add(usage.InquirySent, 1)
+	l.dispatcher.usage.Add(usage.InquirySent, 1)
 	return stream.Send(r)
 }
 
--- a/node/dispatcher/peers.go
+++ b/node/dispatcher/peers.go
@@ -115,11 +115,11 @@
 }
 
 // closeSilentSessions closes the sessions on which nothing has arrived for sessionTimeout.
-func (p *peers) closeSilentSessions() {
+func (p *peers) closeSilentSessions(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for s := range p.sessions {
-		if s.silence(p.dispatcher.deps.Clock) > sessionTimeout {
+		if s.silence(now) > sessionTimeout {
 			s.close()
 		}
 	}
--- a/node/dispatcher/recovery_test.go
+++ b/node/dispatcher/recovery_test.go
@@ -28,9 +28,7 @@
 	go func() {
 		answered <- d.Submit(t.Context(), work, catalog.Queue{Name: "q", Service: "s", Stretch: 20, TargetLatency: time.Second}, 2*time.Second)
 	}()
-	for d.JobCount() == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	awaitJob(t, d)
 	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer cancel()
 	d.runOnScheduler(ctx, func(*scheduler.Scheduler) { panic("malformed") })
--- a/node/dispatcher/session.go
+++ b/node/dispatcher/session.go
@@ -5,7 +5,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -79,8 +78,8 @@
 }
 
 // silence returns the time since the last frame was received.
-func (s *session) silence(clock clockwork.Clock) time.Duration {
-	return clock.Since(s.openedAt) - time.Duration(s.heardAt.Load())
+func (s *session) silence(now time.Time) time.Duration {
+	return now.Sub(s.openedAt) - time.Duration(s.heardAt.Load())
 }
 
 func (s *session) close() {
