--- /dev/null
+++ b/review/site2/processes.go
@@ -0,0 +1,301 @@
+// Package site2 runs a small deployment for the scripts of the second review: the project's
+// programs as processes of their own, with the commands and settings templates of the deploy file,
+// on loopback addresses, and stand-ins for the store, the executors and the clients.
+package site2
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/corianderhook/corianderhook/platform/standin/store"
+)
+
+// Bounds and names of the deployment. The bounds are those of the small sites.
+const (
+	// Host and Prefix select the queue.
+	Host   = "nony24.example"
+	Prefix = "/lohu930/"
+	// service is the service of all executors.
+	service = "huvo11a"
+	// CancelBound, StopBound, ResendDelay and beatInterval are cancel_ms, stopTimeoutMs, retransmitMs
+	// and heartbeatMs.
+	CancelBound  = 3000 * time.Millisecond
+	StopBound    = 50 * time.Millisecond
+	ResendDelay  = 1300 * time.Millisecond
+	beatInterval = 1500 * time.Millisecond
+)
+
+// values are the fields of the platform's settings, by placeholder, that are the same for all
+// processes.
+func values() map[string]string {
+	return map[string]string{"limits.memoryMb": "284", "limits.linkMbps": "1000.0", "bounds.graceS": "6", "bounds.retransmitMs": "1300"}
+}
+
+// Process is one process of the project.
+type Process struct {
+	Name    string
+	words   []string
+	file    string
+	log     *os.File
+	command *exec.Cmd
+	exited  chan struct{}
+}
+
+// Start starts the process.
+func (p *Process) Start() error {
+	p.command = exec.Command(p.words[0], p.words[1:]...)
+	p.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "CORIANDERHOOK_NODE_FILE=" + p.file}
+	p.command.Stdout, p.command.Stderr = p.log, p.log
+	if err := p.command.Start(); err != nil {
+		return fmt.Errorf("%s: %w", p.Name, err)
+	}
+	p.exited = make(chan struct{})
+	go func(c *exec.Cmd, exited chan struct{}) {
+		// A process that was killed has no exit code of interest.
+		_ = c.Wait()
+		close(exited)
+	}(p.command, p.exited)
+	return nil
+}
+
+// Signal sends a signal to the process.
+func (p *Process) Signal(s syscall.Signal) {
+	// A process that has ended needs none.
+	_ = p.command.Process.Signal(s)
+}
+
+// Kill kills the process and waits for its end.
+func (p *Process) Kill() {
+	if p.exited == nil {
+		return
+	}
+	p.Signal(syscall.SIGKILL)
+	<-p.exited
+}
+
+// Dispatcher is a dispatcher process and its address for clients.
+type Dispatcher struct {
+	Process
+	Front string
+	ready string
+}
+
+// Sidecar is a sidecar process and the executor beside it.
+type Sidecar struct {
+	Process
+	Executor *Executor
+}
+
+// Site is the whole deployment.
+type Site struct {
+	Record      *Record
+	Store       *store.Store
+	Dispatchers []*Dispatcher
+	Sidecars    []*Sidecar
+	dir         string
+	storeAt     string
+	// controls are the addresses of the dispatchers for other processes.
+	controls []string
+	mu       sync.Mutex
+	servers  []*http.Server
+	stop     chan struct{}
+}
+
+// New starts a deployment with the given number of dispatchers and sidecars, and waits until each
+// dispatcher is ready and each executor has been taken over. The site has to be closed also after an
+// error.
+func New(record *Record, dispatchers, sidecars int) (*Site, error) {
+	dir, err := os.MkdirTemp("", "review-2-")
+	s := &Site{Record: record, Store: store.New(clockwork.NewRealClock()), dir: dir, storeAt: freeAddress(1), stop: make(chan struct{})}
+	if err != nil {
+		return s, fmt.Errorf("temporary folder: %w", err)
+	}
+	if err := s.serve(s.storeAt, s.Store.Handler()); err != nil {
+		return s, err
+	}
+	s.Store.Put("keyed.op", "config", []byte(configuration))
+	for i := range dispatchers {
+		s.controls = append(s.controls, freeAddress(11+i))
+	}
+	for i := range dispatchers {
+		if err := s.addDispatcher(i); err != nil {
+			return s, err
+		}
+	}
+	for i := range sidecars {
+		if err := s.addSidecar(i); err != nil {
+			return s, err
+		}
+	}
+	return s, s.awaitStart()
+}
+
+const configuration = `{"version":3,"routes":[{"name":"r1","host":"` + Host + `","pathPrefix":"` + Prefix + `","service":"` + service +
+	`","timeoutMs":1500,"targetLatencyMs":60,"priority":0,"maxAttempts":3,"stretch":1.6}],"services":[{"name":"` + service +
+	`","rejectsOverload":false}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":5000,"idleTimeoutMs":60000}}`
+
+// freeAddress returns a free loopback address in a subnet of its own for each kind of machine.
+func freeAddress(subnet int) string {
+	l, err := net.Listen("tcp", fmt.Sprintf("127.0.%d.1:0", subnet))
+	if err != nil {
+		panic(err) // Loopback addresses always exist.
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (s *Site) serve(address string, handler http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("stand-in: %w", err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
+	s.mu.Lock()
+	s.servers = append(s.servers, server)
+	s.mu.Unlock()
+	// Serve ends with an error when the server is closed.
+	go func() { _ = server.Serve(l) }()
+	return nil
+}
+
+// process returns a process with the command of the role and its filled-in template.
+func (s *Site) process(name, role string, fields map[string]string) (Process, error) {
+	words, template, err := readRole(role)
+	if err != nil {
+		return Process{}, err
+	}
+	fields["node"], fields["platform.address"] = name, s.storeAt
+	for k, v := range values() {
+		fields[k] = v
+	}
+	text := regexp.MustCompile(`(?s)\{\{#([^}]*)\}\}.*?\{\{/[^}]*\}\}`).ReplaceAllString(template, "")
+	text = regexp.MustCompile(`\{\{([^}|]*)\}\}`).ReplaceAllStringFunc(text, func(m string) string { return fields[strings.Trim(m, "{}")] })
+	p := Process{Name: name, words: words, file: filepath.Join(s.dir, name+".ini")}
+	if err := os.WriteFile(p.file, []byte(text), 0o600); err != nil {
+		return p, fmt.Errorf("settings: %w", err)
+	}
+	p.log, err = os.Create(filepath.Join(s.dir, name+".log"))
+	return p, err
+}
+
+// readRole returns the command and the text of the settings template of a role of the deploy file.
+func readRole(role string) (words []string, template string, err error) {
+	deploy, err := os.ReadFile("deploy/system.toml")
+	if err != nil {
+		return nil, "", fmt.Errorf("deploy file: %w", err)
+	}
+	_, section, _ := strings.Cut(string(deploy), "[roles."+role+"]")
+	section, _, _ = strings.Cut(section, "\n[")
+	value := func(key string) string {
+		m := regexp.MustCompile(key + ` = "([^"]*)"`).FindStringSubmatch(section)
+		if m == nil {
+			return ""
+		}
+		return m[1]
+	}
+	text, err := os.ReadFile(value("template"))
+	if err != nil {
+		return nil, "", fmt.Errorf("template: %w", err)
+	}
+	return strings.Fields(value("run")), string(text), nil
+}
+
+func (s *Site) addDispatcher(i int) error {
+	d := &Dispatcher{Front: freeAddress(11 + i), ready: freeAddress(11 + i)}
+	var err error
+	d.Process, err = s.process(fmt.Sprintf("front-%d", i+1), "entry", map[string]string{
+		"zone": zone(i), "listen.front": d.Front, "listen.ready": d.ready, "listen.control": s.controls[i], "seeds": s.seeds(), "ip": fmt.Sprintf("127.0.%d.1", 11+i),
+	})
+	if err != nil {
+		return err
+	}
+	s.Dispatchers = append(s.Dispatchers, d)
+	return d.Start()
+}
+
+// seeds returns the addresses of at most three dispatchers.
+func (s *Site) seeds() string { return strings.Join(s.controls[:min(3, len(s.controls))], ",") }
+
+func zone(i int) string { return fmt.Sprintf("zone-%c", 'a'+i%3) }
+
+func (s *Site) addSidecar(i int) error {
+	app, control := freeAddress(101+i), freeAddress(101+i)
+	p, err := s.process(fmt.Sprintf("side-%d", i+1), "agent", map[string]string{
+		"zone": zone(i), "app": app, "listen.control": control, "seeds": s.seeds(), "ip": fmt.Sprintf("127.0.%d.1", 101+i),
+	})
+	if err != nil {
+		return err
+	}
+	x := NewExecutor(fmt.Sprintf("i-%08x", 0x7f3a91c0+i), s.Record)
+	if err := s.serve(app, x.Handler()); err != nil {
+		return err
+	}
+	s.Sidecars = append(s.Sidecars, &Sidecar{Process: p, Executor: x})
+	go x.Announce(s.stop, control, app, zone(i))
+	return s.Sidecars[i].Start()
+}
+
+// awaitStart waits until all dispatchers are ready and all executors are held.
+func (s *Site) awaitStart() error {
+	deadline := time.Now().Add(20 * time.Second)
+	for time.Now().Before(deadline) {
+		if s.started() {
+			// The sidecars open their sessions.
+			time.Sleep(3 * time.Second)
+			return nil
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return fmt.Errorf("the deployment has not started within 20 s, logs in %s", s.dir)
+}
+
+func (s *Site) started() bool {
+	for _, x := range s.Sidecars {
+		if !x.Executor.Held() {
+			return false
+		}
+	}
+	for _, d := range s.Dispatchers {
+		r, err := http.Get("http://" + d.ready + "/ready")
+		if err != nil {
+			return false
+		}
+		r.Body.Close()
+		if r.StatusCode != http.StatusOK {
+			return false
+		}
+	}
+	return true
+}
+
+// Close ends all processes and stand-ins.
+func (s *Site) Close() {
+	close(s.stop)
+	for _, d := range s.Dispatchers {
+		d.Kill()
+	}
+	for _, x := range s.Sidecars {
+		x.Kill()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, server := range s.servers {
+		server.Close()
+	}
+	if os.Getenv("KEEP_LOGS") == "" {
+		os.RemoveAll(s.dir)
+	} else {
+		fmt.Println("logs in", s.dir)
+	}
+}
