Add the switches of the sharing parts to the settings

Cause: hard load needs parts that dispatchers and sidecars share (room, holders of jobs, neighbors, recovery); each has to be off unless the settings ask for it. Result: nothing reads the switches yet; go test ./version/config . passes.

--- a/imports_test.go
+++ b/imports_test.go
@@ -14,7 +14,7 @@
 // system. A package must not import one of a higher layer (docs/architecture.md).
 func TestImportsFollowLayerOrder(t *testing.T) {
 	const module = "github.com/corianderhook/corianderhook/"
-	layers := map[string]int{"common": 0, "wire": 0, "request": 1, "connection": 2, "version": 2, "process": 3, "node": 4, "platform": 5, "lab": 6, "commands": 7}
+	layers := map[string]int{"common": 0, "wire": 0, "request": 1, "connection": 2, "version": 2, "process": 3, "sharing": 3, "node": 4, "platform": 5, "lab": 6, "commands": 7}
 	checked := 0
 	err := filepath.WalkDir(".", func(path string, _ fs.DirEntry, err error) error {
 		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
--- a/version/config/config.go
+++ b/version/config/config.go
@@ -116,6 +116,19 @@
 	EvacuationTime time.Duration
 }
 
+// Sharing switches the parts that let dispatchers and sidecars share the room at the
+// endpoints. A part that is off sends nothing and decides nothing.
+type Sharing struct {
+	// Room lets dispatchers tell each other what they have admitted and not yet placed.
+	Room bool
+	// Holders lets a dispatcher ask who holds a job before it submits the job again.
+	Holders bool
+	// Neighbors keeps tasks apart that slow each other down on one endpoint.
+	Neighbors bool
+	// Recovery lets a restarted process take over what its peers have measured.
+	Recovery bool
+}
+
 // TLS holds the names of PEM files; all are empty if connections do not use TLS.
 type TLS struct {
 	Certificate string
@@ -134,6 +147,7 @@
 	sidecar        Sidecar
 	store          string
 	runtime        Runtime
+	sharing        Sharing
 	retention      time.Duration
 	maxKeysPerSlot int
 	silenceTimeout time.Duration
@@ -182,6 +196,9 @@
 // Runtime returns the settings for the VM of the process and its environment.
 func (c *Config) Runtime() Runtime { return c.runtime }
 
+// Sharing returns which parts of the sharing of room are on.
+func (c *Config) Sharing() Sharing { return c.sharing }
+
 // Values returns all effective values, by section name and in the order in which
 // each section defines its keys.
 func (c *Config) Values() []Value { return c.values }
--- a/version/config/fields.go
+++ b/version/config/fields.go
@@ -73,6 +73,12 @@
 			{Key: "resubmission", Default: "1300ms", Unit: "time", Doc: "Time after which a caller without an answer sends its job again.", set: setTime(100*time.Millisecond, time.Hour, func(b *builder) *time.Duration { return &b.c.runtime.Resubmission })},
 			{Key: "evacuation", Default: "5s", Unit: "time", Doc: "Time within which the evacuation of an availability zone has to be in force.", set: setTime(500*time.Millisecond, time.Hour, func(b *builder) *time.Duration { return &b.c.runtime.EvacuationTime })},
 		}},
+		{Name: "sharing", Fields: []Field{
+			{Key: "room", Default: "off", Unit: "on or off", Doc: "Whether dispatchers tell each other what they have admitted and not yet placed.", set: setSwitch(func(b *builder) *bool { return &b.c.sharing.Room })},
+			{Key: "holders", Default: "off", Unit: "on or off", Doc: "Whether a dispatcher asks who holds a job before it submits the job again.", set: setSwitch(func(b *builder) *bool { return &b.c.sharing.Holders })},
+			{Key: "neighbors", Default: "off", Unit: "on or off", Doc: "Whether tasks that slow each other down are kept apart.", set: setSwitch(func(b *builder) *bool { return &b.c.sharing.Neighbors })},
+			{Key: "recovery", Default: "off", Unit: "on or off", Doc: "Whether a restarted process takes over what its peers have measured.", set: setSwitch(func(b *builder) *bool { return &b.c.sharing.Recovery })},
+		}},
 	}
 }
 
@@ -320,6 +326,16 @@
 	return err
 }
 
+func setSwitch(target func(*builder) *bool) setter {
+	return func(b *builder, _, value string) error {
+		if value != "on" && value != "off" {
+			return fmt.Errorf("must be on or off")
+		}
+		*target(b) = value == "on"
+		return nil
+	}
+}
+
 func setCallers(b *builder, _, value string) error {
 	if value != "open" && value != "token" {
 		return fmt.Errorf("must be open or token")
