Redial a dispatcher at once when it announces its start

Change: the address that a dispatcher writes to the store at its start, or that others announce, ends a lost attempt and the wait before the next. The times of the attempts are decided in sharing/redial.

--- a/node/sidecar/actor_test.go
+++ b/node/sidecar/actor_test.go
@@ -56,7 +56,7 @@
 	clock := clockwork.NewFakeClock()
 	a, sessions := newActor(clock)
 	closed := false
-	a.sidecar.sessions.cancels["d1"] = func() { closed = true }
+	a.sidecar.sessions.holds["d1"] = &hold{cancel: func() { closed = true }}
 	a.runner.Offer(1, &wire.Offer{Job: "j", StartWithinMs: 60_000, OnTimeWithinMs: 60_000, Tasks: []*wire.OfferedTask{
 		{Ref: 7, Run: 1, Size: &wire.Size{Cpu: 1}},
 	}})
--- a/node/sidecar/sessions.go
+++ b/node/sidecar/sessions.go
@@ -19,6 +19,7 @@
 	"github.com/corianderhook/corianderhook/connection/peer"
 	"github.com/corianderhook/corianderhook/process/roster"
 	"github.com/corianderhook/corianderhook/process/usage"
+	"github.com/corianderhook/corianderhook/sharing/redial"
 	"github.com/corianderhook/corianderhook/wire"
 )
 
@@ -26,17 +27,6 @@
 	// sessionTimeout is the time without a frame after which a session is replaced: somewhat
 	// more than two heartbeats, each of which is echoed.
 	sessionTimeout = 330 * time.Millisecond
-	// minOpenTimeout limits the opening of a session. It doubles with each failure up to
-	// maxOpenTimeout: a VM without power never answers, a slow one answers late.
-	minOpenTimeout = 150 * time.Millisecond
-	maxOpenTimeout = 600 * time.Millisecond
-	// minRedialBackoff is the time before a session is opened again. It doubles with each
-	// failure up to maxRedialBackoff. An address that has not answered for unreachableAfter is
-	// tried every unreachableRedialInterval. All these times have a jitter of ±25 %.
-	minRedialBackoff          = 50 * time.Millisecond
-	maxRedialBackoff          = 400 * time.Millisecond
-	unreachableRedialInterval = 2 * time.Second
-	unreachableAfter          = 10 * time.Second
 	// selectionInterval is the time between two selections of the sessions to hold.
 	selectionInterval = 250 * time.Millisecond
 )
@@ -67,11 +57,26 @@
 // sessionPool holds sessions with the dispatchers that the roster selects.
 type sessionPool struct {
 	sidecar *Sidecar
-	learned chan []string
+	learned chan learnedList
 	mu      sync.Mutex
 	roster  *roster.Roster
-	// cancels holds by address the function that ends the session and further attempts.
-	cancels map[string]context.CancelFunc
+	// holds holds by address the sessions that are open or attempted.
+	holds map[string]*hold
+}
+
+// learnedList holds addresses of dispatchers. They are announced if they come from a message
+// that is sent when a dispatcher starts.
+type learnedList struct {
+	addresses []string
+	announced bool
+}
+
+// hold is a session that is open or attempted.
+type hold struct {
+	// cancel ends the session and further attempts.
+	cancel context.CancelFunc
+	// announced is signaled when the dispatcher has said that it has started.
+	announced chan struct{}
 }
 
 // maxQueuedLists is the number of address lists that may wait to be processed.
@@ -79,8 +84,8 @@
 
 func newSessionPool(s *Sidecar) *sessionPool {
 	p := &sessionPool{
-		sidecar: s, learned: make(chan []string, maxQueuedLists), roster: roster.New(s.deps.Name, s.deps.Sessions),
-		cancels: map[string]context.CancelFunc{},
+		sidecar: s, learned: make(chan learnedList, maxQueuedLists), roster: roster.New(s.deps.Name, s.deps.Sessions),
+		holds: map[string]*hold{},
 	}
 	for _, a := range s.deps.Dispatchers {
 		p.roster.Pin(a)
@@ -90,13 +95,31 @@
 
 // learn adds addresses of dispatchers. If the queue is full, the list is dropped, as
 // addresses are announced repeatedly.
-func (p *sessionPool) learn(addresses []string) {
+func (p *sessionPool) learn(l learnedList) {
 	select {
-	case p.learned <- addresses:
+	case p.learned <- l:
 	default:
 	}
 }
 
+// apply adds the addresses of a list to the roster. Those that have been announced and have no
+// session are tried at once.
+func (p *sessionPool) apply(l learnedList) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, a := range l.addresses {
+		p.roster.Learn(a)
+		h, held := p.holds[a]
+		if !l.announced || !held || p.roster.HasSession(a) {
+			continue
+		}
+		select {
+		case h.announced <- struct{}{}:
+		default:
+		}
+	}
+}
+
 // run holds the selected sessions until the context ends.
 func (p *sessionPool) run(ctx context.Context) {
 	var group sync.WaitGroup
@@ -108,11 +131,7 @@
 		case <-ctx.Done():
 			return
 		case list := <-p.learned:
-			p.mu.Lock()
-			for _, a := range list {
-				p.roster.Learn(a)
-			}
-			p.mu.Unlock()
+			p.apply(list)
 		case <-ticker.Chan():
 		}
 		p.selectSessions(ctx, &group)
@@ -127,21 +146,22 @@
 	now := p.sidecar.deps.Clock.Now()
 	targets := p.roster.Targets(now)
 	for _, a := range targets {
-		if _, exists := p.cancels[a]; exists {
+		if _, exists := p.holds[a]; exists {
 			continue
 		}
 		holdCtx, cancel := context.WithCancel(ctx)
-		p.cancels[a] = cancel
+		h := &hold{cancel: cancel, announced: make(chan struct{}, 1)}
+		p.holds[a] = h
 		group.Go(func() {
-			p.holdSession(holdCtx, a)
+			p.holdSession(holdCtx, a, h.announced)
 			p.mu.Lock()
 			defer p.mu.Unlock()
-			delete(p.cancels, a)
+			delete(p.holds, a)
 		})
 	}
-	for a, cancel := range p.cancels {
+	for a, h := range p.holds {
 		if !p.roster.HasSession(a) && !slices.Contains(targets, a) {
-			cancel()
+			h.cancel()
 		}
 	}
 	for _, a := range p.roster.ExcessSessions(now) {
@@ -153,8 +173,8 @@
 func (p *sessionPool) closeSession(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if cancel, exists := p.cancels[address]; exists {
-		cancel()
+	if h, exists := p.holds[address]; exists {
+		h.cancel()
 	}
 }
 
@@ -165,32 +185,76 @@
 	update(address, p.sidecar.deps.Clock.Now())
 }
 
-// holdSession keeps a session open until the context ends, and opens it again when it fails.
-func (p *sessionPool) holdSession(ctx context.Context, address string) {
+// holdSession keeps a session open until the context ends, and opens it again when it fails: at
+// once if the dispatcher is announced.
+func (p *sessionPool) holdSession(ctx context.Context, address string, announced <-chan struct{}) {
 	clock := p.sidecar.deps.Clock
-	lastAnswer := clock.Now()
-	openTimeout, backoff := minOpenTimeout, minRedialBackoff
+	r := redial.New(clock.Now())
 	for ctx.Err() == nil {
 		startedAt := clock.Now()
-		opened, err := p.runSession(ctx, address, openTimeout)
+		opened, err := p.attempt(ctx, address, r, announced)
 		p.updateRoster(p.roster.SessionLost, address)
 		if ctx.Err() != nil {
 			return
 		}
-		openTimeout = min(2*openTimeout, maxOpenTimeout)
+		now := clock.Now()
+		var wait time.Duration
 		if opened {
-			openTimeout, backoff = minOpenTimeout, minRedialBackoff
-			lastAnswer = clock.Now()
-			klog.InfoS("CH1141 session with dispatcher lost", "agent", p.sidecar.deps.Name, "dispatcher", address, "error", err, "lasted", lastAnswer.Sub(startedAt))
+			wait = r.Lost(now, rand.Float64())
+			klog.InfoS("CH1141 session with dispatcher lost", "agent", p.sidecar.deps.Name, "dispatcher", address, "error", err, "lasted", now.Sub(startedAt))
+		} else {
+			wait = r.Failed(now, rand.Float64())
 		}
-		wait := backoff
-		if backoff = min(2*backoff, maxRedialBackoff); clock.Since(lastAnswer) > unreachableAfter {
-			wait = unreachableRedialInterval
+		timer := clock.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+		case <-timer.Chan():
+		case <-announced:
+			r.Announced(clock.Now())
+			pause.For(ctx, clock, r.WaitAnnounced(rand.Float64()))
 		}
-		pause.For(ctx, clock, time.Duration((0.75+rand.Float64()/2)*float64(wait)))
+		timer.Stop()
 	}
 }
 
+// attempt runs a session, and gives up its opening if the dispatcher is announced meanwhile.
+func (p *sessionPool) attempt(ctx context.Context, address string, r *redial.Redial, announced <-chan struct{}) (opened bool, err error) {
+	clock := p.sidecar.deps.Clock
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type result struct {
+		opened bool
+		err    error
+	}
+	done := make(chan result, 1)
+	openTimeout := r.Begin(clock.Now())
+	go func() {
+		opened, err := p.runSession(ctx, address, openTimeout)
+		done <- result{opened: opened, err: err}
+	}()
+	var giveUp <-chan time.Time
+	for {
+		select {
+		case d := <-done:
+			return d.opened, d.err
+		case <-announced:
+			if !p.hasSession(address) {
+				giveUp = clock.After(r.Announced(clock.Now()))
+			}
+		case <-giveUp:
+			if !p.hasSession(address) {
+				cancel()
+			}
+		}
+	}
+}
+
+func (p *sessionPool) hasSession(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.roster.HasSession(address)
+}
+
 // runSession opens a session and serves it until it fails. The result opened reports
 // whether the dispatcher answered in time.
 func (p *sessionPool) runSession(ctx context.Context, address string, timeout time.Duration) (opened bool, err error) {
@@ -238,7 +302,7 @@
 	}()
 	for f := welcome; ; {
 		if len(f.GetDispatchers()) > 0 {
-			p.learn(f.GetDispatchers())
+			p.learn(learnedList{addresses: f.GetDispatchers(), announced: f != welcome})
 		}
 		var err error
 		if f, err = stream.Recv(); err != nil {
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -154,7 +154,13 @@
 func (s *Sidecar) Metrics() *metrics.Metrics { return s.metrics }
 
 // Learn adds addresses of dispatchers.
-func (s *Sidecar) Learn(addresses []string) { s.sessions.learn(addresses) }
+func (s *Sidecar) Learn(addresses []string) { s.sessions.learn(learnedList{addresses: addresses}) }
+
+// DispatchersStarted adds addresses that dispatchers have written to the store at their start.
+// Those without a session are tried at once.
+func (s *Sidecar) DispatchersStarted(addresses []string) {
+	s.sessions.learn(learnedList{addresses: addresses, announced: true})
+}
 
 // Announce handles an announcement of the endpoint.
 func (s *Sidecar) Announce(a registration.Announcement) {
@@ -168,7 +174,7 @@
 
 // Run takes the endpoint over and holds sessions with dispatchers until the context ends.
 func (s *Sidecar) Run(ctx context.Context) {
-	s.sessions.learn(s.deps.Dispatchers)
+	s.Learn(s.deps.Dispatchers)
 	klog.InfoS("CH1101 sidecar started", "agent", s.deps.Name, "zone", s.deps.Zone, "incarnation", s.incarnation)
 	var group sync.WaitGroup
 	defer group.Wait()
