--- a/node/dispatcher/actor.go
+++ b/node/dispatcher/actor.go
@@ -183,6 +183,7 @@
 	a.scheduler.AttachAgent(name, hello.GetZone(), held, m.firstFrame)
 	a.announceCrashes(m.firstFrame)
 	m.session.finishFrame()
+	a.dispatcher.reachSessions(len(a.sessions))
 }
 
 func (a *schedulerActor) detach(s *session) {
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -27,6 +27,7 @@
 	"github.com/corianderhook/corianderhook/process/transfer"
 	"github.com/corianderhook/corianderhook/process/usage"
 	"github.com/corianderhook/corianderhook/process/zonegate"
+	"github.com/corianderhook/corianderhook/sharing/startup"
 	"github.com/corianderhook/corianderhook/version/catalog"
 	"github.com/corianderhook/corianderhook/version/evacuation"
 	"github.com/corianderhook/corianderhook/wire"
@@ -72,6 +73,7 @@
 type Dispatcher struct {
 	deps        Dependencies
 	incarnation uint64
+	startup     *startup.Timeline
 	metrics     *metrics.Metrics
 	scheduler   *actor.PID
 	catalog     atomic.Pointer[catalog.Catalog]
@@ -118,6 +120,7 @@
 	d := &Dispatcher{
 		deps:          deps,
 		incarnation:   instance.Hash(deps.Address, deps.Clock.Now()),
+		startup:       startup.New(deps.Clock.Now()),
 		metrics:       deps.Metrics,
 		gate:          zonegate.New(),
 		crashes:       crash.NewLog(),
@@ -188,6 +191,7 @@
 	now := d.deps.Clock.Now()
 	d.adoptedAt.Store(&now)
 	klog.InfoS("CH1001 configuration in force", "entry", d.deps.Name, "version", c.Version(), "queues", c.QueueCount(), "source", source)
+	d.reachStep(startup.Configured)
 	d.peers.announceVersion(c.Version())
 }
 
@@ -204,10 +208,14 @@
 	d.peers.announceEvacuation()
 }
 
+// Evacuation returns the evacuated zones in force.
+func (d *Dispatcher) Evacuation() evacuation.State { return d.gate.State() }
+
 // RecordStoreAnswer records that the platform's store has just answered.
 func (d *Dispatcher) RecordStoreAnswer() {
 	now := d.deps.Clock.Now()
 	d.storeAnsweredAt.Store(&now)
+	d.reachStep(startup.StoreAnswered)
 }
 
 // RecordStoreProgress records that a further chunk of a long answer has just arrived from
@@ -239,6 +247,7 @@
 	defer d.inquirer.close()
 	d.peers.learn(d.deps.Peers)
 	klog.InfoS("CH1002 dispatcher started", "entry", d.deps.Name, "incarnation", d.incarnation, "address", d.deps.Address, "zone", d.deps.Zone)
+	d.reachStep(startup.Listening)
 	select {
 	case <-ctx.Done():
 		return nil
--- a/node/dispatcher/peers.go
+++ b/node/dispatcher/peers.go
@@ -15,6 +15,7 @@
 	"github.com/corianderhook/corianderhook/connection/peer"
 	"github.com/corianderhook/corianderhook/process/gossip"
 	"github.com/corianderhook/corianderhook/process/usage"
+	"github.com/corianderhook/corianderhook/sharing/startup"
 	"github.com/corianderhook/corianderhook/wire"
 )
 
@@ -173,6 +174,7 @@
 // handleKnowledge applies the state received from another dispatcher. RequestedAt is when this
 // dispatcher asked for it, or the zero time if it did not ask.
 func (p *peers) handleKnowledge(k *wire.Knowledge, requestedAt time.Time) {
+	p.dispatcher.reachStep(startup.PeerHeard)
 	p.handleEvacuation(k.GetEvacuation(), requestedAt, k.GetAddress())
 	p.handleCrashes(k)
 	p.handleCancellations(k)
--- a/node/dispatcher/submit.go
+++ b/node/dispatcher/submit.go
@@ -10,6 +10,7 @@
 	"github.com/corianderhook/corianderhook/request/answer"
 	"github.com/corianderhook/corianderhook/request/outcome"
 	"github.com/corianderhook/corianderhook/request/workload"
+	"github.com/corianderhook/corianderhook/sharing/startup"
 	"github.com/corianderhook/corianderhook/version/catalog"
 )
 
@@ -40,6 +41,7 @@
 // caller has left.
 func (d *Dispatcher) Submit(ctx context.Context, work *workload.Workload, queue catalog.Queue, budget time.Duration, options ...SubmitOption) answer.Answer {
 	submittedAt := d.deps.Clock.Now()
+	d.reachStep(startup.JobTaken)
 	if stopsAt := d.stopsAt.Load(); stopsAt != nil {
 		budget = min(budget, stopsAt.Sub(submittedAt))
 	}
@@ -76,6 +78,9 @@
 		a = answer.New(outcome.Unknown, "canceled", "the caller has left")
 	}
 	d.metrics.ObserveJob(queue.Name, a.Outcome().String(), d.deps.Clock.Since(submittedAt))
+	if a.Outcome() == outcome.Complete {
+		d.reachStep(startup.JobServed)
+	}
 	if a.Outcome() == outcome.NotRun {
 		d.metrics.CountRefusal(queue.Name, a.Reason())
 	}
--- a/node/sidecar/actor.go
+++ b/node/sidecar/actor.go
@@ -15,6 +15,7 @@
 	"github.com/corianderhook/corianderhook/process/registration"
 	"github.com/corianderhook/corianderhook/process/runner"
 	"github.com/corianderhook/corianderhook/process/usage"
+	"github.com/corianderhook/corianderhook/sharing/startup"
 	"github.com/corianderhook/corianderhook/wire"
 )
 
@@ -319,6 +320,7 @@
 
 // Start sends a start order to the endpoint; the result arrives as a startResult.
 func (a *runnerActor) Start(name string, o runner.Order) {
+	a.sidecar.reachStep(startup.TaskStarted)
 	e, decidedAt, endBy := a.epoch, a.Now(), a.runner.OrphanEnd(name)
 	go func() {
 		result, reason := a.sidecar.keeper.start(e, o, decidedAt, endBy)
--- a/node/sidecar/lease_keeper.go
+++ b/node/sidecar/lease_keeper.go
@@ -14,6 +14,7 @@
 	"github.com/corianderhook/corianderhook/connection/remoteclock"
 	"github.com/corianderhook/corianderhook/process/lease"
 	"github.com/corianderhook/corianderhook/process/runner"
+	"github.com/corianderhook/corianderhook/sharing/startup"
 )
 
 const (
@@ -185,6 +186,7 @@
 		if e := k.takeOver(ctx); e != nil {
 			k.epoch.Store(e)
 			k.noteEmpty()
+			k.sidecar.reachStep(startup.EndpointTaken)
 			k.notifyRunner(endpointTakenOver{epoch: e, brokenAt: brokenAt, reason: "the endpoint was taken over anew"})
 			brokenAt = k.pollEndpoint(ctx, e)
 			k.epoch.Store(nil)
--- a/node/sidecar/sessions.go
+++ b/node/sidecar/sessions.go
@@ -20,6 +20,7 @@
 	"github.com/corianderhook/corianderhook/process/roster"
 	"github.com/corianderhook/corianderhook/process/usage"
 	"github.com/corianderhook/corianderhook/sharing/redial"
+	"github.com/corianderhook/corianderhook/sharing/startup"
 	"github.com/corianderhook/corianderhook/wire"
 )
 
@@ -283,6 +284,7 @@
 	}
 	klog.InfoS("CH1142 session with dispatcher opened", "agent", p.sidecar.deps.Name, "dispatcher", address, "incarnation", welcome.GetIncarnation())
 	p.updateRoster(p.roster.SessionOpened, address)
+	p.sidecar.reachStep(startup.Session)
 	p.serve(ctx, cancel, s, stream, welcome)
 	return true, context.Cause(ctx)
 }
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,7 @@
 	"github.com/corianderhook/corianderhook/process/stall"
 	"github.com/corianderhook/corianderhook/process/usage"
 	"github.com/corianderhook/corianderhook/process/zonegate"
+	"github.com/corianderhook/corianderhook/sharing/startup"
 )
 
 const (
@@ -102,6 +104,7 @@
 	deps        Dependencies
 	incarnation uint64
 	startedAt   time.Time
+	startup     *startup.Timeline
 	metrics     *metrics.Metrics
 	runner      *actor.PID
 	// gate holds the evacuated zones.
@@ -129,6 +132,7 @@
 		deps:          deps,
 		incarnation:   instance.Hash(deps.Name, deps.Clock.Now()),
 		startedAt:     deps.Clock.Now(),
+		startup:       startup.New(deps.Clock.Now()),
 		metrics:       deps.Metrics,
 		gate:          zonegate.New(),
 		stalls:        stall.New(pacing.IdleInterval),
@@ -206,15 +210,21 @@
 	}
 }
 
-// restoreAnnouncement reads the announcement that an earlier sidecar has stored, if the store
-// answers.
+// restoreAnnouncement reads the announcement that an earlier sidecar has stored. It tries again while
+// the store does not answer and the endpoint has not announced itself.
 func (s *Sidecar) restoreAnnouncement(ctx context.Context) {
-	a, found, err := s.deps.AnnouncementStore.Restore(ctx)
-	switch {
-	case err != nil:
+	backoff := minReadBackoff
+	for ctx.Err() == nil && !s.startup.Reached(startup.Announced) {
+		a, found, err := s.deps.AnnouncementStore.Restore(ctx)
+		if err == nil {
+			if found {
+				s.deps.System.Root.Send(s.runner, announcementRestored{announcement: a})
+			}
+			return
+		}
 		klog.InfoS("CH1104 stored announcement cannot be read", "agent", s.deps.Name, "error", err)
-	case found:
-		s.deps.System.Root.Send(s.runner, announcementRestored{announcement: a})
+		pause.For(ctx, s.deps.Clock, time.Duration((0.75+rand.Float64()/2)*float64(backoff)))
+		backoff = min(2*backoff, maxReadBackoff)
 	}
 }
 
--- a/node/sidecar/state.go
+++ b/node/sidecar/state.go
@@ -7,6 +7,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/corianderhook/corianderhook/process/registration"
+	"github.com/corianderhook/corianderhook/sharing/startup"
 	"github.com/corianderhook/corianderhook/wire"
 )
 
@@ -14,6 +15,9 @@
 // sends the state to every dispatcher.
 func (a *runnerActor) updateEndpointState() {
 	current, known := a.registration.Current()
+	if known {
+		a.sidecar.reachStep(startup.Announced)
+	}
 	reason := ""
 	a.evacuated = a.sidecar.evacuated()
 	switch {
@@ -46,6 +50,7 @@
 	a.endpointState = state
 	switch {
 	case reason == "":
+		a.sidecar.reachStep(startup.Accepting)
 		a.runner.Accept(current.Capacity)
 	case a.evacuated:
 		a.runner.Close(reason)
