--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -74,9 +74,12 @@
 	deps        Dependencies
 	incarnation uint64
 	startup     *startup.Timeline
-	metrics     *metrics.Metrics
-	scheduler   *actor.PID
-	catalog     atomic.Pointer[catalog.Catalog]
+	createdAt   time.Time
+	// configured is closed once a configuration is known.
+	configured chan struct{}
+	metrics    *metrics.Metrics
+	scheduler  *actor.PID
+	catalog    atomic.Pointer[catalog.Catalog]
 	// gate holds the evacuated zones.
 	gate *zonegate.Gate
 	// crashes holds the recent crashes of endpoints.
@@ -121,6 +124,8 @@
 		deps:          deps,
 		incarnation:   instance.Hash(deps.Address, deps.Clock.Now()),
 		startup:       startup.New(deps.Clock.Now()),
+		createdAt:     deps.Clock.Now(),
+		configured:    make(chan struct{}),
 		metrics:       deps.Metrics,
 		gate:          zonegate.New(),
 		crashes:       crash.NewLog(),
@@ -184,6 +189,9 @@
 			return
 		}
 		if d.catalog.CompareAndSwap(old, c) {
+			if old == nil {
+				close(d.configured)
+			}
 			break
 		}
 	}
--- a/sharing/configcopy/configcopy.go
+++ b/sharing/configcopy/configcopy.go
@@ -19,7 +19,7 @@
 	maxBackoff = 8 * time.Second
 	// headStart is the time that the operators' topic has for its first answer before a copy is
 	// read, and the time between two reads of a copy.
-	headStart = 200 * time.Millisecond
+	headStart = 100 * time.Millisecond
 )
 
 // State is what a copy says, or what is in force here.
