--- a/version/config/config.go
+++ b/version/config/config.go
@@ -125,7 +125,7 @@
 	Holders bool
 	// Neighbors keeps tasks apart that slow each other down on one endpoint.
 	Neighbors bool
-	// Recovery lets a restarted process take over what its peers have measured.
+	// Recovery lets dispatchers keep copies of what operators have published, and start by them.
 	Recovery bool
 }
 
--- a/version/config/fields.go
+++ b/version/config/fields.go
@@ -77,7 +77,7 @@
 			{Key: "room", Default: "off", Unit: "on or off", Doc: "Whether dispatchers tell each other what they have admitted and not yet placed.", set: setSwitch(func(b *builder) *bool { return &b.c.sharing.Room })},
 			{Key: "holders", Default: "off", Unit: "on or off", Doc: "Whether a dispatcher asks who holds a job before it submits the job again.", set: setSwitch(func(b *builder) *bool { return &b.c.sharing.Holders })},
 			{Key: "neighbors", Default: "off", Unit: "on or off", Doc: "Whether tasks that slow each other down are kept apart.", set: setSwitch(func(b *builder) *bool { return &b.c.sharing.Neighbors })},
-			{Key: "recovery", Default: "off", Unit: "on or off", Doc: "Whether a restarted process takes over what its peers have measured.", set: setSwitch(func(b *builder) *bool { return &b.c.sharing.Recovery })},
+			{Key: "recovery", Default: "off", Unit: "on or off", Doc: "Whether dispatchers keep copies of what operators have published, for those that start while the operators' topic of the store does not answer.", set: setSwitch(func(b *builder) *bool { return &b.c.sharing.Recovery })},
 		}},
 	}
 }
