--- a/node/dispatcher/actor.go
+++ b/node/dispatcher/actor.go
@@ -71,11 +71,7 @@
 
 func newSchedulerActor(d *Dispatcher) *schedulerActor {
 	a := &schedulerActor{dispatcher: d, sessions: map[string]*session{}, attachments: attachment.New(), suspensions: suspension.New()}
-	options := []scheduler.Option{scheduler.WithCrashLog(d.crashes)}
-	if d.deps.Recovery {
-		options = append(options, scheduler.WithReturningCallers())
-	}
-	a.scheduler = scheduler.New(a, fleet.New(d.deps.Zone), d.firstRun, options...)
+	a.scheduler = scheduler.New(a, fleet.New(d.deps.Zone), d.firstRun, scheduler.WithCrashLog(d.crashes))
 	return a
 }
 
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -67,8 +67,6 @@
 	// Decode parses a configuration received from another dispatcher.
 	Decode  func(text []byte) (*catalog.Catalog, error)
 	Metrics *metrics.Metrics
-	// Recovery has the dispatcher take part in the recovery from a loss of power of all VMs.
-	Recovery bool
 }
 
 // Dispatcher is a dispatcher process. It is safe for concurrent use.
--- a/process/scheduler/scheduler.go
+++ b/process/scheduler/scheduler.go
@@ -159,8 +159,6 @@
 	queued    map[uint64]*placedTask
 	firstRun  func() uint64
 	startedAt time.Time
-	// returning is set if the jobs of the first seconds are admitted by their objective alone.
-	returning bool
 	// crashes holds the recent crashes of endpoints, quarantines by service what follows from
 	// them for its queues, and lostAgents by agent what may turn out to be a crash.
 	crashes     *crash.Log
@@ -174,9 +172,6 @@
 // WithCrashLog sets the log that keeps the crashes of endpoints, for use by others too.
 func WithCrashLog(l *crash.Log) Option { return func(s *Scheduler) { s.crashes = l } }
 
-// WithReturningCallers admits the jobs of the first seconds by their objective alone.
-func WithReturningCallers() Option { return func(s *Scheduler) { s.returning = true } }
-
 // New returns a scheduler without jobs. FirstRun returns the number of the first run of a
 // job submitted now, which has to be higher than any of an earlier submission of the job.
 func New(host Host, f *fleet.Fleet, firstRun func() uint64, options ...Option) *Scheduler {
@@ -271,7 +266,7 @@
 		s.refuse(r, "no-endpoint", "no endpoint can take the job", 0)
 		return
 	}
-	if !p.admits(r.Queue.Urgency, j.objective, r.Budget-r.Elapsed) && !s.admitsReturning(j, p, r.Budget-r.Elapsed) {
+	if !p.admits(r.Queue.Urgency, j.objective, r.Budget-r.Elapsed) {
 		s.host.LogDecision("CH1022 job refused", id, "reason", "overload", "queue", r.Queue.Name, "backlog", p.backlog,
 			"limit", p.backlogLimit(r.Queue.Urgency), "share", p.backlogShare, "ends", p.makespan(), "objective", j.objective, "budget", r.Budget, "endpoints", len(s.candidates), "version", r.ConfigVersion)
 		r.Reply(refusal("overload", "the job could not end in time", max(p.backlog, p.makespan()-j.objective)))
