--- a/node/sidecar/sessions.go
+++ b/node/sidecar/sessions.go
@@ -61,7 +61,7 @@
 	learned chan learnedList
 	mu      sync.Mutex
 	roster  *roster.Roster
-	// holds holds by address the sessions that are open or attempted.
+	// holds has by address the sessions that are open or attempted.
 	holds map[string]*hold
 }
 
--- a/sharing/configcopy/configcopy.go
+++ b/sharing/configcopy/configcopy.go
@@ -12,8 +12,10 @@
 
 const (
 	// writeSpread is the time over which dispatchers spread their writing of a change, so that
-	// most of them find it written.
-	writeSpread = time.Second
+	// most of them find it written. It grows by uploadSpread times the time that the write takes on
+	// the link of the dispatcher: those with wide links go first.
+	writeSpread  = time.Second
+	uploadSpread = 16
 	// minBackoff is the time after a failed call. It doubles up to maxBackoff.
 	minBackoff = 500 * time.Millisecond
 	maxBackoff = 8 * time.Second
@@ -59,13 +61,14 @@
 func NewWriter(share float64) *Writer { return &Writer{share: share, backoff: minBackoff} }
 
 // Due reports whether the copy is to be read, and written if it lacks a part of the state in force.
-func (w *Writer) Due(own State, now time.Time) bool {
+// Upload is how long the write takes.
+func (w *Writer) Due(own State, upload time.Duration, now time.Time) bool {
 	if _, write, _ := Merge(w.kept, own); !write || own.Config == 0 {
 		w.dueAt = time.Time{}
 		return false
 	}
 	if w.dueAt.IsZero() {
-		w.dueAt = now.Add(time.Duration(w.share * float64(writeSpread)))
+		w.dueAt = now.Add(upload + time.Duration(w.share*float64(writeSpread+uploadSpread*upload)))
 	}
 	return !now.Before(w.dueAt)
 }
