--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -27,6 +27,7 @@
 	"github.com/corianderhook/corianderhook/process/transfer"
 	"github.com/corianderhook/corianderhook/process/usage"
 	"github.com/corianderhook/corianderhook/process/zonegate"
+	"github.com/corianderhook/corianderhook/sharing/startup"
 	"github.com/corianderhook/corianderhook/version/catalog"
 	"github.com/corianderhook/corianderhook/version/evacuation"
 	"github.com/corianderhook/corianderhook/wire"
@@ -72,9 +73,13 @@
 type Dispatcher struct {
 	deps        Dependencies
 	incarnation uint64
-	metrics     *metrics.Metrics
-	scheduler   *actor.PID
-	catalog     atomic.Pointer[catalog.Catalog]
+	startup     *startup.Timeline
+	createdAt   time.Time
+	// configured is closed once a configuration is known.
+	configured chan struct{}
+	metrics    *metrics.Metrics
+	scheduler  *actor.PID
+	catalog    atomic.Pointer[catalog.Catalog]
 	// gate holds the evacuated zones.
 	gate *zonegate.Gate
 	// crashes holds the recent crashes of endpoints.
@@ -118,6 +123,9 @@
 	d := &Dispatcher{
 		deps:          deps,
 		incarnation:   instance.Hash(deps.Address, deps.Clock.Now()),
+		startup:       startup.New(deps.Clock.Now()),
+		createdAt:     deps.Clock.Now(),
+		configured:    make(chan struct{}),
 		metrics:       deps.Metrics,
 		gate:          zonegate.New(),
 		crashes:       crash.NewLog(),
@@ -181,6 +189,9 @@
 			return
 		}
 		if d.catalog.CompareAndSwap(old, c) {
+			if old == nil {
+				close(d.configured)
+			}
 			break
 		}
 	}
@@ -188,6 +199,7 @@
 	now := d.deps.Clock.Now()
 	d.adoptedAt.Store(&now)
 	klog.InfoS("CH1001 configuration in force", "entry", d.deps.Name, "version", c.Version(), "queues", c.QueueCount(), "source", source)
+	d.reachStep(startup.Configured)
 	d.peers.announceVersion(c.Version())
 }
 
@@ -204,10 +216,14 @@
 	d.peers.announceEvacuation()
 }
 
+// Evacuation returns the evacuated zones in force.
+func (d *Dispatcher) Evacuation() evacuation.State { return d.gate.State() }
+
 // RecordStoreAnswer records that the platform's store has just answered.
 func (d *Dispatcher) RecordStoreAnswer() {
 	now := d.deps.Clock.Now()
 	d.storeAnsweredAt.Store(&now)
+	d.reachStep(startup.StoreAnswered)
 }
 
 // RecordStoreProgress records that a further chunk of a long answer has just arrived from
@@ -239,6 +255,7 @@
 	defer d.inquirer.close()
 	d.peers.learn(d.deps.Peers)
 	klog.InfoS("CH1002 dispatcher started", "entry", d.deps.Name, "incarnation", d.incarnation, "address", d.deps.Address, "zone", d.deps.Zone)
+	d.reachStep(startup.Listening)
 	select {
 	case <-ctx.Done():
 		return nil
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,7 @@
 	"github.com/corianderhook/corianderhook/process/stall"
 	"github.com/corianderhook/corianderhook/process/usage"
 	"github.com/corianderhook/corianderhook/process/zonegate"
+	"github.com/corianderhook/corianderhook/sharing/startup"
 )
 
 const (
@@ -102,6 +104,7 @@
 	deps        Dependencies
 	incarnation uint64
 	startedAt   time.Time
+	startup     *startup.Timeline
 	metrics     *metrics.Metrics
 	runner      *actor.PID
 	// gate holds the evacuated zones.
@@ -129,6 +132,7 @@
 		deps:          deps,
 		incarnation:   instance.Hash(deps.Name, deps.Clock.Now()),
 		startedAt:     deps.Clock.Now(),
+		startup:       startup.New(deps.Clock.Now()),
 		metrics:       deps.Metrics,
 		gate:          zonegate.New(),
 		stalls:        stall.New(pacing.IdleInterval),
@@ -154,7 +158,13 @@
 func (s *Sidecar) Metrics() *metrics.Metrics { return s.metrics }
 
 // Learn adds addresses of dispatchers.
-func (s *Sidecar) Learn(addresses []string) { s.sessions.learn(addresses) }
+func (s *Sidecar) Learn(addresses []string) { s.sessions.learn(learnedList{addresses: addresses}) }
+
+// DispatchersStarted adds addresses that dispatchers have written to the store at their start.
+// Those without a session are tried at once.
+func (s *Sidecar) DispatchersStarted(addresses []string) {
+	s.sessions.learn(learnedList{addresses: addresses, announced: true})
+}
 
 // Announce handles an announcement of the endpoint.
 func (s *Sidecar) Announce(a registration.Announcement) {
@@ -168,7 +178,7 @@
 
 // Run takes the endpoint over and holds sessions with dispatchers until the context ends.
 func (s *Sidecar) Run(ctx context.Context) {
-	s.sessions.learn(s.deps.Dispatchers)
+	s.Learn(s.deps.Dispatchers)
 	klog.InfoS("CH1101 sidecar started", "agent", s.deps.Name, "zone", s.deps.Zone, "incarnation", s.incarnation)
 	var group sync.WaitGroup
 	defer group.Wait()
@@ -200,15 +210,21 @@
 	}
 }
 
-// restoreAnnouncement reads the announcement that an earlier sidecar has stored, if the store
-// answers.
+// restoreAnnouncement reads the announcement that an earlier sidecar has stored. It tries again while
+// the store does not answer and the endpoint has not announced itself.
 func (s *Sidecar) restoreAnnouncement(ctx context.Context) {
-	a, found, err := s.deps.AnnouncementStore.Restore(ctx)
-	switch {
-	case err != nil:
+	backoff := minReadBackoff
+	for ctx.Err() == nil && !s.startup.Reached(startup.Announced) {
+		a, found, err := s.deps.AnnouncementStore.Restore(ctx)
+		if err == nil {
+			if found {
+				s.deps.System.Root.Send(s.runner, announcementRestored{announcement: a})
+			}
+			return
+		}
 		klog.InfoS("CH1104 stored announcement cannot be read", "agent", s.deps.Name, "error", err)
-	case found:
-		s.deps.System.Root.Send(s.runner, announcementRestored{announcement: a})
+		pause.For(ctx, s.deps.Clock, time.Duration((0.75+rand.Float64()/2)*float64(backoff)))
+		backoff = min(2*backoff, maxReadBackoff)
 	}
 }
 
