--- a/sharing/redial/redial_test.go
+++ b/sharing/redial/redial_test.go
@@ -61,6 +61,8 @@
 	r := redial.New(start())
 	r.Begin(start())
 	i.True(r.Announced(start().Add(10*time.Millisecond)) > 0)
+	// If it fails after all, the next one follows at once.
+	i.True(r.Failed(start().Add(150*time.Millisecond), middle) <= 25*time.Millisecond)
 	r.Begin(start())
 	i.Equal(r.Announced(start().Add(100*time.Millisecond)), time.Duration(0))
 }
