Estimate at sidecars which queues slow each other down

Cause: nothing tells a task that is slow from one that runs beside another that slows it.

Change: sharing/interference pairs each run that began beside a queue with a run of its own queue at the same endpoint, close in time and load, that did not. The runner feeds it if [sharing] neighbors is on; frames carry the estimates of which most is known.

--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -66,6 +66,8 @@
 	// Decode parses a configuration received from another dispatcher.
 	Decode  func(text []byte) (*catalog.Catalog, error)
 	Metrics *metrics.Metrics
+	// Neighbors keeps queues apart whose tasks slow each other down.
+	Neighbors bool
 }
 
 // Dispatcher is a dispatcher process. It is safe for concurrent use.
--- a/node/sidecar/actor.go
+++ b/node/sidecar/actor.go
@@ -114,6 +114,7 @@
 	capacityReport *wire.Room
 	// scratch is reused by paces.
 	scratch     []pacing.Session
+	neighbors   neighbors
 	suspensions suspensionDetector
 }
 
@@ -129,7 +130,7 @@
 		crashes: crash.NewLog(), cancellations: cancellation.New(), unavailableReason: "the endpoint has not answered yet", endpointState: &wire.EndpointState{},
 		suspensions: suspension.New(),
 	}
-	a.runner = runner.New(a)
+	a.runner = runner.New(a, a.neighbors.options(s.deps.Neighbors)...)
 	return a
 }
 
@@ -162,6 +163,7 @@
 	case tick:
 		a.checkLease()
 		a.runner.Tick()
+		a.compareNeighbors()
 		a.sidecar.runsInDoubt.Store(int64(a.runner.InDoubt()))
 		a.tick()
 	case drain:
@@ -307,6 +309,7 @@
 	}
 	f.Room = a.capacityReport
 	f.Seen = s.lastFrameNumber
+	f.Slowings = a.neighbors.newSince(&s.sentSlowings)
 	s.sentReport = a.capacityReport
 	s.out.Put(f)
 }
--- a/node/sidecar/sessions.go
+++ b/node/sidecar/sessions.go
@@ -52,6 +52,8 @@
 	// last capacity report sent; only the actor accesses them.
 	lastFrameNumber uint64
 	sentReport      *wire.Room
+	// sentSlowings is the revision of the last estimates sent.
+	sentSlowings uint64
 	// reportInterval is the minimum time after a frame before another is sent only because
 	// of a changed capacity report; the dispatcher sets it.
 	reportInterval time.Duration
@@ -269,6 +271,9 @@
 		}
 		merged.Room = f.GetRoom()
 		merged.Seen = f.GetSeen()
+		if f.GetSlowings() != nil {
+			merged.Slowings = f.GetSlowings()
+		}
 		merged.Events = append(merged.Events, f.GetEvents()...)
 		merged.Crashes = append(merged.Crashes, f.GetCrashes()...)
 		merged.Cancellations = append(merged.Cancellations, f.GetCancellations()...)
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -93,7 +93,9 @@
 	Evacuations       EvacuationReader
 	// EvacuationTime is the time within which an evacuation must be in force.
 	EvacuationTime time.Duration
-	Clock          clockwork.Clock
+	// Neighbors makes the sidecar tell dispatchers which queues' tasks slow each other down.
+	Neighbors bool
+	Clock     clockwork.Clock
 	System         *actor.ActorSystem
 }
 
@@ -121,6 +123,8 @@
 	// lastListStamp the time of the last list as a stamp.
 	runsInDoubt   atomic.Int64
 	lastListStamp atomic.Uint64
+	// slowedPairs is the number of pairs of queues that slow each other down.
+	slowedPairs atomic.Int64
 }
 
 // New returns a sidecar that has not started; Run starts it.
@@ -141,6 +145,7 @@
 	s.metrics.RegisterGauge("corianderhook_endpoint_word_age_seconds", "Time since the endpoint last listed what it runs.", func() float64 {
 		return deps.Clock.Since(s.stampTime(max(1, s.lastListStamp.Load()))).Seconds()
 	})
+	s.metrics.RegisterGauge("corianderhook_slowed_queues", "Pairs of a queue and another that slows it at the endpoint.", func() float64 { return float64(s.slowedPairs.Load()) })
 	s.metrics.RegisterUsage(&s.usage, cputime.Used)
 	s.usageReporter = usage.NewReporter(&s.usage, s.startedAt, cputime.Used())
 	s.ticker = newTicker(deps.Clock)
--- a/process/ledger/ledger.go
+++ b/process/ledger/ledger.go
@@ -40,6 +40,9 @@
 	clear(l.reserved)
 }
 
+// Capacity returns the whole capacity.
+func (l *Ledger) Capacity() size.Size { return l.capacity }
+
 // Free returns the capacity that is not reserved. It is negative after the capacity was
 // reduced below the reservations.
 func (l *Ledger) Free() size.Size { return l.capacity.Minus(l.used) }
--- a/process/runner/report.go
+++ b/process/runner/report.go
@@ -87,6 +87,7 @@
 			// After several orders it is unknown which one was carried out, and with
 			// it when the run began.
 			r.evidence.Succeeded(t.order.Job, r.host.Now().Sub(t.orderedAt), t.expected, r.host.Now())
+			r.compareRun(t)
 		}
 	case EndFailed:
 		kind = wire.TaskEventKind_TASK_EVENT_KIND_FAILED
@@ -185,6 +186,7 @@
 	room.FailingPercent = percent(r.evidence.FailureRate(now))
 	room.SlownessPercent = percent(r.evidence.Slowness(now))
 	room.NextEndUs = uint32(completions.UntilNext().Microseconds())
+	r.reportQueues(room)
 	return room
 }
 
--- a/process/runner/runner.go
+++ b/process/runner/runner.go
@@ -22,6 +22,7 @@
 	"github.com/corianderhook/corianderhook/process/lease"
 	"github.com/corianderhook/corianderhook/process/ledger"
 	"github.com/corianderhook/corianderhook/request/size"
+	"github.com/corianderhook/corianderhook/sharing/interference"
 	"github.com/corianderhook/corianderhook/wire"
 )
 
@@ -111,11 +112,19 @@
 	suspension time.Duration
 	// crashedBorn is the start of the incarnation that crashed last.
 	crashedBorn time.Time
+	// neighbors estimates which queues' tasks slow each other down; nil if nobody wants to know.
+	neighbors *interference.Estimator
 }
 
+// Option changes a runner that New returns.
+type Option func(r *Runner)
+
+// WithNeighbors makes the runner pass its runs to an estimator.
+func WithNeighbors(e *interference.Estimator) Option { return func(r *Runner) { r.neighbors = e } }
+
 // New returns a runner that accepts no tasks until Accept is called.
-func New(host Host) *Runner {
-	return &Runner{
+func New(host Host, options ...Option) *Runner {
+	r := &Runner{
 		host:          host,
 		ledger:        ledger.New(),
 		backlog:       backlog.New(),
@@ -126,6 +135,10 @@
 		strays:        map[string]time.Time{},
 		refusalReason: "no endpoint has announced itself",
 	}
+	for _, apply := range options {
+		apply(r)
+	}
+	return r
 }
 
 func taskName(dispatcher, ref uint64) string {
@@ -187,6 +200,7 @@
 	clear(r.strays)
 	r.ledger.Clear()
 	r.evidence.Reset()
+	r.forgetNeighbors()
 }
 
 // HandleFrame handles a dispatcher's frame. A frame holds all messages since the previous
@@ -260,6 +274,7 @@
 	t.phase = starting
 	t.orderedAt = now
 	t.tries = 1
+	r.beginBeside(t)
 	r.host.LogDecision("CH1126 task started", t.order, "waited", now.Sub(t.offeredAt), "free", r.ledger.Free(), "heard", silence, "decided", now.Sub(t.decidedAt))
 	r.host.Start(t.name, t.order)
 	r.host.Send(t.dispatcher, &wire.TaskEvent{Ref: t.ref, Kind: wire.TaskEventKind_TASK_EVENT_KIND_STARTED, WaitedMs: millis(now.Sub(t.offeredAt))})
@@ -352,6 +367,7 @@
 func (r *Runner) end(t *task, kind wire.TaskEventKind, reason string) {
 	now := r.host.Now()
 	r.ledger.Release(t.name)
+	r.endBeside(t)
 	delete(r.tasks, t.name)
 	delete(r.byRun, runKey(t.order))
 	r.host.Send(t.dispatcher, &wire.TaskEvent{
--- /dev/null
+++ b/sharing/interference/report.go
@@ -0,0 +1,29 @@
+package interference
+
+import (
+	"hash/fnv"
+
+	"github.com/corianderhook/corianderhook/wire"
+)
+
+// permille is the unit of the estimates in reports.
+const permille = 1000
+
+// Hash returns the number that stands for a queue in reports.
+func Hash(queue string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(queue))
+	return h.Sum32()
+}
+
+// Wire returns the estimates of the last evaluation as a report has them.
+func (e *Estimator) Wire() *wire.Slowings {
+	all := &wire.Slowings{}
+	for _, s := range e.estimates {
+		all.List = append(all.List, &wire.Slowing{
+			Queue: Hash(s.Queue), Neighbor: Hash(s.Neighbor), Pairs: uint32(s.Pairs),
+			LogPermille: int32(permille * s.Log), ErrorPermille: uint32(permille * s.Error),
+		})
+	}
+	return all
+}
