Keep queues apart whose tasks slow each other

Cause: dispatchers put tasks beside those that slow them, as nothing told them.

Change: sharing/separation merges the estimates of the sidecars and decides which pairs of queues are kept apart; placement adds the time that the task and its neighbors lose to the cost of an endpoint, among those that start the task at once and end it on time. Behind [sharing] neighbors; off sends nothing and decides as before.

--- a/node/dispatcher/actor.go
+++ b/node/dispatcher/actor.go
@@ -14,6 +14,7 @@
 	"github.com/corianderhook/corianderhook/process/usage"
 	"github.com/corianderhook/corianderhook/request/answer"
 	"github.com/corianderhook/corianderhook/request/outcome"
+	"github.com/corianderhook/corianderhook/sharing/separation"
 	"github.com/corianderhook/corianderhook/wire"
 )
 
@@ -61,6 +62,8 @@
 	sessions   map[string]*session
 	// attachments tells late first frames from new ones.
 	attachments *attachment.Log
+	// neighbors tells which queues are kept apart; nil if that is off.
+	neighbors   *separation.View
 	suspensions suspensionDetector
 }
 
@@ -71,7 +74,12 @@
 
 func newSchedulerActor(d *Dispatcher) *schedulerActor {
 	a := &schedulerActor{dispatcher: d, sessions: map[string]*session{}, attachments: attachment.New(), suspensions: suspension.New()}
-	a.scheduler = scheduler.New(a, fleet.New(d.deps.Zone), d.firstRun, scheduler.WithCrashLog(d.crashes))
+	options := []scheduler.Option{scheduler.WithCrashLog(d.crashes)}
+	if d.deps.Neighbors {
+		a.neighbors = separation.New()
+		options = append(options, scheduler.WithNeighbors(a.neighbors))
+	}
+	a.scheduler = scheduler.New(a, fleet.New(d.deps.Zone), d.firstRun, options...)
 	return a
 }
 
@@ -86,6 +94,9 @@
 		a.endSuspension()
 		a.observeTick(m)
 		a.scheduler.Tick()
+		if a.neighbors != nil {
+			a.dispatcher.keptApart.Store(int64(a.neighbors.KeptCount()))
+		}
 		a.dispatcher.longestSilence.Store(int64(a.scheduler.Fleet().LongestSilence(a.Now())))
 	case submit:
 		a.submit(m)
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -101,6 +101,8 @@
 	agentCount atomic.Int64
 	// quarantines holds the queues confined to a part of the endpoints.
 	quarantines atomic.Pointer[[]*wire.Quarantine]
+	// keptApart is the number of pairs of queues that are kept apart.
+	keptApart atomic.Int64
 	// longestSilence is the longest time, in nanoseconds, since any agent was last heard;
 	// adoptedAt is when the configuration in force was adopted, or initially the start time.
 	longestSilence atomic.Int64
@@ -132,6 +134,7 @@
 	d.metrics.RegisterGauge("corianderhook_agents_attached", "Agents with a session.", func() float64 { return float64(d.agentCount.Load()) })
 	d.quarantines.Store(&[]*wire.Quarantine{})
 	d.metrics.RegisterGauge("corianderhook_quarantined_queues", "Queues confined to some of the endpoints, as their tasks crash endpoints.", func() float64 { return float64(len(*d.quarantines.Load())) })
+	d.metrics.RegisterGauge("corianderhook_queues_kept_apart", "Pairs of queues kept apart, as one slows the other.", func() float64 { return float64(d.keptApart.Load()) })
 	d.metrics.RegisterGauge("corianderhook_agent_word_age_seconds", "Age of the oldest last word of an agent that takes tasks.", func() float64 {
 		return time.Duration(d.longestSilence.Load()).Seconds()
 	})
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -96,7 +96,7 @@
 	// Neighbors makes the sidecar tell dispatchers which queues' tasks slow each other down.
 	Neighbors bool
 	Clock     clockwork.Clock
-	System         *actor.ActorSystem
+	System    *actor.ActorSystem
 }
 
 // Sidecar is a sidecar process. It is safe for concurrent use.
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -289,6 +289,12 @@
 	return list
 }
 
+// Contains reports whether an agent is known.
+func (f *Fleet) Contains(name string) bool {
+	_, known := f.agents[name]
+	return known
+}
+
 // Usable reports whether an agent's endpoint accepts tasks.
 func (f *Fleet) Usable(name string, now time.Time) bool {
 	a, known := f.agents[name]
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -47,6 +47,8 @@
 	StepTasks int
 	// FailureRate is the share of the endpoint's recent tasks that failed.
 	FailureRate float64
+	// Beside is what it costs to put a task beside those that run at the endpoint.
+	Beside Beside
 }
 
 // Add accounts for a task that has been sent to the candidate.
@@ -136,6 +138,7 @@
 		choices = append(choices, Choice{Number: r.Number, Agent: c.Name, Wait: wait, Completion: wait + run})
 		c.Add(r.Size, r.Slack, r.Expected)
 		c.StepTasks++
+		c.Beside = c.Beside.next()
 	}
 	return choices, true
 }
@@ -160,7 +163,9 @@
 type rank struct {
 	failed         bool
 	missesDeadline bool
-	cost           time.Duration
+	// slowedTooMuch is set if the task would be late only for its neighbors.
+	slowedTooMuch bool
+	cost          time.Duration
 }
 
 func (a rank) betterThan(b rank) bool {
@@ -169,6 +174,8 @@
 		return b.failed
 	case a.missesDeadline != b.missesDeadline:
 		return b.missesDeadline
+	case a.slowedTooMuch != b.slowedTooMuch:
+		return b.slowedTooMuch
 	}
 	return a.cost < b.cost
 }
@@ -181,6 +188,10 @@
 			continue
 		}
 		ranked := rank{failed: slices.Contains(r.Avoid, c.Name), missesDeadline: !c.MeetsDeadline(r), cost: c.cost(r)}
+		if !ranked.missesDeadline && c.Beside != (Beside{}) {
+			ranked.cost += c.Beside.cost(c.RunTime(r))
+			ranked.slowedTooMuch = c.timeToSuccess(r)+c.Beside.delay(c.RunTime(r)) > r.Slack+r.Expected
+		}
 		if !found || ranked.betterThan(bestRank) {
 			best, bestRank, found = i, ranked, true
 		}
--- a/process/replay/entry_test.go
+++ b/process/replay/entry_test.go
@@ -28,7 +28,7 @@
 
 func newEntry(w *world, incarnation uint64) *entry {
 	e := &entry{world: w, incarnation: incarnation, frameNumbers: map[string]uint64{}, onConnectionLost: map[string]func(){}, decisions: map[string]int{}}
-	e.scheduler = scheduler.New(e, fleet.New("zone"), func() uint64 { return uint64(w.now.UnixMilli()) })
+	e.scheduler = scheduler.New(e, fleet.New("zone"), func() uint64 { return uint64(w.now.UnixMilli()) }, w.schedulerOptions()...)
 	return e
 }
 
--- a/process/replay/sidecar_test.go
+++ b/process/replay/sidecar_test.go
@@ -12,6 +12,7 @@
 	"github.com/corianderhook/corianderhook/process/lease"
 	"github.com/corianderhook/corianderhook/process/runner"
 	"github.com/corianderhook/corianderhook/request/size"
+	"github.com/corianderhook/corianderhook/sharing/interference"
 	"github.com/corianderhook/corianderhook/wire"
 )
 
@@ -51,6 +52,11 @@
 	crashes *crash.Log
 	// unreadEnds holds the runs that ended while the sidecar was suspended.
 	unreadEnds []runner.End
+	// works holds the runs whose speed depends on what runs beside them, by runKey.
+	works map[string]*work
+	// neighbors estimates what slows what; nil if nobody wants to know.
+	neighbors    *interference.Estimator
+	sentSlowings map[uint64]uint64
 }
 
 func newSidecar(w *world, name string, runFactor float64) *sidecar {
@@ -59,7 +65,7 @@
 		pending: map[uint64][]*wire.TaskEvent{}, seen: map[uint64]uint64{}, sentAt: map[uint64]time.Time{},
 		reportedFreeCPU: map[uint64]int{}, runs: map[string]bool{}, ended: map[string]bool{}, born: w.now, crashes: crash.NewLog(),
 	}
-	s.runner = runner.New(s)
+	s.runner = runner.New(s, s.runnerOptions()...)
 	s.runner.Accept(s.capacity)
 	for _, e := range w.entries {
 		e.scheduler.AttachAgent(name, "zone", nil, &wire.SidecarFrame{Endpoint: s.endpointState(), Room: s.runner.Room()})
@@ -102,7 +108,7 @@
 }
 
 func (s *sidecar) send(e *entry) {
-	f := &wire.SidecarFrame{Room: s.runner.Room(), Seen: s.seen[e.incarnation], Events: s.pending[e.incarnation]}
+	f := &wire.SidecarFrame{Room: s.runner.Room(), Seen: s.seen[e.incarnation], Events: s.pending[e.incarnation], Slowings: s.newSlowings(e)}
 	s.pending[e.incarnation] = nil
 	s.sentAt[e.incarnation] = s.world.now
 	s.reportedFreeCPU[e.incarnation] = int(f.GetRoom().GetFree().GetCpu())
@@ -127,6 +133,7 @@
 		return
 	}
 	s.runner.Tick()
+	s.evaluateNeighbors()
 	free := int(s.runner.Room().GetFree().GetCpu())
 	for _, e := range s.world.entries {
 		change := free - s.reportedFreeCPU[e.incarnation]
@@ -209,7 +216,7 @@
 	case s.fails:
 		s.world.after(failureDelay, func() { s.endRun(n, runner.EndFailed) })
 	case !s.hangs:
-		s.world.after(time.Duration(float64(j.run)*s.runFactor*runTimeRatio(j, n)), func() { s.endRun(n, runner.EndSucceeded) })
+		s.beginWork(n, time.Duration(float64(j.run)*s.runFactor*runTimeRatio(j, n)))
 	}
 	return true
 }
@@ -234,6 +241,7 @@
 	s.ended[runKey(n)] = true
 	s.usedCPU -= s.world.jobs[n.Job].cpu
 	s.world.running[taskName(n)]--
+	s.endWork(n)
 	end := runner.End{RunName: n, Kind: how}
 	if s.suspended {
 		s.unreadEnds = append(s.unreadEnds, end)
--- a/process/replay/world_test.go
+++ b/process/replay/world_test.go
@@ -73,6 +73,10 @@
 	// arrivals are the jobs since countedSince, when the counts were last reset.
 	arrivals     []arrival
 	countedSince time.Time
+	// slowing is how many times as long the tasks of a kind run beside another, keptApart is set
+	// if sidecars and entries keep such kinds apart.
+	slowing   map[[2]string]float64
+	keptApart bool
 }
 
 // kind describes the jobs of one queue and the rate at which they are submitted.
@@ -165,11 +169,14 @@
 }
 
 // newWorld returns a world with one sidecar for each run factor.
-func newWorld(t *testing.T, seed uint64, entries int, runFactors []float64) *world {
+func newWorld(t *testing.T, seed uint64, entries int, runFactors []float64, options ...func(w *world)) *world {
 	w := &world{
 		t: t, now: time.Unix(1_700_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)),
 		running: map[string]int{}, jobs: map[string]job{}, crashes: map[string]int{}, startsAfter: map[string]int{},
 	}
+	for _, apply := range options {
+		apply(w)
+	}
 	for i := range entries {
 		w.entries = append(w.entries, newEntry(w, uint64(i+1)))
 	}
--- a/process/scheduler/events.go
+++ b/process/scheduler/events.go
@@ -28,6 +28,7 @@
 // the agent does not hold become ready again.
 func (s *Scheduler) AttachAgent(agent, zone string, held []uint64, first *wire.SidecarFrame) {
 	s.fleet.Attach(agent, zone, s.host.Now())
+	s.attachNeighbors(agent)
 	// Tasks that are placed while the first frame is handled go out on the new session;
 	// the agent cannot hold them yet.
 	lastBefore := s.lastRef
@@ -69,6 +70,7 @@
 	if r := f.GetRoom(); r != nil {
 		s.fleet.UpdateRoom(agent, r, f.GetSeen())
 	}
+	s.learnNeighbors(agent, f)
 	for _, e := range f.GetEvents() {
 		s.handleEvent(agent, e)
 	}
@@ -208,6 +210,7 @@
 		s.completedOrder = s.completedOrder[1:]
 	}
 	s.tickQuarantines()
+	s.tickNeighbors()
 	s.fleet.Expire(now)
 }
 
--- a/process/scheduler/offers.go
+++ b/process/scheduler/offers.go
@@ -14,6 +14,7 @@
 func (s *Scheduler) makePlan(j *job) (p plan, fits bool) {
 	now := s.host.Now()
 	s.candidates = s.separate(j, s.fleet.Candidates(j.queue.Service, now, s.candidates[:0]))
+	s.applyNeighbors(j)
 	ready := j.progress.Ready()
 	requests := make([]placement.Request, 0, len(ready))
 	last := -1
@@ -116,6 +117,7 @@
 		}
 		step, _ := j.work.StepAndIndex(c.Number)
 		s.fleet.RecordSent(agent, number, s.slack(j, s.forecastRun(j, step)), j.work.Steps()[step].Size, s.forecastRun(j, step))
+		s.recordNeighbor(agent, number, j)
 	}
 }
 
--- a/process/scheduler/scheduler.go
+++ b/process/scheduler/scheduler.go
@@ -19,6 +19,7 @@
 	"github.com/corianderhook/corianderhook/request/outcome"
 	"github.com/corianderhook/corianderhook/request/progress"
 	"github.com/corianderhook/corianderhook/request/workload"
+	"github.com/corianderhook/corianderhook/sharing/separation"
 	"github.com/corianderhook/corianderhook/version/catalog"
 	"github.com/corianderhook/corianderhook/wire"
 )
@@ -164,6 +165,8 @@
 	crashes     *crash.Log
 	quarantines map[string]*quarantine.Quarantine
 	lostAgents  map[string]lostAgent
+	// neighbors tells which queues are kept apart; nil if none ever is.
+	neighbors *separation.View
 }
 
 // Option changes a scheduler that New returns.
--- a/sharing/interference/report.go
+++ b/sharing/interference/report.go
@@ -6,8 +6,8 @@
 	"github.com/corianderhook/corianderhook/wire"
 )
 
-// permille is the unit of the estimates in reports.
-const permille = 1000
+// Permille is the unit of the estimates in reports.
+const Permille = 1000
 
 // Hash returns the number that stands for a queue in reports.
 func Hash(queue string) uint32 {
@@ -22,7 +22,7 @@
 	for _, s := range e.estimates {
 		all.List = append(all.List, &wire.Slowing{
 			Queue: Hash(s.Queue), Neighbor: Hash(s.Neighbor), Pairs: uint32(s.Pairs),
-			LogPermille: int32(permille * s.Log), ErrorPermille: uint32(permille * s.Error),
+			LogPermille: int32(Permille * s.Log), ErrorPermille: uint32(Permille * s.Error),
 		})
 	}
 	return all
