--- a/node/sidecar/actor.go
+++ b/node/sidecar/actor.go
@@ -115,6 +115,7 @@
 	capacityReport *wire.Room
 	// scratch is reused by paces.
 	scratch     []pacing.Session
+	neighbors   neighbors
 	suspensions suspensionDetector
 }
 
@@ -130,7 +131,7 @@
 		crashes: crash.NewLog(), cancellations: cancellation.New(), unavailableReason: "the endpoint has not answered yet", endpointState: &wire.EndpointState{},
 		suspensions: suspension.New(),
 	}
-	a.runner = runner.New(a)
+	a.runner = runner.New(a, a.neighbors.options(s.deps.Neighbors)...)
 	return a
 }
 
@@ -163,6 +164,7 @@
 	case tick:
 		a.checkLease()
 		a.runner.Tick()
+		a.compareNeighbors()
 		a.sidecar.runsInDoubt.Store(int64(a.runner.InDoubt()))
 		a.tick()
 	case drain:
@@ -308,6 +310,7 @@
 	}
 	f.Room = a.capacityReport
 	f.Seen = s.lastFrameNumber
+	f.Slowings = a.neighbors.newSince(&s.sentSlowings)
 	s.sentReport = a.capacityReport
 	s.out.Put(f)
 }
