Tell slow endpoints by the runs under way, and take back what waits there

Change: sidecars count runs that are evidently overdue (sharing/slowdown), dispatchers take back what would be late there and on time elsewhere; off unless [sharing] slowness is on.

--- a/node/dispatcher/actor.go
+++ b/node/dispatcher/actor.go
@@ -79,6 +79,9 @@
 		a.neighbors = separation.New()
 		options = append(options, scheduler.WithNeighbors(a.neighbors))
 	}
+	if d.deps.Slowness {
+		options = append(options, scheduler.WithSlowdowns())
+	}
 	a.scheduler = scheduler.New(a, fleet.New(d.deps.Zone), d.firstRun, options...)
 	return a
 }
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -68,6 +68,8 @@
 	Metrics *metrics.Metrics
 	// Neighbors keeps queues apart whose tasks slow each other down.
 	Neighbors bool
+	// Slowness takes back what waits at an endpoint that turns slow.
+	Slowness bool
 }
 
 // Dispatcher is a dispatcher process. It is safe for concurrent use.
--- a/node/sidecar/actor.go
+++ b/node/sidecar/actor.go
@@ -15,6 +15,7 @@
 	"github.com/corianderhook/corianderhook/process/registration"
 	"github.com/corianderhook/corianderhook/process/runner"
 	"github.com/corianderhook/corianderhook/process/usage"
+	"github.com/corianderhook/corianderhook/sharing/slowdown"
 	"github.com/corianderhook/corianderhook/wire"
 )
 
@@ -130,7 +131,11 @@
 		crashes: crash.NewLog(), cancellations: cancellation.New(), unavailableReason: "the endpoint has not answered yet", endpointState: &wire.EndpointState{},
 		suspensions: suspension.New(),
 	}
-	a.runner = runner.New(a, a.neighbors.options(s.deps.Neighbors)...)
+	options := a.neighbors.options(s.deps.Neighbors)
+	if s.deps.Slowness {
+		options = append(options, runner.WithSlowdowns(slowdown.New()))
+	}
+	a.runner = runner.New(a, options...)
 	return a
 }
 
@@ -306,6 +311,7 @@
 func (a *runnerActor) sendFrame(s *session, f *wire.SidecarFrame) {
 	if a.capacityReport == nil {
 		a.capacityReport = a.runner.Room()
+		a.sidecar.slownessPercent.Store(a.capacityReport.GetSlownessPercent())
 	}
 	f.Room = a.capacityReport
 	f.Seen = s.lastFrameNumber
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -95,8 +95,10 @@
 	EvacuationTime time.Duration
 	// Neighbors makes the sidecar tell dispatchers which queues' tasks slow each other down.
 	Neighbors bool
-	Clock     clockwork.Clock
-	System    *actor.ActorSystem
+	// Slowness makes the sidecar report its endpoint as slow by the runs that are under way too.
+	Slowness bool
+	Clock    clockwork.Clock
+	System   *actor.ActorSystem
 }
 
 // Sidecar is a sidecar process. It is safe for concurrent use.
@@ -125,6 +127,9 @@
 	lastListStamp atomic.Uint64
 	// slowedPairs is the number of pairs of queues that slow each other down.
 	slowedPairs atomic.Int64
+	// slownessPercent is the slowness of the endpoint in the last capacity report; 0 if it is not
+	// slow.
+	slownessPercent atomic.Uint32
 }
 
 // New returns a sidecar that has not started; Run starts it.
@@ -145,6 +150,7 @@
 	s.metrics.RegisterGauge("corianderhook_endpoint_word_age_seconds", "Time since the endpoint last listed what it runs.", func() float64 {
 		return deps.Clock.Since(s.stampTime(max(1, s.lastListStamp.Load()))).Seconds()
 	})
+	s.metrics.RegisterGauge("corianderhook_endpoint_slowness", "Run times at the endpoint relative to the expected ones, 0 if it is not slow.", func() float64 { return float64(s.slownessPercent.Load()) / 100 })
 	s.metrics.RegisterGauge("corianderhook_slowed_queues", "Pairs of a queue and another that slows it at the endpoint.", func() float64 { return float64(s.slowedPairs.Load()) })
 	s.metrics.RegisterUsage(&s.usage, cputime.Used)
 	s.usageReporter = usage.NewReporter(&s.usage, s.startedAt, cputime.Used())
--- a/process/replay/neighbors_test.go
+++ b/process/replay/neighbors_test.go
@@ -13,6 +13,7 @@
 	"github.com/corianderhook/corianderhook/process/scheduler"
 	"github.com/corianderhook/corianderhook/sharing/interference"
 	"github.com/corianderhook/corianderhook/sharing/separation"
+	"github.com/corianderhook/corianderhook/sharing/slowdown"
 	"github.com/corianderhook/corianderhook/wire"
 )
 
@@ -29,19 +30,27 @@
 }
 
 func (w *world) schedulerOptions() []scheduler.Option {
-	if !w.keptApart {
-		return nil
+	var options []scheduler.Option
+	if w.keptApart {
+		options = append(options, scheduler.WithNeighbors(separation.New()))
+	}
+	if w.takesBack {
+		options = append(options, scheduler.WithSlowdowns())
 	}
-	return []scheduler.Option{scheduler.WithNeighbors(separation.New())}
+	return options
 }
 
 func (s *sidecar) runnerOptions() []runner.Option {
 	s.works, s.sentSlowings = map[string]*work{}, map[uint64]uint64{}
-	if !s.world.keptApart {
-		return nil
+	var options []runner.Option
+	if s.world.keptApart {
+		s.neighbors = interference.New()
+		options = append(options, runner.WithNeighbors(s.neighbors))
+	}
+	if s.world.takesBack {
+		options = append(options, runner.WithSlowdowns(slowdown.New()))
 	}
-	s.neighbors = interference.New()
-	return []runner.Option{runner.WithNeighbors(s.neighbors)}
+	return options
 }
 
 func (s *sidecar) evaluateNeighbors() {
--- a/process/replay/world_test.go
+++ b/process/replay/world_test.go
@@ -77,6 +77,9 @@
 	// if sidecars and entries keep such kinds apart.
 	slowing   map[[2]string]float64
 	keptApart bool
+	// takesBack is set if slow endpoints are told by the runs under way, and what waits there is
+	// taken back.
+	takesBack bool
 }
 
 // kind describes the jobs of one queue and the rate at which they are submitted.
--- a/process/runner/report.go
+++ b/process/runner/report.go
@@ -88,6 +88,7 @@
 			// it when the run began.
 			r.evidence.Succeeded(t.order.Job, r.host.Now().Sub(t.orderedAt), t.expected, r.host.Now())
 			r.compareRun(t)
+			r.recordEnded(t)
 		}
 	case EndFailed:
 		kind = wire.TaskEventKind_TASK_EVENT_KIND_FAILED
@@ -184,7 +185,7 @@
 		}
 	}
 	room.FailingPercent = percent(r.evidence.FailureRate(now))
-	room.SlownessPercent = percent(r.evidence.Slowness(now))
+	room.SlownessPercent = percent(max(r.evidence.Slowness(now), r.slownessUnderWay(now)))
 	room.NextEndUs = uint32(completions.UntilNext().Microseconds())
 	r.reportQueues(room)
 	return room
--- a/process/runner/runner.go
+++ b/process/runner/runner.go
@@ -23,6 +23,7 @@
 	"github.com/corianderhook/corianderhook/process/ledger"
 	"github.com/corianderhook/corianderhook/request/size"
 	"github.com/corianderhook/corianderhook/sharing/interference"
+	"github.com/corianderhook/corianderhook/sharing/slowdown"
 	"github.com/corianderhook/corianderhook/wire"
 )
 
@@ -112,6 +113,8 @@
 	suspension time.Duration
 	// crashedBorn is the start of the incarnation that crashed last.
 	crashedBorn time.Time
+	// slowdowns tells early that the endpoint has turned slow; nil if nobody wants to know.
+	slowdowns *slowdown.Tracker
 	// neighbors estimates which queues' tasks slow each other down; nil if nobody wants to know.
 	neighbors *interference.Estimator
 }
@@ -201,6 +204,9 @@
 	r.ledger.Clear()
 	r.evidence.Reset()
 	r.forgetNeighbors()
+	if r.slowdowns != nil {
+		r.slowdowns.Reset()
+	}
 }
 
 // HandleFrame handles a dispatcher's frame. A frame holds all messages since the previous
--- a/process/scheduler/events.go
+++ b/process/scheduler/events.go
@@ -68,7 +68,7 @@
 		}
 	}
 	if r := f.GetRoom(); r != nil {
-		s.fleet.UpdateRoom(agent, r, f.GetSeen())
+		s.updateRoom(agent, r, f.GetSeen())
 	}
 	s.learnNeighbors(agent, f)
 	for _, e := range f.GetEvents() {
--- a/process/scheduler/scheduler.go
+++ b/process/scheduler/scheduler.go
@@ -167,6 +167,8 @@
 	lostAgents  map[string]lostAgent
 	// neighbors tells which queues are kept apart; nil if none ever is.
 	neighbors *separation.View
+	// takesBack is set if what waits at an endpoint that turns slow is taken back.
+	takesBack bool
 }
 
 // Option changes a scheduler that New returns.
--- a/version/config/config.go
+++ b/version/config/config.go
@@ -125,6 +125,9 @@
 	Holders bool
 	// Neighbors keeps tasks apart that slow each other down on one endpoint.
 	Neighbors bool
+	// Slowness lets sidecars tell that their endpoint has turned slow while the runs that show
+	// it are under way, and dispatchers take back what waits there.
+	Slowness bool
 	// Recovery lets a restarted process take over what its peers have measured.
 	Recovery bool
 }
--- a/version/config/fields.go
+++ b/version/config/fields.go
@@ -77,6 +77,7 @@
 			{Key: "room", Default: "off", Unit: "on or off", Doc: "Whether dispatchers tell each other what they have admitted and not yet placed.", set: setSwitch(func(b *builder) *bool { return &b.c.sharing.Room })},
 			{Key: "holders", Default: "off", Unit: "on or off", Doc: "Whether a dispatcher asks who holds a job before it submits the job again.", set: setSwitch(func(b *builder) *bool { return &b.c.sharing.Holders })},
 			{Key: "neighbors", Default: "off", Unit: "on or off", Doc: "Whether tasks that slow each other down are kept apart.", set: setSwitch(func(b *builder) *bool { return &b.c.sharing.Neighbors })},
+			{Key: "slowness", Default: "off", Unit: "on or off", Doc: "Whether an endpoint counts as slow by the runs that are under way, and what waits there is taken back.", set: setSwitch(func(b *builder) *bool { return &b.c.sharing.Slowness })},
 			{Key: "recovery", Default: "off", Unit: "on or off", Doc: "Whether a restarted process takes over what its peers have measured.", set: setSwitch(func(b *builder) *bool { return &b.c.sharing.Recovery })},
 		}},
 	}
