hostile: send jobs by the stand-in for callers

Cause: the names of the platform's messages belong into platform/ (TestNamesOfTheWireStayHere). Change: an ordinary job is sent by platform/standin/caller, on a connection of its own; the first attempt counts, as before. Crowd, bounds and checks are unchanged. Conclusion: no change of what is measured.

--- a/lab/hostile/hostile_test.go
+++ b/lab/hostile/hostile_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
 
 	"github.com/corianderhook/corianderhook/lab/logstore"
 	"github.com/corianderhook/corianderhook/platform/standin/caller"
@@ -85,8 +86,15 @@
 	sent := 0
 	s.job = func() (int, error) {
 		sent++
-		job := caller.Job{ID: fmt.Sprintf("%016x", sent), Tasks: 1, RunTime: 20 * time.Millisecond, CPU: 100}
-		return send(http.MethodPost, "http://"+a[0]+operator.Prefix+job.ID, job.Body(), http.Header{"Deadline-Ms": {"20000"}})
+		client := caller.New(a[0], clock)
+		defer client.Close()
+		first := client.Submit(context.Background(), caller.Job{
+			ID: fmt.Sprintf("%016x", sent), Tasks: 1, RunTime: 20 * time.Millisecond, CPU: 100, Budget: answerTimeout, NewConnection: true,
+		})[0]
+		if first.Status == 0 {
+			return 0, errors.New(first.Error)
+		}
+		return first.Status, nil
 	}
 	s.processes[0].listensAt(a[0], a[1], a[2], a[3])
 	s.processes[1].listensAt(a[4], a[5])
