--- /dev/null
+++ b/connection/doorway/body.go
@@ -0,0 +1,112 @@
+package doorway
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/corianderhook/corianderhook/connection/intake"
+)
+
+// retryAfter is the Retry-After of a refusal for want of room.
+const retryAfter = time.Second
+
+// Refusal is the error of reading a body that has to give way. Nothing of the request has run.
+type Refusal struct{ reason intake.Reason }
+
+// Error returns the reason.
+func (r *Refusal) Error() string { return r.reason.String() }
+
+// Status returns the HTTP status of the refusal, and sets its headers: the rest of the body is not
+// read.
+func (r *Refusal) Status(h http.Header) int {
+	h.Set("Connection", "close")
+	if r.reason == intake.Stalled || r.reason == intake.Slow {
+		return http.StatusRequestTimeout
+	}
+	h.Set("Retry-After", strconv.Itoa(int(retryAfter.Seconds())))
+	return http.StatusServiceUnavailable
+}
+
+// RefusalOf returns the refusal that an error of reading a body stands for, nil if it is another.
+func RefusalOf(err error) *Refusal {
+	var r *Refusal
+	if errors.As(err, &r) {
+		return r
+	}
+	return nil
+}
+
+// body is the body of a request, which is counted while it is read.
+type body struct {
+	io.ReadCloser
+	connection *connection
+	// complete is set at the end of the body.
+	complete bool
+}
+
+// Read reads a part of the body. At its end the request does not give way any more.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if b.complete {
+		return n, err
+	}
+	d, v := b.connection.doorway, b.connection.visitor
+	now := d.clock.Now()
+	stays := d.intake.Receive(v, int64(n), now)
+	if errors.Is(err, io.EOF) {
+		b.complete = true
+		stays = d.intake.Serve(v, now)
+	}
+	if !stays {
+		if reason := d.intake.Dismissed(v); reason != intake.None {
+			return 0, &Refusal{reason}
+		}
+	}
+	return n, err
+}
+
+// Handler returns a handler that counts the bodies of requests while they are received.
+func (d *Doorway) Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, _ := r.Context().Value(connectionKey{}).(*connection)
+		switch {
+		case r.ContentLength != 0 && !d.bodies:
+			w.Header().Set("Connection", "close")
+			http.Error(w, "this address takes no bodies", http.StatusRequestEntityTooLarge)
+		case c == nil:
+			next.ServeHTTP(w, r)
+		case r.ContentLength == 0:
+			d.serve(c, next, w, r)
+		default:
+			defer func() { d.intake.Wait(c.visitor, d.clock.Now()) }()
+			d.intake.Receive(c.visitor, 0, d.clock.Now())
+			counted := *r
+			counted.Body = &body{ReadCloser: r.Body, connection: c}
+			next.ServeHTTP(w, &counted)
+		}
+	})
+}
+
+func (d *Doorway) serve(c *connection, next http.Handler, w http.ResponseWriter, r *http.Request) {
+	defer func() { d.intake.Wait(c.visitor, d.clock.Now()) }()
+	if d.intake.Serve(c.visitor, d.clock.Now()) {
+		next.ServeHTTP(w, r)
+		return
+	}
+	refusal := &Refusal{d.intake.Dismissed(c.visitor)}
+	http.Error(w, refusal.Error(), refusal.Status(w.Header()))
+}
+
+// Keep notes how many bytes are kept while the request is served.
+func (b *body) Keep(bytes int) { b.connection.doorway.intake.Keep(b.connection.visitor, int64(bytes)) }
+
+// Keep notes how many bytes of the body of a request are kept while it is served.
+func Keep(r *http.Request, bytes int) {
+	if b, ok := r.Body.(*body); ok {
+		b.Keep(bytes)
+	}
+}
--- /dev/null
+++ b/connection/doorway/connection.go
@@ -0,0 +1,71 @@
+package doorway
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/corianderhook/corianderhook/connection/intake"
+)
+
+// connection is a connection that has entered.
+type connection struct {
+	net.Conn
+	doorway *Doorway
+	visitor *intake.Visitor
+	leave   sync.Once
+}
+
+var errNoSocket = errors.New("the connection has no socket")
+
+// SyscallConn gives access to the socket.
+func (c *connection) SyscallConn() (syscall.RawConn, error) {
+	if socket, ok := c.Conn.(syscall.Conn); ok {
+		return socket.SyscallConn()
+	}
+	return nil, errNoSocket
+}
+
+// CloseWrite ends what is sent, so that the client can read an answer before the connection is
+// closed.
+func (c *connection) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// Close closes the connection and makes room for another.
+func (c *connection) Close() error {
+	err := c.Conn.Close()
+	c.leave.Do(func() { c.doorway.intake.Leave(c.visitor) })
+	return err
+}
+
+// dismiss closes the connection or, if its request is being received, lets its handler refuse it.
+func (c *connection) dismiss(r intake.Reason) {
+	c.doorway.note(r.String())
+	if r != intake.Crowded && !c.doorway.messages && c.SetReadDeadline(time.Unix(1, 0)) == nil {
+		return
+	}
+	// Its server closes it too, and may have done so.
+	_ = c.Conn.Close()
+}
+
+type connectionKey struct{}
+
+// ConnContext adds a connection to the context of its requests; it is for http.Server.
+func ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	if secured, ok := conn.(*tls.Conn); ok {
+		conn = secured.NetConn()
+	}
+	if c, ok := conn.(*connection); ok {
+		return context.WithValue(ctx, connectionKey{}, c)
+	}
+	return ctx
+}
--- /dev/null
+++ b/connection/doorway/doorway.go
@@ -0,0 +1,162 @@
+// Package doorway applies the decisions of package intake to the connections of a listener and to
+// the bodies of requests.
+package doorway
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+	"k8s.io/klog/v2"
+
+	"github.com/corianderhook/corianderhook/connection/intake"
+)
+
+const (
+	// tickInterval is the time between two looks for stalled requests, and between two log lines.
+	tickInterval = time.Second
+	// receiveBufferBytes is what the kernel holds of a connection that is not being read. The
+	// kernel doubles it.
+	receiveBufferBytes = 16 << 10
+	// turnedAway counts connections for which no other could give way.
+	turnedAway = "turned away"
+)
+
+// Counter counts connections and requests that were not served.
+type Counter interface {
+	CountTurnedAway(listener, reason string)
+}
+
+// Doorway guards one listener. It is safe for concurrent use.
+type Doorway struct {
+	name   string
+	intake *intake.Intake
+	clock  clockwork.Clock
+	counts Counter
+	bodies bool
+	// messages is whether the connections carry messages of gRPC.
+	messages        bool
+	acknowledgement time.Duration
+	mu              sync.Mutex
+	// unlogged counts by reason what has not been logged.
+	unlogged map[string]int
+}
+
+// Option changes a doorway that New returns.
+type Option func(d *Doorway)
+
+// WithoutBodies has the doorway refuse requests with a body.
+func WithoutBodies() Option { return func(d *Doorway) { d.bodies = false } }
+
+// New returns the doorway of a listener, which has the name in metrics and logs.
+func New(name string, l intake.Limits, clock clockwork.Clock, counts Counter, options ...Option) *Doorway {
+	d := &Doorway{name: name, intake: intake.New(l), clock: clock, counts: counts, bodies: true, unlogged: map[string]int{}}
+	for _, o := range options {
+		o(d)
+	}
+	return d
+}
+
+// Run ends stalled requests until the context ends.
+func (d *Doorway) Run(ctx context.Context) {
+	ticker := d.clock.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			d.intake.Sweep(d.clock.Now())
+			d.log()
+		}
+	}
+}
+
+func (d *Doorway) note(reason string) {
+	d.counts.CountTurnedAway(d.name, reason)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.unlogged[reason]++
+}
+
+func (d *Doorway) log() {
+	d.mu.Lock()
+	counts := d.unlogged
+	d.unlogged = map[string]int{}
+	d.mu.Unlock()
+	if len(counts) > 0 {
+		connections, bytes := d.intake.Held()
+		klog.InfoS("CH1230 connections ended before their request was received", "listener", d.name, "reasons", counts, "connections", connections, "bytes", bytes)
+	}
+}
+
+// Guard returns a listener whose connections enter through the doorway.
+func (d *Doorway) Guard(l net.Listener) net.Listener {
+	if d.messages {
+		return &listener{Listener: l, doorway: d}
+	}
+	if err := limitReceiveBuffer(l); err != nil {
+		klog.ErrorS(err, "CH1231 receive buffers cannot be limited", "listener", d.name)
+	}
+	return &listener{Listener: l, doorway: d}
+}
+
+// limitReceiveBuffer sets the receive buffer of the connections that a listener accepts.
+func limitReceiveBuffer(l net.Listener) error {
+	tcp, ok := l.(*net.TCPListener)
+	if !ok {
+		return nil
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return errors.Wrap(err, "listener")
+	}
+	var optionErr error
+	if err := raw.Control(func(fd uintptr) {
+		optionErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes)
+	}); err != nil {
+		return errors.Wrap(err, "listener")
+	}
+	return errors.Wrap(optionErr, "receive buffer")
+}
+
+type listener struct {
+	net.Listener
+	doorway *Doorway
+}
+
+// Accept returns the next connection that may enter. The others are closed at once: what waits in
+// the kernel to be accepted holds memory too.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.doorway.enter(conn); c != nil {
+			return c, nil
+		}
+	}
+}
+
+func (d *Doorway) enter(conn net.Conn) net.Conn {
+	c := &connection{Conn: conn, doorway: d}
+	c.visitor = d.intake.Enter(d.clock.Now(), c.dismiss)
+	if c.visitor == nil {
+		d.note(turnedAway)
+		// Nothing has been read from it.
+		_ = conn.Close()
+		return nil
+	}
+	if d.messages {
+		if err := setUserTimeout(c, d.acknowledgement); err != nil {
+			klog.V(1).InfoS("CH1233 connection may outlive its client", "listener", d.name, "error", err)
+		}
+		return &messageConnection{connection: c}
+	}
+	return c
+}
--- /dev/null
+++ b/connection/doorway/messages.go
@@ -0,0 +1,114 @@
+package doorway
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/peer"
+)
+
+const (
+	// maxStreams is the number of calls on one connection, and maxHeaderBytes the size of the
+	// headers of one.
+	maxStreams     = 1000
+	maxHeaderBytes = 16 << 10
+	// DefaultAcknowledgement is the time that gRPC servers leave clients to acknowledge what is
+	// sent to them.
+	DefaultAcknowledgement = 20 * time.Second
+	// handshakeTime is how long a client may take until its first call can be received.
+	handshakeTime = 10 * time.Second
+)
+
+// ForMessages has the doorway count the bytes of messages of gRPC that have not been delivered.
+// The server needs ServerOptions. A connection ends if the client's machine does not acknowledge
+// for the given time what is sent to it.
+func ForMessages(acknowledgement time.Duration) Option {
+	return func(d *Doorway) { d.messages, d.acknowledgement = true, acknowledgement }
+}
+
+// messageConnection is a connection of gRPC.
+type messageConnection struct {
+	*connection
+	frames frameCounter
+}
+
+// Read reads from the connection, and closes it if what it holds has to give way.
+func (c *messageConnection) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if d := c.doorway; !d.intake.Buffer(c.visitor, c.frames.count(p[:n]), d.clock.Now()) {
+		_ = c.Close()
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// messageAddress is the address of a connection, by which its calls find it.
+type messageAddress struct {
+	net.Addr
+	connection *connection
+}
+
+// RemoteAddr returns the address of the client.
+func (c *messageConnection) RemoteAddr() net.Addr {
+	return messageAddress{Addr: c.Conn.RemoteAddr(), connection: c.connection}
+}
+
+// setUserTimeout does what a gRPC server does for connections that are not wrapped.
+func setUserTimeout(c *connection, timeout time.Duration) error {
+	raw, err := c.SyscallConn()
+	if errors.Is(err, errNoSocket) {
+		return nil
+	}
+	if err != nil {
+		return errors.Wrap(err, "connection")
+	}
+	var optionErr error
+	if err := raw.Control(func(fd uintptr) {
+		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+	}); err != nil {
+		return errors.Wrap(err, "connection")
+	}
+	return errors.Wrap(optionErr, "user timeout")
+}
+
+// delivered notes that a message of a call has been received completely.
+func delivered(ctx context.Context) {
+	client, _ := peer.FromContext(ctx)
+	if client == nil {
+		return
+	}
+	if a, ok := client.Addr.(messageAddress); ok {
+		d := a.connection.doorway
+		d.intake.Serve(a.connection.visitor, d.clock.Now())
+		d.intake.Keep(a.connection.visitor, 0)
+	}
+}
+
+type countedStream struct{ grpc.ServerStream }
+
+// RecvMsg receives a message.
+func (s countedStream) RecvMsg(m any) error {
+	err := s.ServerStream.RecvMsg(m)
+	if err == nil {
+		delivered(s.Context())
+	}
+	return err
+}
+
+// ServerOptions returns the options of a gRPC server behind a doorway for messages.
+func ServerOptions() []grpc.ServerOption {
+	return []grpc.ServerOption{
+		grpc.ConnectionTimeout(handshakeTime), grpc.MaxConcurrentStreams(maxStreams), grpc.MaxHeaderListSize(maxHeaderBytes),
+		grpc.ChainUnaryInterceptor(func(ctx context.Context, r any, _ *grpc.UnaryServerInfo, handle grpc.UnaryHandler) (any, error) {
+			delivered(ctx)
+			return handle(ctx, r)
+		}),
+		grpc.ChainStreamInterceptor(func(server any, stream grpc.ServerStream, _ *grpc.StreamServerInfo, handle grpc.StreamHandler) error {
+			return handle(server, countedStream{stream})
+		}),
+	}
+}
--- /dev/null
+++ b/connection/intake/intake.go
@@ -0,0 +1,279 @@
+// Package intake decides which connections of a listener, and how many bytes of requests that
+// are still being received, a process holds. It does no I/O.
+//
+// The load that it answers: many clients that connect, send part of a request and then stay.
+// Nothing is reserved for what a client announces, and nobody waits for room: when there is
+// none left, the request that began first and has not been received yet gives way, as those
+// that stop short are always among the oldest. A request that has been received completely
+// never gives way.
+package intake
+
+import (
+	"container/list"
+	"sync"
+	"time"
+)
+
+// Intake holds the connections of one listener. It is safe for concurrent use.
+type Intake struct {
+	limits Limits
+
+	mu sync.Mutex
+	// visitors are all connections. waiting holds those without a request, by the time since
+	// when they have none, and receiving those with an incomplete one, by its beginning.
+	visitors  int
+	waiting   *list.List
+	receiving *list.List
+	bytes     int64
+}
+
+// phase is what a connection does.
+type phase uint8
+
+const (
+	phaseWaiting phase = iota
+	phaseReceiving
+	phaseServing
+	phaseLeft
+)
+
+// smallMessageBytes is the size of messages that are no reason to end a connection.
+const smallMessageBytes = 64 << 10
+
+// Visitor is a connection.
+type Visitor struct {
+	// dismiss ends the connection, or has its request refused.
+	dismiss    func(r Reason)
+	phase      phase
+	dismissed  Reason
+	place      *list.Element
+	held       int64
+	since      time.Time
+	progressAt time.Time
+}
+
+// dismissal is a connection that has given way.
+type dismissal struct {
+	visitor *Visitor
+	reason  Reason
+}
+
+// New returns an intake without connections.
+func New(l Limits) *Intake {
+	return &Intake{limits: l, waiting: list.New(), receiving: list.New()}
+}
+
+// Enter adds a connection. Dismiss is called, without a lock, if it has to give way. Enter
+// returns nil if every connection that could give way serves a request.
+func (i *Intake) Enter(now time.Time, dismiss func(r Reason)) *Visitor {
+	i.mu.Lock()
+	var gone []dismissal
+	if i.visitors >= i.limits.connections {
+		oldest := older(i.waiting.Front(), i.receiving.Front())
+		if oldest == nil {
+			i.mu.Unlock()
+			return nil
+		}
+		gone = append(gone, i.dismiss(oldest, Crowded))
+		i.forget(oldest)
+	}
+	v := &Visitor{dismiss: dismiss, phase: phaseWaiting, since: now}
+	v.place = i.waiting.PushBack(v)
+	i.visitors++
+	i.mu.Unlock()
+	carryOut(gone)
+	return v
+}
+
+// older returns the connection that has been in its list for longer.
+func older(a, b *list.Element) *Visitor {
+	switch {
+	case a == nil && b == nil:
+		return nil
+	case a == nil:
+		return b.Value.(*Visitor)
+	case b == nil || !a.Value.(*Visitor).since.After(b.Value.(*Visitor).since):
+		return a.Value.(*Visitor)
+	default:
+		return b.Value.(*Visitor)
+	}
+}
+
+// dismiss makes a connection give way. The caller holds the lock.
+func (i *Intake) dismiss(v *Visitor, r Reason) dismissal {
+	v.dismissed = r
+	i.release(v)
+	i.leaveList(v)
+	return dismissal{visitor: v, reason: r}
+}
+
+func carryOut(all []dismissal) {
+	for _, d := range all {
+		d.visitor.dismiss(d.reason)
+	}
+}
+
+func (i *Intake) release(v *Visitor) {
+	i.bytes -= v.held
+	v.held = 0
+}
+
+func (i *Intake) leaveList(v *Visitor) {
+	switch {
+	case v.place == nil:
+	case v.phase == phaseWaiting:
+		i.waiting.Remove(v.place)
+	default:
+		i.receiving.Remove(v.place)
+	}
+	v.place = nil
+}
+
+func (i *Intake) forget(v *Visitor) {
+	if v.phase != phaseLeft {
+		v.phase = phaseLeft
+		i.visitors--
+	}
+}
+
+// move changes the phase of a connection that has not given way.
+func (i *Intake) move(v *Visitor, to phase, now time.Time) bool {
+	if v.dismissed != None || v.phase == phaseLeft {
+		return false
+	}
+	if v.phase == to {
+		return true
+	}
+	i.leaveList(v)
+	v.phase, v.since, v.progressAt = to, now, now
+	switch to {
+	case phaseWaiting:
+		v.place = i.waiting.PushBack(v)
+	case phaseReceiving:
+		v.place = i.receiving.PushBack(v)
+	default:
+	}
+	return true
+}
+
+// Receive notes that bytes of a request have arrived, and returns whether the rest may follow.
+// Others give way if there is no room for the bytes.
+func (i *Intake) Receive(v *Visitor, bytes int64, now time.Time) bool {
+	i.mu.Lock()
+	if !i.move(v, phaseReceiving, now) {
+		i.mu.Unlock()
+		return false
+	}
+	if bytes > 0 {
+		v.progressAt = now
+	}
+	v.held += bytes * growth
+	i.bytes += bytes * growth
+	// A single request has its size as its limit: it could never be received otherwise.
+	gone := i.makeRoom(1)
+	stays := v.dismissed == None
+	i.mu.Unlock()
+	carryOut(gone)
+	return stays
+}
+
+// Buffer notes that bytes of messages have arrived on a connection that carries many, and returns
+// whether the rest may follow. Others give way if there is no room for the bytes. A connection on
+// which a message has been received completely does not give way while it holds little.
+func (i *Intake) Buffer(v *Visitor, bytes int64, now time.Time) bool {
+	i.mu.Lock()
+	if v.dismissed != None {
+		i.mu.Unlock()
+		return false
+	}
+	v.held += bytes
+	i.bytes += bytes
+	if v.phase != phaseServing || v.held > smallMessageBytes {
+		i.move(v, phaseReceiving, now)
+	}
+	gone := i.makeRoom(0)
+	stays := v.dismissed == None
+	i.mu.Unlock()
+	carryOut(gone)
+	return stays
+}
+
+// makeRoom makes requests give way until the others fit, those that began first before others. It
+// leaves a number of requests in any case.
+func (i *Intake) makeRoom(left int) (gone []dismissal) {
+	for next := i.receiving.Front(); i.bytes > i.limits.bytes && i.receiving.Len() > left && next != nil; {
+		oldest := next.Value.(*Visitor)
+		next = next.Next()
+		if oldest.held > 0 {
+			gone = append(gone, i.dismiss(oldest, Full))
+		}
+	}
+	return gone
+}
+
+// Serve notes that a request has been received, and returns whether it may be served. The
+// connection does not give way from now on.
+func (i *Intake) Serve(v *Visitor, now time.Time) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.move(v, phaseServing, now)
+}
+
+// Keep notes how many bytes of a request are kept while it is served; the others are released.
+func (i *Intake) Keep(v *Visitor, bytes int64) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if v.dismissed == None && v.phase != phaseLeft {
+		i.bytes += bytes - v.held
+		v.held = bytes
+	}
+}
+
+// Wait notes that the connection has no request any more.
+func (i *Intake) Wait(v *Visitor, now time.Time) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.release(v)
+	i.move(v, phaseWaiting, now)
+}
+
+// Leave removes a connection that has ended.
+func (i *Intake) Leave(v *Visitor) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.release(v)
+	i.leaveList(v)
+	i.forget(v)
+}
+
+// Sweep makes requests give way that have stalled or take too long.
+func (i *Intake) Sweep(now time.Time) {
+	i.mu.Lock()
+	var gone []dismissal
+	for next := i.receiving.Front(); i.limits.stall > 0 && next != nil; {
+		v := next.Value.(*Visitor)
+		next = next.Next()
+		switch {
+		case now.Sub(v.progressAt) >= i.limits.stall:
+			gone = append(gone, i.dismiss(v, Stalled))
+		case now.Sub(v.since) >= i.limits.whole:
+			gone = append(gone, i.dismiss(v, Slow))
+		}
+	}
+	i.mu.Unlock()
+	carryOut(gone)
+}
+
+// Dismissed returns why a connection has given way, or None.
+func (i *Intake) Dismissed(v *Visitor) Reason {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return v.dismissed
+}
+
+// Held returns the number of connections and the bytes that their requests hold.
+func (i *Intake) Held() (connections int, bytes int64) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.visitors, i.bytes
+}
--- /dev/null
+++ b/connection/intake/intake_test.go
@@ -0,0 +1,148 @@
+package intake
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var start = time.Unix(1000, 0)
+
+// crowd is a number of clients of an intake.
+type crowd struct {
+	intake *Intake
+	ended  map[Reason]int
+}
+
+func newCrowd(l Limits) *crowd { return &crowd{intake: New(l), ended: map[Reason]int{}} }
+
+func (c *crowd) enter(now time.Time) *Visitor {
+	return c.intake.Enter(now, func(r Reason) { c.ended[r]++ })
+}
+
+// The load: clients send most of a large body each and stay. What they hold stays within the
+// limit, and an ordinary request that comes then is received.
+func TestBodiesThatStopShortGiveWay(t *testing.T) {
+	i := is.New(t)
+	const limit = 1 << 20
+	c := newCrowd(NewLimits(10_000, limit, time.Minute, time.Hour))
+	now := start
+	for range 600 {
+		now = now.Add(time.Millisecond)
+		v := c.enter(now)
+		for range 64 {
+			c.intake.Receive(v, 4<<10, now)
+			_, bytes := c.intake.Held()
+			i.True(bytes <= limit)
+		}
+	}
+	ordinary := c.enter(now)
+	i.True(c.intake.Receive(ordinary, 4000, now))
+	i.True(c.intake.Serve(ordinary, now))
+	i.True(c.ended[Full] >= 597)
+}
+
+// All clients of a burst of ordinary requests are served, though their bodies arrive in two parts.
+func TestBurstOfOrdinaryRequestsIsReceived(t *testing.T) {
+	i := is.New(t)
+	c := newCrowd(NewLimits(2000, 18<<20, 10*time.Second, 2*time.Minute))
+	var all []*Visitor
+	for range 2000 {
+		v := c.enter(start)
+		i.True(c.intake.Receive(v, 2000, start))
+		all = append(all, v)
+	}
+	for _, v := range all {
+		i.True(c.intake.Receive(v, 2500, start))
+		i.True(c.intake.Serve(v, start))
+		c.intake.Keep(v, 4000)
+	}
+	i.Equal(len(c.ended), 0)
+	for _, v := range all {
+		c.intake.Wait(v, start)
+		c.intake.Leave(v)
+	}
+	connections, bytes := c.intake.Held()
+	i.Equal(connections, 0)
+	i.Equal(bytes, int64(0))
+}
+
+// Clients that only connect do not keep others out, and what is being served never gives way.
+func TestOldestConnectionWithoutARequestGivesWay(t *testing.T) {
+	i := is.New(t)
+	c := newCrowd(NewLimits(3, 1<<20, time.Minute, time.Hour))
+	served := c.enter(start)
+	i.True(c.intake.Serve(served, start))
+	for n := range 100 {
+		i.True(c.enter(start.Add(time.Duration(n)*time.Second)) != nil)
+	}
+	i.Equal(c.ended[Crowded], 98)
+	connections, _ := c.intake.Held()
+	i.Equal(connections, 3)
+	i.Equal(c.intake.Dismissed(served), None)
+}
+
+func TestNobodyEntersWhileAllAreServed(t *testing.T) {
+	i := is.New(t)
+	c := newCrowd(NewLimits(2, 1<<20, time.Minute, time.Hour))
+	for range 2 {
+		i.True(c.intake.Serve(c.enter(start), start))
+	}
+	i.True(c.enter(start) == nil)
+	i.Equal(len(c.ended), 0)
+}
+
+// A single large request is received even if it is larger than the limit, and a request that has
+// given way is not served, whatever arrives of it.
+func TestSingleRequestIsReceived(t *testing.T) {
+	i := is.New(t)
+	c := newCrowd(NewLimits(10, 1000, time.Minute, time.Hour))
+	first := c.enter(start)
+	i.True(c.intake.Receive(first, 100_000, start))
+	second := c.enter(start)
+	i.True(c.intake.Receive(second, 100, start))
+	i.Equal(c.intake.Dismissed(first), Full)
+	i.True(!c.intake.Receive(first, 1, start))
+	i.True(!c.intake.Serve(first, start))
+	i.True(c.intake.Serve(second, start))
+}
+
+func TestStalledAndSlowRequestsEnd(t *testing.T) {
+	i := is.New(t)
+	c := newCrowd(NewLimits(10, 1<<20, 10*time.Second, time.Minute))
+	stalled, slow, steady := c.enter(start), c.enter(start), c.enter(start)
+	c.intake.Receive(stalled, 1, start)
+	for s := range 70 {
+		now := start.Add(time.Duration(s) * time.Second)
+		c.intake.Receive(slow, 1, now)
+		if s >= 20 {
+			c.intake.Receive(steady, 1, now)
+		}
+		c.intake.Sweep(now)
+	}
+	i.Equal(c.intake.Dismissed(stalled), Stalled)
+	i.Equal(c.intake.Dismissed(slow), Slow)
+	i.Equal(c.intake.Dismissed(steady), None)
+}
+
+// Connections between processes, which carry many messages, stay open beside clients that send
+// messages without an end.
+func TestConnectionsOfProcessesStay(t *testing.T) {
+	i := is.New(t)
+	c := newCrowd(NewLimits(50, 1<<20, 0, 0))
+	known := c.enter(start)
+	for n := range 200 {
+		now := start.Add(time.Duration(n) * time.Second)
+		i.True(c.intake.Buffer(known, 2000, now))
+		i.True(c.intake.Serve(known, now))
+		c.intake.Keep(known, 0)
+		// Frames that belong to no message.
+		i.True(c.intake.Buffer(known, 13, now))
+		c.intake.Buffer(c.enter(now), 300<<10, now)
+		c.intake.Sweep(now)
+	}
+	i.Equal(c.intake.Dismissed(known), None)
+	_, bytes := c.intake.Held()
+	i.True(bytes <= 1<<20)
+}
--- a/version/config/config.go
+++ b/version/config/config.go
@@ -4,6 +4,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/corianderhook/corianderhook/version/access"
@@ -129,6 +130,16 @@
 	Recovery bool
 }
 
+// Intake bounds what a process holds for clients whose requests have not been received yet.
+type Intake struct {
+	// Descriptors is the number of file descriptors that the process may open; 0 stands for the
+	// limit of the operating system.
+	Descriptors int
+	// Stall is how long a request may make no progress, Whole how long it may take to arrive.
+	Stall time.Duration
+	Whole time.Duration
+}
+
 // TLS holds the names of PEM files; all are empty if connections do not use TLS.
 type TLS struct {
 	Certificate string
@@ -148,6 +159,7 @@
 	store          string
 	runtime        Runtime
 	sharing        Sharing
+	intake         Intake
 	retention      time.Duration
 	maxKeysPerSlot int
 	silenceTimeout time.Duration
@@ -196,6 +208,9 @@
 // Runtime returns the settings for the VM of the process and its environment.
 func (c *Config) Runtime() Runtime { return c.runtime }
 
+// Intake returns the bounds of what is held for clients.
+func (c *Config) Intake() Intake { return c.intake }
+
 // Sharing returns which parts of the sharing of room are on.
 func (c *Config) Sharing() Sharing { return c.sharing }
 
@@ -203,6 +218,13 @@
 // each section defines its keys.
 func (c *Config) Values() []Value { return c.values }
 
+// IsSet reports whether a file sets a key.
+func (c *Config) IsSet(section, key string) bool {
+	return slices.ContainsFunc(c.values, func(v Value) bool {
+		return v.Section == section && v.Key == key && v.File != ""
+	})
+}
+
 // ChangedKeys returns the keys whose values differ from those of previous settings,
 // each as "section key".
 func (c *Config) ChangedKeys(previous *Config) []string {
--- a/version/config/fields.go
+++ b/version/config/fields.go
@@ -79,6 +79,7 @@
 			{Key: "neighbors", Default: "off", Unit: "on or off", Doc: "Whether tasks that slow each other down are kept apart.", set: setSwitch(func(b *builder) *bool { return &b.c.sharing.Neighbors })},
 			{Key: "recovery", Default: "off", Unit: "on or off", Doc: "Whether a restarted process takes over what its peers have measured.", set: setSwitch(func(b *builder) *bool { return &b.c.sharing.Recovery })},
 		}},
+		intakeSection(),
 	}
 }
 
