--- a/commands/agent.go
+++ b/commands/agent.go
@@ -29,6 +29,9 @@
 	if err != nil {
 		return usageError{errors.Wrap(err, "setting [agent] admin")}
 	}
+	if settings.IsSet("runtime", "memory") {
+		limitMemory(settings.Runtime().Memory)
+	}
 	a := agent.New(agent.Dependencies{Config: settings, Files: files, Clock: realClock(), System: newActorSystem(), Security: secured})
 	return runUntilSignal(lifecycle{
 		drainTime:      settings.DrainTime(),
--- a/commands/dispatcher.go
+++ b/commands/dispatcher.go
@@ -30,7 +30,7 @@
 	e := platform.NewEntry(settings, skewedclock.New(realClock(), c.ClockOffset), newActorSystem())
 	return runProcess(s, process{
 		settings: settings, file: c.Settings, role: config.RoleDispatcher,
-		metrics: e.Dispatcher().Metrics().Handler(), reload: e.Reload,
+		metrics: e.Dispatcher().Metrics(), reload: e.Reload,
 		run: func(ctx context.Context) error {
 			return e.Run(ctx, platform.EntryListeners{Processes: sockets[0], Callers: sockets[1], Ready: sockets[2]})
 		},
--- a/commands/entry.go
+++ b/commands/entry.go
@@ -33,6 +33,9 @@
 	if err != nil {
 		return usageError{err}
 	}
+	if settings.IsSet("runtime", "memory") {
+		limitMemory(settings.Runtime().Memory)
+	}
 	e := entry.New(entry.Dependencies{
 		Config:   settings,
 		Files:    files,
--- a/commands/process.go
+++ b/commands/process.go
@@ -20,6 +20,8 @@
 
 	"github.com/corianderhook/corianderhook/common/eventlog"
 	"github.com/corianderhook/corianderhook/common/logsink"
+	"github.com/corianderhook/corianderhook/connection/doorway"
+	"github.com/corianderhook/corianderhook/process/metrics"
 	"github.com/corianderhook/corianderhook/process/runner"
 	"github.com/corianderhook/corianderhook/version/config"
 )
@@ -33,6 +35,9 @@
 	// metricsHeaderTimeout bounds how long a client may take to send the headers of a
 	// request for metrics.
 	metricsHeaderTimeout = 5 * time.Second
+	// metricsIdleTimeout applies to an unused connection, metricsHeaderBytes to the headers.
+	metricsIdleTimeout = 2 * time.Minute
+	metricsHeaderBytes = 16 << 10
 	// logFlushTimeout bounds how long a process waits at exit for its last log lines to be
 	// written.
 	logFlushTimeout = 200 * time.Millisecond
@@ -145,7 +150,8 @@
 }
 
 // serveMetrics serves metrics until the context ends. It does nothing without an address.
-func serveMetrics(ctx context.Context, address string, handler http.Handler) {
+func serveMetrics(ctx context.Context, settings *config.Config, m *metrics.Metrics) {
+	address := settings.Runtime().Metrics
 	if address == "" {
 		return
 	}
@@ -154,12 +160,17 @@
 		klog.ErrorS(err, "CH1303 metrics are not served", "address", address)
 		return
 	}
+	door := doorway.New("metrics", doorway.Allot(settings).Probes(), realClock(), m, doorway.WithoutBodies())
+	go door.Run(ctx)
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", handler)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: metricsHeaderTimeout}
+	mux.Handle("GET /metrics", m.Handler())
+	server := &http.Server{
+		Handler: door.Handler(mux), ConnContext: doorway.ConnContext,
+		ReadHeaderTimeout: metricsHeaderTimeout, IdleTimeout: metricsIdleTimeout, MaxHeaderBytes: metricsHeaderBytes,
+	}
 	stop := context.AfterFunc(ctx, func() { server.Close() })
 	defer stop()
-	if err := server.Serve(l); err != nil && ctx.Err() == nil {
+	if err := server.Serve(door.Guard(l)); err != nil && ctx.Err() == nil {
 		klog.ErrorS(err, "CH1303 metrics are not served", "address", address)
 	}
 }
@@ -170,7 +181,7 @@
 	settings *config.Config
 	file     string
 	role     config.Role
-	metrics  http.Handler
+	metrics  *metrics.Metrics
 	run      func(context.Context) error
 	reload   func(*config.Config)
 	drain    func(ctx context.Context, within time.Duration)
@@ -203,7 +214,7 @@
 	defer stop()
 	ctx, cancel := context.WithCancel(immediate)
 	defer cancel()
-	go serveMetrics(ctx, p.settings.Runtime().Metrics, p.metrics)
+	go serveMetrics(ctx, p.settings, p.metrics)
 	var inForce atomic.Pointer[config.Config]
 	inForce.Store(p.settings)
 	go watchSettings(ctx, p.file, p.role, s.HangUps, func(c *config.Config) { p.apply(&inForce, c) })
--- a/commands/sidecar.go
+++ b/commands/sidecar.go
@@ -29,7 +29,7 @@
 	a := platform.NewAgent(settings, skewedclock.New(realClock(), c.ClockOffset), newActorSystem())
 	return runProcess(s, process{
 		settings: settings, file: c.Settings, role: config.RoleSidecar,
-		metrics: a.Sidecar().Metrics().Handler(), reload: a.Reload,
+		metrics: a.Sidecar().Metrics(), reload: a.Reload,
 		run:   func(ctx context.Context) error { return a.Run(ctx, sockets[0]) },
 		drain: func(ctx context.Context, _ time.Duration) { a.Drain(ctx) },
 	})
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -22,6 +22,7 @@
 	"github.com/corianderhook/corianderhook/common/instance"
 	"github.com/corianderhook/corianderhook/common/pause"
 	"github.com/corianderhook/corianderhook/common/stopper"
+	"github.com/corianderhook/corianderhook/connection/doorway"
 	"github.com/corianderhook/corianderhook/connection/endpoint"
 	"github.com/corianderhook/corianderhook/connection/guard"
 	"github.com/corianderhook/corianderhook/connection/security"
@@ -43,6 +44,9 @@
 	// expireInterval is the time between two removals of expired task records.
 	expireInterval     = time.Second
 	adminHeaderTimeout = 5 * time.Second
+	// adminIdleTimeout applies to an unused connection, adminHeaderBytes to the headers.
+	adminIdleTimeout = 2 * time.Minute
+	adminHeaderBytes = 16 << 10
 	// refusalDelay is how long a task that the endpoint did not start keeps its task slot, so
 	// that an endpoint which refuses tasks quickly does not attract more of them.
 	refusalDelay = 250 * time.Millisecond
@@ -125,10 +129,15 @@
 	defer a.cancelTasks()
 	defer cancel()
 	defer a.deps.System.Root.Stop(a.executor)
-	server := &http.Server{Handler: a.adminHandler(), ReadHeaderTimeout: adminHeaderTimeout}
+	door := doorway.New("administration", doorway.Allot(a.deps.Config).Probes(), a.deps.Clock, a.metrics)
+	go door.Run(ctx)
+	server := &http.Server{
+		Handler: door.Handler(a.adminHandler()), ConnContext: doorway.ConnContext,
+		ReadHeaderTimeout: adminHeaderTimeout, IdleTimeout: adminIdleTimeout, MaxHeaderBytes: adminHeaderBytes,
+	}
 	defer server.Close()
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(a.deps.Security.WrapListener(admin)) }()
+	go func() { failed <- server.Serve(a.deps.Security.WrapListener(door.Guard(admin))) }()
 	go a.runTicker(ctx)
 	a.sessions.connectConfigured(ctx, a.deps.Config.Agent().Entries)
 	klog.InfoS("CH0011 agent started", "agent", a.id, "endpoint", a.deps.Config.Agent().Endpoint, "admin", admin.Addr())
--- a/node/dispatcher/session.go
+++ b/node/dispatcher/session.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/corianderhook/corianderhook/common/recovery"
+	"github.com/corianderhook/corianderhook/connection/doorway"
 	"github.com/corianderhook/corianderhook/connection/outbox"
 	"github.com/corianderhook/corianderhook/connection/peer"
 	"github.com/corianderhook/corianderhook/process/metrics"
@@ -30,7 +31,7 @@
 )
 
 func serverOptions(m *metrics.Metrics) []grpc.ServerOption {
-	return append(recovery.ServerOptions(m.CountUnexpectedError),
+	return append(append(recovery.ServerOptions(m.CountUnexpectedError), doorway.ServerOptions()...),
 		grpc.InitialWindowSize(peer.WindowBytes),
 		grpc.InitialConnWindowSize(peer.WindowBytes),
 		grpc.MaxRecvMsgSize(peer.MaxMessageBytes),
--- a/node/entry/admin.go
+++ b/node/entry/admin.go
@@ -19,6 +19,9 @@
 
 const (
 	adminHeaderTimeout = 5 * time.Second
+	// adminIdleTimeout applies to an unused connection, adminHeaderBytes to the headers.
+	adminIdleTimeout = 2 * time.Minute
+	adminHeaderBytes = 16 << 10
 	// statusTimeout bounds how long a status request waits for the owner actor.
 	statusTimeout = 2 * time.Second
 	// auditTimeout bounds how long an operator's request, or a planned stop, waits for the
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -21,6 +21,7 @@
 
 	"github.com/corianderhook/corianderhook/common/instance"
 	"github.com/corianderhook/corianderhook/common/stopper"
+	"github.com/corianderhook/corianderhook/connection/doorway"
 	"github.com/corianderhook/corianderhook/connection/guard"
 	"github.com/corianderhook/corianderhook/connection/logclient"
 	"github.com/corianderhook/corianderhook/connection/peer"
@@ -100,6 +101,10 @@
 	callerServer *http.Server
 	adminServer  *http.Server
 	stopper      *stopper.Stopper
+	// callerDoor, adminDoor and processDoor bound what the clients of each listener hold.
+	callerDoor  *doorway.Doorway
+	adminDoor   *doorway.Doorway
+	processDoor *doorway.Doorway
 }
 
 // New returns an entry that has not started.
@@ -133,6 +138,10 @@
 	e.published.Store(&initial)
 	emptyTable := ownership.New().Snapshot()
 	e.table.Store(&emptyTable)
+	allotment := doorway.Allot(c)
+	e.callerDoor = doorway.New("callers", allotment.Callers(), deps.Clock, e.metrics)
+	e.adminDoor = doorway.New("administration", allotment.Probes(), deps.Clock, e.metrics)
+	e.processDoor = doorway.New("processes", allotment.Processes(), deps.Clock, e.metrics, doorway.ForMessages(c.SilenceTimeout()))
 	var pass func()
 	if deps.Gate != nil {
 		pass = deps.Gate.Pass
@@ -204,21 +213,28 @@
 	defer e.stopper.MarkStopped()
 	defer cancel()
 	defer e.deps.System.Root.Stop(e.owner)
-	e.grpcServer = grpc.NewServer(
+	e.grpcServer = grpc.NewServer(append(doorway.ServerOptions(),
 		grpc.Creds(e.deps.Security.ServerCredentials()),
 		grpc.InitialWindowSize(peer.WindowBytes),
 		grpc.InitialConnWindowSize(peer.WindowBytes),
 		grpc.MaxRecvMsgSize(peer.MaxMessageBytes),
 		grpc.MaxSendMsgSize(peer.MaxMessageBytes),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: e.deps.Config.SilenceTimeout(), Timeout: e.deps.Config.SilenceTimeout()}),
-	)
+	)...)
 	wire.RegisterEntryServer(e.grpcServer, &service{entry: e})
 	e.callerServer = gateway.New(e.router, e, e.deps.Clock).Server()
-	e.adminServer = &http.Server{Handler: e.adminHandler(), ReadHeaderTimeout: adminHeaderTimeout}
+	e.callerServer.Handler, e.callerServer.ConnContext = e.callerDoor.Handler(e.callerServer.Handler), doorway.ConnContext
+	e.adminServer = &http.Server{
+		Handler: e.adminDoor.Handler(e.adminHandler()), ConnContext: doorway.ConnContext,
+		ReadHeaderTimeout: adminHeaderTimeout, IdleTimeout: adminIdleTimeout, MaxHeaderBytes: adminHeaderBytes,
+	}
 	failed := make(chan error, 3)
-	go func() { failed <- e.grpcServer.Serve(l.Processes) }()
-	go func() { failed <- e.callerServer.Serve(e.deps.Security.WrapListener(l.Callers)) }()
-	go func() { failed <- e.adminServer.Serve(e.deps.Security.WrapListener(l.Admin)) }()
+	go func() { failed <- e.grpcServer.Serve(e.processDoor.Guard(l.Processes)) }()
+	go func() { failed <- e.callerServer.Serve(e.deps.Security.WrapListener(e.callerDoor.Guard(l.Callers))) }()
+	go func() { failed <- e.adminServer.Serve(e.deps.Security.WrapListener(e.adminDoor.Guard(l.Admin))) }()
+	for _, door := range []*doorway.Doorway{e.callerDoor, e.adminDoor, e.processDoor} {
+		go door.Run(ctx)
+	}
 	go e.auditTrail.Run(ctx)
 	go e.followConfigStream(ctx)
 	go e.followOwnershipStream(ctx)
--- a/node/entry/publish.go
+++ b/node/entry/publish.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/corianderhook/corianderhook/connection/doorway"
 	"github.com/corianderhook/corianderhook/connection/guard"
 	"github.com/corianderhook/corianderhook/process/audit"
 	"github.com/corianderhook/corianderhook/version/publication"
@@ -51,7 +52,12 @@
 	var request PublishRequest
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxConfigBytes))
 	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&request); err != nil {
+	err := decoder.Decode(&request)
+	if refusal := doorway.RefusalOf(err); refusal != nil {
+		writeJSON(w, refusal.Status(w.Header()), PublishAnswer{Reason: refusal.Error()})
+		return
+	}
+	if err != nil {
 		writeJSON(w, http.StatusBadRequest, PublishAnswer{Reason: "the body is not a change: " + err.Error()})
 		return
 	}
--- a/process/metrics/metrics.go
+++ b/process/metrics/metrics.go
@@ -35,6 +35,7 @@
 	endpointCrashes  prometheus.Counter
 	stallSeconds     prometheus.Counter
 	unexpectedErrors *prometheus.CounterVec
+	turnedAway       *prometheus.CounterVec
 	mu               sync.Mutex
 	wastedTotals     map[string]uint64
 }
@@ -76,19 +77,27 @@
 		unexpectedErrors: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "corianderhook_unexpected_errors_total", Help: "Messages whose handling ended with an unexpected error, by place.",
 		}, []string{"where"}),
+		turnedAway: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "corianderhook_turned_away_total", Help: "Connections and requests ended before a request was received, by listener and reason.",
+		}, []string{"listener", "reason"}),
 		wastedTotals: map[string]uint64{},
 		configVersion: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "corianderhook_config_version", Help: "Configuration version in force.",
 		}),
 	}
 	m.registerTaskMetrics()
-	m.registry.MustRegister(m.jobs, m.refusals, m.inquiries, m.tasksStarted, m.jobSeconds, m.startWait, m.tasksWaiting, m.ownershipSlots, m.wastedMessages, m.configVersion, m.unexpectedErrors)
+	m.registry.MustRegister(m.jobs, m.refusals, m.inquiries, m.tasksStarted, m.jobSeconds, m.startWait, m.tasksWaiting, m.ownershipSlots, m.wastedMessages, m.configVersion, m.unexpectedErrors, m.turnedAway)
 	return m
 }
 
 // CountUnexpectedError counts a message whose handling panicked, by place.
 func (m *Metrics) CountUnexpectedError(where string) { m.unexpectedErrors.WithLabelValues(where).Inc() }
 
+// CountTurnedAway counts a connection or request that was ended before a request was received.
+func (m *Metrics) CountTurnedAway(listener, reason string) {
+	m.turnedAway.WithLabelValues(listener, reason).Inc()
+}
+
 // Handler returns the HTTP handler that serves the metrics.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -50,6 +50,16 @@
 	AuthorizeCaller(team, token string) error
 }
 
+// countedBody is a body whose bytes the server counts while the job is held.
+type countedBody interface{ Keep(bytes int) }
+
+// bodyRefusal is the error of reading a body that the server does not receive to its end.
+type bodyRefusal interface {
+	error
+	// Status returns the HTTP status and sets the headers that belong to it.
+	Status(h http.Header) int
+}
+
 // Gateway handles the requests of callers.
 type Gateway struct {
 	authorizer Authorizer
@@ -99,11 +109,14 @@
 		writeInvalid(w, err)
 		return
 	}
-	s, err := submission.Read(r.Body, team, key)
+	s, err := readSubmission(r, team, key)
 	if err != nil {
-		writeInvalid(w, err)
+		writeUnread(w, err)
 		return
 	}
+	if body, ok := r.Body.(countedBody); ok {
+		body.Keep(s.PayloadBytes())
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), wait+ownerLookupTime)
 	defer cancel()
 	writeAnswer(w, key, g.router.Submit(ctx, s, rcpt, g.clock.Now().Add(wait)))
@@ -115,6 +128,31 @@
 	writeAnswer(w, "", answer.New(outcome.NotRun, "invalid", err.Error()))
 }
 
+// readSubmission reads a job. A body that is announced with more than the limit is not read.
+func readSubmission(r *http.Request, team, key string) (*submission.Submission, error) {
+	if r.ContentLength > submission.MaxBodyBytes {
+		return nil, submission.ErrTooLarge
+	}
+	return submission.Read(r.Body, team, key)
+}
+
+// writeUnread rejects a request whose body has not been read, or is not a job. The rest of the
+// body is not read.
+func writeUnread(w http.ResponseWriter, err error) {
+	var refusal bodyRefusal
+	switch {
+	case errors.As(err, &refusal) && refusal.Status(w.Header()) == http.StatusRequestTimeout:
+		writeAnswer(w, "", answer.New(outcome.NotRun, "incomplete", refusal.Error()))
+	case errors.As(err, &refusal):
+		writeAnswer(w, "", answer.New(outcome.NotRun, "overload", refusal.Error()))
+	case errors.Is(err, submission.ErrTooLarge):
+		w.Header().Set("Connection", "close")
+		writeAnswer(w, "", answer.New(outcome.NotRun, "too-large", err.Error()))
+	default:
+		writeInvalid(w, err)
+	}
+}
+
 // writeUnauthenticated rejects a caller without the team's token. The answer does
 // not reveal whether the job exists.
 func writeUnauthenticated(w http.ResponseWriter, o outcome.Outcome, err error) {
@@ -194,6 +232,8 @@
 var statusByReason = map[string]int{
 	"unauthenticated":  http.StatusUnauthorized,
 	"invalid":          http.StatusBadRequest,
+	"incomplete":       http.StatusRequestTimeout,
+	"too-large":        http.StatusRequestEntityTooLarge,
 	"key-conflict":     http.StatusUnprocessableEntity,
 	"key-expired":      http.StatusUnprocessableEntity,
 	"unknown-team":     http.StatusForbidden,
--- a/request/submission/submission.go
+++ b/request/submission/submission.go
@@ -12,6 +12,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
+
+	"github.com/corianderhook/corianderhook/common/segment"
 )
 
 const (
@@ -25,6 +27,9 @@
 	MaxDeadline = 10 * time.Minute
 )
 
+// ErrTooLarge means that a body is larger than MaxBodyBytes.
+var ErrTooLarge = fmt.Errorf("body is larger than %d bytes", MaxBodyBytes)
+
 // Submission is a validated job as a caller sent it. It is immutable.
 type Submission struct {
 	team     string
@@ -51,12 +56,12 @@
 	if err := CheckNames(team, key); err != nil {
 		return nil, err
 	}
-	raw, err := io.ReadAll(io.LimitReader(body, MaxBodyBytes+1))
+	raw, err := segment.ReadAll(io.LimitReader(body, MaxBodyBytes+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "body was cut off")
 	}
 	if len(raw) > MaxBodyBytes {
-		return nil, fmt.Errorf("body is larger than %d bytes", MaxBodyBytes)
+		return nil, ErrTooLarge
 	}
 	doc, err := decode(raw)
 	if err != nil {
@@ -174,6 +179,14 @@
 // Payloads returns the JSON text of each task.
 func (s *Submission) Payloads() [][]byte { return s.payloads }
 
+// PayloadBytes returns the size of all payloads.
+func (s *Submission) PayloadBytes() (bytes int) {
+	for _, p := range s.payloads {
+		bytes += len(p)
+	}
+	return bytes
+}
+
 // TaskCount returns the number of tasks.
 func (s *Submission) TaskCount() int { return len(s.payloads) }
 
