--- a/lab/hostile/hostile_test.go
+++ b/lab/hostile/hostile_test.go
@@ -186,8 +186,8 @@
 	t.Helper()
 	address := s.addresses[listener]
 	attack(t, address, c)
+	s.settle(t)
 	for _, of := range s.processes {
-		of.settle(t)
 		of.check(t, s.fds)
 	}
 	checkAnswered(t, "a job", s.job)
@@ -199,6 +199,22 @@
 	}
 }
 
+// settle waits until the processes accept no further connections.
+func (s *system) settle(t *testing.T) {
+	t.Helper()
+	for n, last := 0, -1; n < 10; n++ {
+		now := 0
+		for _, p := range s.processes {
+			now += p.openDescriptors(t)
+		}
+		if now == last {
+			return
+		}
+		last = now
+		time.Sleep(time.Second)
+	}
+}
+
 // listeners of a system, with what is sent to them.
 type listeners map[string]struct {
 	target target
@@ -255,3 +271,25 @@
 func TestEntryOutlivesHostileMessages(t *testing.T) {
 	playMessages(t, startProduct, "/corianderhook.wire.Entry/Submit")
 }
+
+// A single request with the largest legal body is served in calm, however it is sent.
+func TestLargestRequestIsServed(t *testing.T) {
+	for _, length := range []int64{bodyBytes, -1} {
+		s := startPlatform(t, descriptors)
+		job := caller.Job{ID: "00000000000000aa", Tasks: 1, RunTime: 20 * time.Millisecond, CPU: 100}
+		body := job.Body() + strings.Repeat(" ", bodyBytes-len(job.Body()))
+		r, err := http.NewRequest(http.MethodPost, "http://"+s.addresses["callers"]+operator.Prefix+job.ID, io.NopCloser(strings.NewReader(body)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Host, r.ContentLength = operator.Host, length
+		response, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		response.Body.Close()
+		if response.StatusCode != http.StatusOK {
+			t.Errorf("a body of %d bytes, announced with %d, has status %d", len(body), length, response.StatusCode)
+		}
+	}
+}
--- a/lab/hostile/process_test.go
+++ b/lab/hostile/process_test.go
@@ -13,7 +13,6 @@
 	"strings"
 	"syscall"
 	"testing"
-	"time"
 )
 
 const (
@@ -138,19 +137,6 @@
 	return len(open)
 }
 
-// settle waits until the process accepts no further connections.
-func (p *process) settle(t *testing.T) {
-	t.Helper()
-	for n, last := 0, -1; n < 10; n++ {
-		now := p.openDescriptors(t)
-		if now == last {
-			return
-		}
-		last = now
-		time.Sleep(time.Second)
-	}
-}
-
 // peakMemory returns the largest resident memory so far.
 func (p *process) peakMemory(t *testing.T) int {
 	t.Helper()
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -137,14 +137,14 @@
 }
 
 // writeUnread rejects a request whose body has not been read, or is not a job. The rest of the
-// body is not read.
+// body is not read. Like those of writeInvalid, the answers have no key.
 func writeUnread(w http.ResponseWriter, err error) {
 	var refusal bodyRefusal
 	switch {
 	case errors.As(err, &refusal) && refusal.Status(w.Header()) == http.StatusRequestTimeout:
 		writeAnswer(w, "", answer.New(outcome.NotRun, "incomplete", refusal.Error()))
 	case errors.As(err, &refusal):
-		writeAnswer(w, "", answer.New(outcome.NotRun, "overload", refusal.Error()))
+		writeAnswer(w, "", answer.New(outcome.NotRun, "no-room", refusal.Error()))
 	case errors.Is(err, submission.ErrTooLarge):
 		w.Header().Set("Connection", "close")
 		writeAnswer(w, "", answer.New(outcome.NotRun, "too-large", err.Error()))
--- a/request/gateway/gateway_test.go
+++ b/request/gateway/gateway_test.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
 	"github.com/corianderhook/corianderhook/request/answer"
 	"github.com/corianderhook/corianderhook/request/gateway"
@@ -110,6 +113,50 @@
 	}
 }
 
+// refusal is the error of a body that is not received to its end.
+type refusal int
+
+func (r refusal) Error() string { return "refused" }
+
+func (r refusal) Status(h http.Header) int {
+	h.Set("Connection", "close")
+	return int(r)
+}
+
+// A body that is not received to its end, or is announced with too much, is not submitted, and the
+// answer names no key, as it says nothing about other requests with it.
+func TestUnreceivedBodyIsNotSubmitted(t *testing.T) {
+	for name, c := range map[string]struct {
+		body   io.Reader
+		length int64
+		code   int
+		reason string
+	}{
+		"stalled":   {iotest.ErrReader(refusal(http.StatusRequestTimeout)), -1, 408, "incomplete"},
+		"no room":   {iotest.ErrReader(refusal(http.StatusServiceUnavailable)), -1, 503, "no-room"},
+		"too large": {iotest.ErrReader(errors.New("the body must not be read")), submission.MaxBodyBytes + 1, 413, "too-large"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := is.New(t)
+			r := &fakeRouter{}
+			request := httptest.NewRequest(http.MethodPost, "/v1/jobs", c.body)
+			request.ContentLength = c.length
+			request.Header.Set(gateway.HeaderKey, "key")
+			request.Header.Set(gateway.HeaderTeam, "team")
+			w := httptest.NewRecorder()
+			gateway.New(r, r, clockwork.NewFakeClock()).Handler().ServeHTTP(w, request)
+			var doc gateway.Document
+			i.NoErr(json.Unmarshal(w.Body.Bytes(), &doc))
+			i.Equal(w.Code, c.code)
+			i.Equal(doc.Reason, c.reason)
+			i.Equal(doc.Outcome, "not_run")
+			i.Equal(doc.Job, "")
+			i.Equal(w.Header().Get("Connection"), "close")
+			i.Equal(r.submissions, 0)
+		})
+	}
+}
+
 func TestResultsAreReturnedAsJSON(t *testing.T) {
 	is := is.New(t)
 	a := answer.New(outcome.Complete, "complete", "").WithTasks(2, []*wire.TaskRecord{
