--- a/connection/doorway/body.go
+++ b/connection/doorway/body.go
@@ -82,15 +82,25 @@
 		case r.ContentLength == 0:
 			d.serve(c, next, w, r)
 		default:
-			defer func() { d.intake.Wait(c.visitor, d.clock.Now()) }()
+			counted, b := *r, &body{ReadCloser: r.Body, connection: c}
+			counted.Body = b
 			d.intake.Receive(c.visitor, 0, d.clock.Now())
-			counted := *r
-			counted.Body = &body{ReadCloser: r.Body, connection: c}
+			defer d.finish(b)
 			next.ServeHTTP(w, &counted)
 		}
 	})
 }
 
+// finish notes that a request has been answered. The server skips what its handler has not read of
+// the body, for which the client has as long as for the rest.
+func (d *Doorway) finish(b *body) {
+	if b.complete {
+		d.intake.Wait(b.connection.visitor, d.clock.Now())
+		return
+	}
+	d.intake.Keep(b.connection.visitor, 0)
+}
+
 func (d *Doorway) serve(c *connection, next http.Handler, w http.ResponseWriter, r *http.Request) {
 	defer func() { d.intake.Wait(c.visitor, d.clock.Now()) }()
 	if d.intake.Serve(c.visitor, d.clock.Now()) {
--- a/connection/doorway/doorway.go
+++ b/connection/doorway/doorway.go
@@ -19,6 +19,8 @@
 const (
 	// tickInterval is the time between two looks for stalled requests, and between two log lines.
 	tickInterval = time.Second
+	// maxTickGap is the time between two looks after which the process has stood still.
+	maxTickGap = 3 * tickInterval / 2
 	// receiveBufferBytes is what the kernel holds of a connection that is not being read. The
 	// kernel doubles it.
 	receiveBufferBytes = 16 << 10
@@ -65,12 +67,18 @@
 func (d *Doorway) Run(ctx context.Context) {
 	ticker := d.clock.NewTicker(tickInterval)
 	defer ticker.Stop()
+	last := d.clock.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.Chan():
-			d.intake.Sweep(d.clock.Now())
+			now := d.clock.Now()
+			// After a pause of the process, what has arrived meanwhile has to be read first.
+			if now.Sub(last) < maxTickGap {
+				d.intake.Sweep(now)
+			}
+			last = now
 			d.log()
 		}
 	}
--- a/connection/doorway/doorway_test.go
+++ b/connection/doorway/doorway_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
 	"github.com/corianderhook/corianderhook/connection/intake"
 )
@@ -34,6 +35,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go door.Run(ctx)
 	server := &http.Server{ConnContext: ConnContext, Handler: door.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/unread" {
+			return
+		}
 		text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 1024))
 		switch refusal := RefusalOf(err); {
 		case refusal != nil:
@@ -123,6 +127,17 @@
 	i.Equal(status(t, stalled), http.StatusRequestTimeout)
 }
 
+// A body that its handler does not read, and that does not come, ends its connection.
+func TestUnreadBodyHasToCome(t *testing.T) {
+	i := is.New(t)
+	address := startServer(t, intake.NewLimits(10, 1<<20, time.Second, time.Minute), &counter{})
+	c := open(t, address, strings.Replace(post, "POST /", "POST /unread", 1)+"x")
+	i.NoErr(c.SetReadDeadline(time.Now().Add(30 * time.Second)))
+	_, err := io.Copy(io.Discard, c)
+	var timeout net.Error
+	i.True(!errors.As(err, &timeout) || !timeout.Timeout())
+}
+
 // A connection serves several requests, and an idle one makes room for another.
 func TestIdleConnectionMakesRoom(t *testing.T) {
 	i := is.New(t)
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -30,10 +30,10 @@
 	maxWaitTime     = 5 * time.Minute
 	// ownerLookupTime is added to the wait, so that the owner can still be found.
 	ownerLookupTime = 3 * time.Second
-	// readHeaderTimeout and readTimeout limit how long a caller may take to send
-	// the headers and the whole request.
+	// readHeaderTimeout limits how long a caller may take to send the headers, idleTimeout how
+	// long a connection stays open without a request.
 	readHeaderTimeout = 5 * time.Second
-	readTimeout       = 30 * time.Second
+	idleTimeout       = 2 * time.Minute
 	// maxHeaderBytes limits the size of the headers of a request.
 	maxHeaderBytes = 16 << 10
 )
@@ -72,12 +72,12 @@
 	return &Gateway{router: router, authorizer: authorizer, clock: clock}
 }
 
-// Server returns an HTTP server with the gateway's limits.
+// Server returns an HTTP server with the gateway's limits. Its listener bounds the bodies.
 func (g *Gateway) Server() *http.Server {
 	return &http.Server{
 		Handler:           g.Handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       readTimeout,
+		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
 }
