--- a/version/config/fields.go
+++ b/version/config/fields.go
@@ -80,6 +80,7 @@
 			{Key: "slowness", Default: "off", Unit: "on or off", Doc: "Whether an endpoint counts as slow by the runs that are under way, and what waits there is taken back.", set: setSwitch(func(b *builder) *bool { return &b.c.sharing.Slowness })},
 			{Key: "recovery", Default: "off", Unit: "on or off", Doc: "Whether dispatchers keep copies of what operators have published, for those that start while the operators' topic of the store does not answer.", set: setSwitch(func(b *builder) *bool { return &b.c.sharing.Recovery })},
 		}},
+		intakeSection(),
 	}
 }
 
