Ask the registrars of a job before it is submitted

Change: the ID of a job names two registrars among the known dispatchers. Each submission claims the job at the first one; the second one, and the ends, are told with later frames. Switch: [sharing] holders.

--- a/node/dispatcher/cancellations.go
+++ b/node/dispatcher/cancellations.go
@@ -21,6 +21,9 @@
 // not answer, it may hold the job: its sidecars, and the rounds, tell it later.
 func (d *Dispatcher) Cancel(ctx context.Context, id string) bool {
 	if d.cancelHere(ctx, id) {
+		if d.holders != nil {
+			d.holders.cancel(id)
+		}
 		return true
 	}
 	// This looks once more for the job, which may have been submitted meanwhile.
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -66,6 +66,8 @@
 	// Decode parses a configuration received from another dispatcher.
 	Decode  func(text []byte) (*catalog.Catalog, error)
 	Metrics *metrics.Metrics
+	// Holders has the registrars of a job asked before it is submitted.
+	Holders bool
 }
 
 // Dispatcher is a dispatcher process. It is safe for concurrent use.
@@ -85,10 +87,12 @@
 	// inquiries holds the jobs that other dispatchers may ask about.
 	inquiries *inquiry.Log
 	inquirer  *inquirer
-	peers     *peers
-	pressure  cpupressure.Monitor
-	stalls    *stall.Monitor
-	usage     usage.Meter
+	// holders is nil if registrars are not asked.
+	holders  *holders
+	peers    *peers
+	pressure cpupressure.Monitor
+	stalls   *stall.Monitor
+	usage    usage.Meter
 	// usageReporter is used by the ticker only.
 	usageReporter *usage.Reporter
 	draining      atomic.Bool
@@ -126,6 +130,9 @@
 	}
 	d.inquiries = inquiry.New(d.incarnation, runner.OrphanTime())
 	d.inquirer = newInquirer(d)
+	if deps.Holders {
+		d.holders = newHolders(d)
+	}
 	d.metrics.RegisterGauge("corianderhook_jobs_under_way", "Jobs that have been taken and not answered.", func() float64 { return float64(d.jobCount.Load()) })
 	d.metrics.RegisterGauge("corianderhook_agents_attached", "Agents with a session.", func() float64 { return float64(d.agentCount.Load()) })
 	d.quarantines.Store(&[]*wire.Quarantine{})
--- /dev/null
+++ b/node/dispatcher/holder_link.go
@@ -0,0 +1,246 @@
+package dispatcher
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/corianderhook/corianderhook/common/address"
+	"github.com/corianderhook/corianderhook/process/usage"
+	"github.com/corianderhook/corianderhook/sharing/holder/register"
+	"github.com/corianderhook/corianderhook/wire"
+)
+
+const (
+	// noteLag is how long a note waits for a claim to be sent with: a caller sends its job again
+	// after several times as long.
+	noteLag = 300 * time.Millisecond
+	// maxQueuedClaims and maxQueuedNotes limit what waits for a stream that is stuck.
+	maxQueuedClaims = 256
+	maxQueuedNotes  = 4096
+)
+
+// registrarAnswer is the answer of a registrar to a claim.
+type registrarAnswer struct {
+	// failed means that there is none, and gone that it cannot come.
+	failed, gone bool
+	state        register.State
+	holders      []string
+	knows        time.Duration
+}
+
+// pendingClaim is a claim without an answer.
+type pendingClaim struct {
+	job    string
+	hold   time.Duration
+	answer chan registrarAnswer
+}
+
+// holderLink carries the claims and notes of this dispatcher to one registrar.
+type holderLink struct {
+	dispatcher *Dispatcher
+	address    string
+	wake       chan struct{}
+	mu         sync.Mutex
+	claims     []pendingClaim
+	notes      []*wire.HolderNote
+	noteTimer  bool
+	// sent holds the claims that may still be answered, by the number of their frame.
+	sent       map[uint64][]pendingClaim
+	lastNumber uint64
+	closed     bool
+}
+
+func newHolderLink(d *Dispatcher, address string) *holderLink {
+	return &holderLink{dispatcher: d, address: address, wake: make(chan struct{}, 1), sent: map[uint64][]pendingClaim{}}
+}
+
+// claim sends a claim. What waits for the registrar is sent in one frame.
+func (l *holderLink) claim(job string, hold time.Duration) <-chan registrarAnswer {
+	p := pendingClaim{job: job, hold: hold, answer: make(chan registrarAnswer, 1)}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed || len(l.claims) >= maxQueuedClaims {
+		p.answer <- registrarAnswer{failed: true, gone: l.closed}
+		return p.answer
+	}
+	l.claims = append(l.claims, p)
+	l.signal()
+	return p.answer
+}
+
+// note sends a note with the next claim, or after noteLag.
+func (l *holderLink) note(n *wire.HolderNote) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed || len(l.notes) >= maxQueuedNotes {
+		return
+	}
+	l.notes = append(l.notes, n)
+	if !l.noteTimer {
+		l.noteTimer = true
+		l.dispatcher.deps.Clock.AfterFunc(noteLag, func() {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			l.noteTimer = false
+			if len(l.notes) > 0 {
+				l.signal()
+			}
+		})
+	}
+}
+
+func (l *holderLink) signal() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run opens the stream and serves it until it fails or the context ends. Lacking means that the
+// other dispatcher takes no part.
+func (l *holderLink) run(ctx context.Context) (lacking bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	conn, err := l.dispatcher.peers.conn(l.address)
+	if err != nil {
+		return false, err
+	}
+	stream, err := wire.NewDispatcherClient(conn).Holders(ctx)
+	if err != nil {
+		return false, err
+	}
+	received := make(chan error, 1)
+	go func() { received <- l.receive(stream) }()
+	first := true
+	for {
+		select {
+		case err := <-received:
+			return status.Code(err) == codes.Unimplemented, err
+		case <-l.wake:
+			if err := l.flush(stream, first); err != nil {
+				// A failed stream tells its error to the receiver.
+				err = <-received
+				return status.Code(err) == codes.Unimplemented, err
+			}
+			first = false
+		}
+	}
+}
+
+// flush sends what waits.
+func (l *holderLink) flush(stream grpc.BidiStreamingClient[wire.HolderFrame, wire.HolderReply], first bool) error {
+	l.mu.Lock()
+	f := &wire.HolderFrame{Notes: l.notes}
+	l.notes = nil
+	if first {
+		f.Address, f.Incarnation = l.dispatcher.deps.Address, l.dispatcher.incarnation
+	}
+	if len(l.claims) > 0 {
+		l.lastNumber++
+		f.Number = l.lastNumber
+		for _, c := range l.claims {
+			f.Claims = append(f.Claims, &wire.HolderClaim{Job: c.job, HoldMs: milliseconds(c.hold)})
+		}
+		l.sent[f.GetNumber()] = l.claims
+		l.claims = nil
+	}
+	l.mu.Unlock()
+	l.dispatcher.usage.Add(usage.InquirySent, 1)
+	return stream.Send(f)
+}
+
+// receive passes on answers until the stream fails.
+func (l *holderLink) receive(stream grpc.BidiStreamingClient[wire.HolderFrame, wire.HolderReply]) error {
+	for {
+		reply, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		l.dispatcher.usage.Add(usage.InquiryReceived, 1)
+		l.dispatcher.holders.directory.Answered(l.address)
+		l.mu.Lock()
+		claims := l.sent[reply.GetNumber()]
+		// A stream keeps its order, so that earlier frames have been answered.
+		delete(l.sent, reply.GetNumber())
+		l.mu.Unlock()
+		for n, c := range claims {
+			c.answer <- answerAt(reply, n)
+		}
+	}
+}
+
+// answerAt returns the answer to the n-th claim of a frame.
+func answerAt(reply *wire.HolderReply, n int) registrarAnswer {
+	if n >= len(reply.GetAnswers()) {
+		return registrarAnswer{failed: true}
+	}
+	a := reply.GetAnswers()[n]
+	s, known := register.FromWire(a.GetState())
+	return registrarAnswer{failed: !known, state: s, holders: a.GetHolders(), knows: time.Duration(reply.GetKnowsMs()) * time.Millisecond}
+}
+
+// close fails the claims without an answer. Nothing can be sent afterwards.
+func (l *holderLink) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	for _, claims := range l.sent {
+		l.claims = append(l.claims, claims...)
+	}
+	for _, c := range l.claims {
+		c.answer <- registrarAnswer{failed: true, gone: true}
+	}
+	l.claims, l.sent, l.notes = nil, nil, nil
+}
+
+// Holders serves the claims and notes of another dispatcher on a stream.
+func (v *service) Holders(stream grpc.BidiStreamingServer[wire.HolderFrame, wire.HolderReply]) error {
+	h := v.dispatcher.holders
+	if h == nil {
+		return status.Error(codes.Unimplemented, "this dispatcher takes no part")
+	}
+	from := ""
+	for {
+		f, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		v.dispatcher.usage.Add(usage.InquiryReceived, 1)
+		if from == "" {
+			if from = f.GetAddress(); !address.Valid(from) {
+				return status.Errorf(codes.InvalidArgument, "address %q is not valid", from)
+			}
+		}
+		for _, n := range f.GetNotes() {
+			h.learn(from, n)
+		}
+		if len(f.GetClaims()) == 0 {
+			continue
+		}
+		v.dispatcher.usage.Add(usage.InquirySent, 1)
+		if err := stream.Send(h.answer(from, f)); err != nil {
+			return err
+		}
+	}
+}
+
+// answer answers the claims of a frame.
+func (h *holders) answer(from string, f *wire.HolderFrame) *wire.HolderReply {
+	now := h.dispatcher.deps.Clock.Now()
+	reply := &wire.HolderReply{Number: f.GetNumber(), KnowsMs: uint32(min(h.register.Knows(now), time.Hour).Milliseconds())}
+	for _, c := range f.GetClaims() {
+		s, others := h.register.Claim(c.GetJob(), from, time.Duration(c.GetHoldMs())*time.Millisecond, now)
+		reply.Answers = append(reply.Answers, &wire.HolderAnswer{State: s.Wire(), Holders: others})
+	}
+	return reply
+}
--- /dev/null
+++ b/node/dispatcher/holders.go
@@ -0,0 +1,366 @@
+package dispatcher
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"net"
+
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/corianderhook/corianderhook/process/inquiry"
+	"github.com/corianderhook/corianderhook/process/runner"
+	"github.com/corianderhook/corianderhook/request/outcome"
+	"github.com/corianderhook/corianderhook/sharing/holder/claim"
+	"github.com/corianderhook/corianderhook/sharing/holder/directory"
+	"github.com/corianderhook/corianderhook/sharing/holder/register"
+	"github.com/corianderhook/corianderhook/wire"
+)
+
+const (
+	// registrarTimeout limits the wait for the answer of one registrar.
+	registrarTimeout = 75 * time.Millisecond
+	// refusalTimeout limits the wait for a machine to refuse a connection to a process that is gone.
+	refusalTimeout = 75 * time.Millisecond
+	// addressesTTL is how long the known addresses are used without a look at the list.
+	addressesTTL = 100 * time.Millisecond
+)
+
+// holders sees to it that a job that reaches several dispatchers runs at one of them: each asks the
+// registrars of the job before it submits it.
+type holders struct {
+	dispatcher *Dispatcher
+	register   *register.Register
+	directory  *directory.Directory
+	mu         sync.Mutex
+	links      map[string]*holderLink
+	// taken holds the jobs of this dispatcher.
+	taken       map[string]*takenJob
+	addresses   []string
+	addressesAt time.Time
+	closed      bool
+}
+
+// takenJob is a job that this dispatcher has been granted.
+type takenJob struct {
+	// requests counts those in hand.
+	requests int
+	until    time.Time
+	choice   directory.Choice
+	claimed  []string
+}
+
+func newHolders(d *Dispatcher) *holders {
+	h := &holders{
+		dispatcher: d, register: register.New(d.deps.Clock.Now()), directory: directory.New(),
+		links: map[string]*holderLink{}, taken: map[string]*takenJob{},
+	}
+	d.metrics.RegisterGauge("corianderhook_registered_jobs", "Jobs that this process remembers as a registrar.", func() float64 { return float64(h.register.Jobs()) })
+	return h
+}
+
+// take asks the registrars of a job for it. If it is granted, leave has to be called with its
+// outcome.
+func (h *holders) take(ctx context.Context, job string, budget time.Duration) claim.Verdict {
+	began := h.dispatcher.deps.Clock.Now()
+	switch h.register.EndOf(job, began) {
+	case register.Canceled:
+		return h.concluded(job, claim.Canceled)
+	case register.Completed:
+		return h.concluded(job, claim.Completed)
+	}
+	if h.joins(job) {
+		return h.concluded(job, claim.Granted)
+	}
+	hold := budget + runner.OrphanTime()
+	choice := h.directory.Choose(job, h.known(began), began)
+	c := claim.New(choice.Asked)
+	for r, more := c.Next(); more && ctx.Err() == nil; r, more = c.Next() {
+		h.ask(ctx, c, r, job, hold)
+	}
+	holding := inquiry.NotHeld
+	for _, a := range c.Holders() {
+		holding = worse(holding, h.askHolder(ctx, job, a, began))
+	}
+	v := c.Conclude(holding)
+	if ctx.Err() != nil {
+		v = claim.Unsure
+	}
+	if v == claim.Granted {
+		h.keep(job, &takenJob{until: began.Add(hold), choice: choice, claimed: c.Claimed()}, len(c.Holders()) > 0)
+	} else {
+		h.tell(c.Claimed(), &wire.HolderNote{Job: job, State: register.Free.Wire()})
+	}
+	if v != claim.Granted || len(c.Holders()) > 0 || len(c.Claimed()) == 0 && len(choice.Asked) > 0 {
+		klog.InfoS("CH1060 registrars asked for a job", "entry", h.dispatcher.deps.Name, "job", job, "verdict", v, "registrars", choice.Asked, "answered", c.Claimed(),
+			"missed", choice.Missed, "holders", c.Holders(), "holding", holding, "took", h.dispatcher.deps.Clock.Since(began))
+	}
+	return h.concluded(job, v)
+}
+
+func (h *holders) concluded(job string, v claim.Verdict) claim.Verdict {
+	h.dispatcher.metrics.CountClaim(v.String())
+	if v == claim.Completed || v == claim.Canceled {
+		klog.InfoS("CH1061 job had ended before", "entry", h.dispatcher.deps.Name, "job", job, "verdict", v)
+	}
+	return v
+}
+
+// worse returns what two holders have answered together.
+func worse(a, b inquiry.Holding) inquiry.Holding {
+	switch {
+	case a == inquiry.Held || b == inquiry.Held:
+		return inquiry.Held
+	case a == inquiry.Unknown || b == inquiry.Unknown:
+		return inquiry.Unknown
+	default:
+		return inquiry.NotHeld
+	}
+}
+
+// joins counts a request for a job that this dispatcher has.
+func (h *holders) joins(job string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	t, taken := h.taken[job]
+	if taken {
+		t.requests++
+	}
+	return taken
+}
+
+// known returns the addresses of all known dispatchers.
+func (h *holders) known(now time.Time) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.addresses == nil || now.Sub(h.addressesAt) > addressesTTL {
+		h.addresses, h.addressesAt = h.dispatcher.peers.addresses(), now
+		h.directory.Known(h.addresses)
+	}
+	return h.addresses
+}
+
+// ask asks one registrar, which may be this dispatcher itself.
+func (h *holders) ask(ctx context.Context, c *claim.Claim, registrar, job string, hold time.Duration) {
+	clock := h.dispatcher.deps.Clock
+	if registrar == h.dispatcher.deps.Address {
+		now := clock.Now()
+		s, others := h.register.Claim(job, registrar, hold, now)
+		c.Answered(registrar, s, others, h.register.Knows(now))
+		return
+	}
+	timer := clock.NewTimer(registrarTimeout)
+	defer timer.Stop()
+	select {
+	case a := <-h.link(registrar).claim(job, hold):
+		if a.failed {
+			c.NotAnswered(a.gone)
+			return
+		}
+		c.Answered(registrar, a.state, slices.DeleteFunc(a.holders, func(o string) bool { return o == h.dispatcher.deps.Address }), a.knows)
+	case <-timer.Chan():
+		klog.InfoS("CH1062 registrar does not answer", "entry", h.dispatcher.deps.Name, "address", registrar, "job", job)
+		h.directory.Silent(registrar, clock.Now())
+		c.NotAnswered(false)
+	case <-ctx.Done():
+		c.NotAnswered(false)
+	}
+}
+
+// askHolder asks a dispatcher whether it still has a job. The runs of one that is gone end before
+// its callers send their jobs again.
+func (h *holders) askHolder(ctx context.Context, job, address string, arrivedAt time.Time) inquiry.Holding {
+	d := h.dispatcher
+	holding := d.inquire(ctx, &question{job: job, arrivedAt: arrivedAt}, []string{address})
+	if holding == inquiry.Unknown && refusesConnections(ctx, address) {
+		klog.InfoS("CH1063 dispatcher that had a job is gone", "entry", d.deps.Name, "job", job, "address", address)
+		return inquiry.NotHeld
+	}
+	return holding
+}
+
+// refusesConnections reports whether no process listens at an address of a machine that answers.
+func refusesConnections(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		conn.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// keep notes a granted job, and tells the registrars that have not been asked. All are told of a
+// job that others have had.
+func (h *holders) keep(job string, t *takenJob, takenOver bool) {
+	h.mu.Lock()
+	if known, taken := h.taken[job]; taken {
+		known.requests++
+		h.mu.Unlock()
+		return
+	}
+	t.requests = 1
+	h.taken[job] = t
+	h.mu.Unlock()
+	h.announce(job, t, t.choice.Registrars(), takenOver)
+}
+
+// announce tells registrars that this dispatcher has a job, some of them by way of another one.
+func (h *holders) announce(job string, t *takenJob, registrars []string, again bool) {
+	hold := milliseconds(t.until.Sub(h.dispatcher.deps.Clock.Now()))
+	for _, r := range registrars {
+		if again || !slices.Contains(t.claimed, r) {
+			h.tell([]string{r}, &wire.HolderNote{Job: job, State: register.Held.Wire(), HoldMs: hold})
+		}
+	}
+	h.relay(t.choice, &wire.HolderNote{Job: job, State: register.Held.Wire(), HoldMs: hold})
+}
+
+// relay has a note passed on to the registrars that do not answer this dispatcher.
+func (h *holders) relay(c directory.Choice, n *wire.HolderNote) {
+	for _, missed := range c.Missed {
+		for _, by := range c.Registrars() {
+			if by != h.dispatcher.deps.Address {
+				h.tell([]string{by}, &wire.HolderNote{Job: n.GetJob(), State: n.GetState(), HoldMs: n.GetHoldMs(), RelayTo: missed})
+			}
+		}
+	}
+}
+
+// leave notes that a request for a granted job has been answered, or that its caller has left.
+func (h *holders) leave(job string, o outcome.Outcome) {
+	h.mu.Lock()
+	t, taken := h.taken[job]
+	if !taken {
+		h.mu.Unlock()
+		return
+	}
+	if t.requests--; t.requests > 0 {
+		h.mu.Unlock()
+		return
+	}
+	delete(h.taken, job)
+	h.mu.Unlock()
+	switch o {
+	case outcome.NotRun:
+		h.tell(t.choice.Registrars(), &wire.HolderNote{Job: job, State: register.Free.Wire()})
+	case outcome.Complete:
+		// The others are asked only if this one is gone.
+		h.tell(t.claimed[:min(1, len(t.claimed))], &wire.HolderNote{Job: job, State: register.Completed.Wire()})
+	default:
+		// The runs may take some time to end, and this dispatcher knows.
+	}
+}
+
+// cancel remembers that a job of this dispatcher has been canceled.
+func (h *holders) cancel(job string) {
+	now := h.dispatcher.deps.Clock.Now()
+	h.register.End(job, register.Canceled, now)
+	choice := h.directory.Choose(job, h.known(now), now)
+	n := &wire.HolderNote{Job: job, State: register.Canceled.Wire()}
+	h.tell(choice.Registrars(), n)
+	h.relay(choice, n)
+}
+
+// tell sends a note to registrars. It does not wait for them.
+func (h *holders) tell(registrars []string, n *wire.HolderNote) {
+	for _, r := range registrars {
+		if r == h.dispatcher.deps.Address {
+			h.learn(r, n)
+			continue
+		}
+		h.link(r).note(n)
+	}
+}
+
+// learn applies a note of a dispatcher.
+func (h *holders) learn(from string, n *wire.HolderNote) {
+	now := h.dispatcher.deps.Clock.Now()
+	if to := n.GetRelayTo(); to != "" && to != h.dispatcher.deps.Address {
+		if slices.Contains(h.known(now), to) {
+			h.link(to).note(&wire.HolderNote{Job: n.GetJob(), State: n.GetState(), HoldMs: n.GetHoldMs(), Holder: from})
+		}
+		return
+	}
+	if n.GetHolder() != "" {
+		from = n.GetHolder()
+	}
+	s, known := register.FromWire(n.GetState())
+	switch {
+	case !known:
+	case s == register.Held:
+		h.register.Hold(n.GetJob(), from, time.Duration(n.GetHoldMs())*time.Millisecond, now)
+	case s == register.Free:
+		h.register.Release(n.GetJob(), from)
+	default:
+		h.register.End(n.GetJob(), s, now)
+	}
+}
+
+// renew tells a registrar that could not be reached of the jobs of this dispatcher: it may have
+// restarted.
+func (h *holders) renew(address string) {
+	now := h.dispatcher.deps.Clock.Now()
+	addresses := h.known(now)
+	h.mu.Lock()
+	jobs := map[string]*takenJob{}
+	for job, t := range h.taken {
+		jobs[job] = t
+	}
+	h.mu.Unlock()
+	renewed := 0
+	for job, t := range jobs {
+		if slices.Contains(h.directory.Choose(job, addresses, now).Registrars(), address) {
+			h.tell([]string{address}, &wire.HolderNote{Job: job, State: register.Held.Wire(), HoldMs: milliseconds(t.until.Sub(now))})
+			renewed++
+		}
+	}
+	if renewed > 0 {
+		klog.InfoS("CH1064 registrar told again of jobs", "entry", h.dispatcher.deps.Name, "address", address, "jobs", renewed)
+	}
+}
+
+// link returns the link to an address, which is opened if there is none.
+func (h *holders) link(address string) *holderLink {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	l, open := h.links[address]
+	if !open {
+		l = newHolderLink(h.dispatcher, address)
+		h.links[address] = l
+		go h.serve(l)
+	}
+	return l
+}
+
+// serve runs a link until it fails.
+func (h *holders) serve(l *holderLink) {
+	d := h.dispatcher
+	lacking, err := l.run(d.inquirer.ctx)
+	h.mu.Lock()
+	delete(h.links, l.address)
+	h.mu.Unlock()
+	if d.inquirer.ctx.Err() != nil {
+		return
+	}
+	now := d.deps.Clock.Now()
+	klog.InfoS("CH1065 link to a registrar ended", "entry", d.deps.Name, "address", l.address, "lacking", lacking, "error", err)
+	if lacking {
+		h.directory.Lacking(l.address, now)
+		l.close()
+		return
+	}
+	h.directory.Silent(l.address, now)
+	l.close()
+	d.deps.Clock.AfterFunc(directory.SilenceTTL, func() { h.renew(l.address) })
+}
+
+// milliseconds returns a time for a message, rounded up.
+func milliseconds(t time.Duration) uint32 {
+	return uint32(max(0, (t + time.Millisecond - 1).Milliseconds()))
+}
--- a/node/dispatcher/inquiries.go
+++ b/node/dispatcher/inquiries.go
@@ -51,6 +51,9 @@
 // OtherDispatchers returns the number of dispatchers that HeldElsewhere asks.
 func (d *Dispatcher) OtherDispatchers() int { return len(d.peers.others()) }
 
+// AsksRegistrars reports whether Submit asks the registrars of each job.
+func (d *Dispatcher) AsksRegistrars() bool { return d.holders != nil }
+
 // HeldElsewhere asks all other dispatchers whether a job, whose request may be old, is held there.
 // The request reached this machine at arrivedAt, as far as that is known. The arrival has to be
 // noted, and the job is to be submitted at once if it is not held.
--- a/node/dispatcher/submit.go
+++ b/node/dispatcher/submit.go
@@ -10,6 +10,7 @@
 	"github.com/corianderhook/corianderhook/request/answer"
 	"github.com/corianderhook/corianderhook/request/outcome"
 	"github.com/corianderhook/corianderhook/request/workload"
+	"github.com/corianderhook/corianderhook/sharing/holder/claim"
 	"github.com/corianderhook/corianderhook/version/catalog"
 )
 
@@ -48,6 +49,40 @@
 		d.metrics.CountRefusal(queue.Name, "busy")
 		return answer.New(outcome.NotRun, "busy", "this entry is short of processor time").WithRetryAfter(busyRetryAfter)
 	}
+	if d.holders != nil {
+		v := d.holders.take(ctx, work.ID(), budget)
+		if v != claim.Granted {
+			return d.answerNotGranted(queue, v)
+		}
+	}
+	// A caller may have canceled its job while the registrars were asked.
+	a := d.submitGranted(ctx, work, queue, budget, submittedAt, options)
+	if d.holders != nil {
+		d.holders.leave(work.ID(), a.Outcome())
+	}
+	return a
+}
+
+// answerNotGranted returns the answer to a job that another dispatcher has, or has had.
+func (d *Dispatcher) answerNotGranted(queue catalog.Queue, v claim.Verdict) answer.Answer {
+	switch v {
+	case claim.Completed:
+		return answer.New(outcome.Complete, "complete", "the job was completed before")
+	case claim.Canceled:
+		d.metrics.CountRefusal(queue.Name, "canceled")
+		return answer.New(outcome.NotRun, "canceled", canceledDetail)
+	case claim.Held:
+		d.metrics.CountRefusal(queue.Name, "held")
+		return answer.New(outcome.NotRun, "held", "another entry has the job; nothing was started here").WithRetryAfter(busyRetryAfter)
+	default:
+		d.metrics.CountRefusal(queue.Name, "unsure")
+		return answer.New(outcome.NotRun, "unsure", "another entry may have the job and does not answer; nothing was started here").WithRetryAfter(busyRetryAfter)
+	}
+}
+
+// submitGranted passes a job to the scheduler and waits for its answer.
+func (d *Dispatcher) submitGranted(ctx context.Context, work *workload.Workload, queue catalog.Queue, budget time.Duration, readAt time.Time, options []SubmitOption) answer.Answer {
+	submittedAt := d.deps.Clock.Now()
 	if d.cancellations.Find(work.ID(), submittedAt) != nil {
 		klog.InfoS("CH1016 canceled job refused", "job", work.ID(), "queue", queue.Name)
 		d.metrics.CountRefusal(queue.Name, "canceled")
@@ -66,6 +101,7 @@
 	for _, apply := range options {
 		apply(&request)
 	}
+	request.Elapsed += submittedAt.Sub(readAt)
 	d.deps.System.Root.Send(d.scheduler, submit{sentAt: submittedAt, request: request})
 	var a answer.Answer
 	select {
@@ -75,7 +111,7 @@
 		d.deps.System.Root.Send(d.scheduler, callerLeft{job: work.ID()})
 		a = answer.New(outcome.Unknown, "canceled", "the caller has left")
 	}
-	d.metrics.ObserveJob(queue.Name, a.Outcome().String(), d.deps.Clock.Since(submittedAt))
+	d.metrics.ObserveJob(queue.Name, a.Outcome().String(), d.deps.Clock.Since(readAt))
 	if a.Outcome() == outcome.NotRun {
 		d.metrics.CountRefusal(queue.Name, a.Reason())
 	}
--- a/process/metrics/metrics.go
+++ b/process/metrics/metrics.go
@@ -19,6 +19,7 @@
 	jobs             *prometheus.CounterVec
 	refusals         *prometheus.CounterVec
 	inquiries        *prometheus.CounterVec
+	claims           *prometheus.CounterVec
 	tasksStarted     *prometheus.CounterVec
 	jobSeconds       *prometheus.HistogramVec
 	startWait        *prometheus.HistogramVec
@@ -52,6 +53,9 @@
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "corianderhook_refusals_total", Help: "Refused submissions by kind and reason.",
 		}, []string{"kind", "reason"}),
+		claims: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "corianderhook_claims_total", Help: "Jobs that registrars were asked for before they were submitted, by verdict.",
+		}, []string{"verdict"}),
 		inquiries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "corianderhook_inquiries_total", Help: "Jobs of old requests that other dispatchers were asked about, by result.",
 		}, []string{"result"}),
@@ -82,7 +86,7 @@
 		}),
 	}
 	m.registerTaskMetrics()
-	m.registry.MustRegister(m.jobs, m.refusals, m.inquiries, m.tasksStarted, m.jobSeconds, m.startWait, m.tasksWaiting, m.ownershipSlots, m.wastedMessages, m.configVersion, m.unexpectedErrors)
+	m.registry.MustRegister(m.jobs, m.refusals, m.inquiries, m.claims, m.tasksStarted, m.jobSeconds, m.startWait, m.tasksWaiting, m.ownershipSlots, m.wastedMessages, m.configVersion, m.unexpectedErrors)
 	return m
 }
 
@@ -106,6 +110,9 @@
 // CountInquiry counts a job that other dispatchers were asked about.
 func (m *Metrics) CountInquiry(result string) { m.inquiries.WithLabelValues(result).Inc() }
 
+// CountClaim counts a job that registrars were asked for.
+func (m *Metrics) CountClaim(verdict string) { m.claims.WithLabelValues(verdict).Inc() }
+
 // ObserveStart counts tasks handed to agents and records their wait.
 func (m *Metrics) ObserveStart(kind string, count int, waited time.Duration) {
 	m.tasksStarted.WithLabelValues(kind).Add(float64(count))
