--- a/node/dispatcher/fetcher_test.go
+++ b/node/dispatcher/fetcher_test.go
@@ -50,10 +50,21 @@
 func startDispatcher(t testing.TB, name string, peers ...string) (*Dispatcher, string) {
 	t.Helper()
 	l := listen(t)
-	d := New(Dependencies{
+	d := New(dependencies(name, l, peers))
+	run(t, d, l)
+	return d, l.Addr().String()
+}
+
+func dependencies(name string, l net.Listener, peers []string) Dependencies {
+	return Dependencies{
 		Name: name, Address: l.Addr().String(), Peers: peers, Clock: clockwork.NewRealClock(), System: actor.NewActorSystem(),
 		Decode: decode, Metrics: metrics.New(),
-	})
+	}
+}
+
+// run runs a dispatcher until the test or the returned function ends it.
+func run(t testing.TB, d *Dispatcher, l net.Listener) (stop func()) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -62,11 +73,12 @@
 			t.Error(err)
 		}
 	}()
-	t.Cleanup(func() {
+	stop = func() {
 		cancel()
 		<-done
-	})
-	return d, l.Addr().String()
+	}
+	t.Cleanup(stop)
+	return stop
 }
 
 func adopt(t testing.TB, d *Dispatcher, version uint64) {
