Ask the registrar of the dispatcher's own zone

Change: a job has a registrar in each zone (two on a site of one zone); the others are told by notes within 100 ms. Late answers count, and do not end the time for which a slow registrar is passed over.

--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -242,6 +242,9 @@
 	defer server.Stop()
 	go d.runTicker(ctx)
 	go d.peers.run(ctx)
+	if d.holders != nil {
+		go d.holders.run(ctx)
+	}
 	defer d.peers.close()
 	defer d.inquirer.close()
 	d.peers.learn(d.deps.Peers)
--- a/node/dispatcher/holder_link.go
+++ b/node/dispatcher/holder_link.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+	"k8s.io/klog/v2"
 
 	"github.com/corianderhook/corianderhook/common/address"
 	"github.com/corianderhook/corianderhook/process/usage"
@@ -20,7 +21,7 @@
 const (
 	// noteLag is how long a note waits for a claim to be sent with: a caller sends its job again
 	// after several times as long.
-	noteLag = 300 * time.Millisecond
+	noteLag = 100 * time.Millisecond
 	// maxQueuedClaims and maxQueuedNotes limit what waits for a stream that is stuck.
 	maxQueuedClaims = 256
 	maxQueuedNotes  = 4096
@@ -28,6 +29,7 @@
 
 // registrarAnswer is the answer of a registrar to a claim.
 type registrarAnswer struct {
+	registrar string
 	// failed means that there is none, and gone that it cannot come.
 	failed, gone bool
 	state        register.State
@@ -37,9 +39,10 @@
 
 // pendingClaim is a claim without an answer.
 type pendingClaim struct {
-	job    string
-	hold   time.Duration
-	answer chan registrarAnswer
+	job  string
+	hold time.Duration
+	// answers has room for the answer.
+	answers chan<- registrarAnswer
 }
 
 // holderLink carries the claims and notes of this dispatcher to one registrar.
@@ -62,17 +65,15 @@
 }
 
 // claim sends a claim. What waits for the registrar is sent in one frame.
-func (l *holderLink) claim(job string, hold time.Duration) <-chan registrarAnswer {
-	p := pendingClaim{job: job, hold: hold, answer: make(chan registrarAnswer, 1)}
+func (l *holderLink) claim(p pendingClaim) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed || len(l.claims) >= maxQueuedClaims {
-		p.answer <- registrarAnswer{failed: true, gone: l.closed}
-		return p.answer
+		p.answers <- registrarAnswer{registrar: l.address, failed: true, gone: l.closed}
+		return
 	}
 	l.claims = append(l.claims, p)
 	l.signal()
-	return p.answer
 }
 
 // note sends a note with the next claim, or after noteLag.
@@ -116,32 +117,31 @@
 	if err != nil {
 		return false, err
 	}
+	if err := stream.Send(&wire.HolderFrame{Address: l.dispatcher.deps.Address, Zone: l.dispatcher.deps.Zone}); err != nil {
+		_, err = stream.Recv()
+		return status.Code(err) == codes.Unimplemented, err
+	}
 	received := make(chan error, 1)
 	go func() { received <- l.receive(stream) }()
-	first := true
 	for {
 		select {
 		case err := <-received:
 			return status.Code(err) == codes.Unimplemented, err
 		case <-l.wake:
-			if err := l.flush(stream, first); err != nil {
+			if err := l.flush(stream); err != nil {
 				// A failed stream tells its error to the receiver.
 				err = <-received
 				return status.Code(err) == codes.Unimplemented, err
 			}
-			first = false
 		}
 	}
 }
 
 // flush sends what waits.
-func (l *holderLink) flush(stream grpc.BidiStreamingClient[wire.HolderFrame, wire.HolderReply], first bool) error {
+func (l *holderLink) flush(stream grpc.BidiStreamingClient[wire.HolderFrame, wire.HolderReply]) error {
 	l.mu.Lock()
 	f := &wire.HolderFrame{Notes: l.notes}
 	l.notes = nil
-	if first {
-		f.Address, f.Incarnation = l.dispatcher.deps.Address, l.dispatcher.incarnation
-	}
 	if len(l.claims) > 0 {
 		l.lastNumber++
 		f.Number = l.lastNumber
@@ -164,14 +164,21 @@
 			return err
 		}
 		l.dispatcher.usage.Add(usage.InquiryReceived, 1)
-		l.dispatcher.holders.directory.Answered(l.address)
+		if reply.GetNumber() == 0 {
+			klog.InfoS("CH1066 registrar answers", "entry", l.dispatcher.deps.Name, "address", l.address, "zone", reply.GetZone(), "knows", time.Duration(reply.GetKnowsMs())*time.Millisecond)
+			l.dispatcher.holders.directory.Join(l.address, reply.GetZone())
+			// Later answers may be late ones, of a registrar that is slow.
+			l.dispatcher.holders.directory.Answered(l.address)
+		}
 		l.mu.Lock()
 		claims := l.sent[reply.GetNumber()]
 		// A stream keeps its order, so that earlier frames have been answered.
 		delete(l.sent, reply.GetNumber())
 		l.mu.Unlock()
 		for n, c := range claims {
-			c.answer <- answerAt(reply, n)
+			a := answerAt(reply, n)
+			a.registrar = l.address
+			c.answers <- a
 		}
 	}
 }
@@ -195,7 +202,7 @@
 		l.claims = append(l.claims, claims...)
 	}
 	for _, c := range l.claims {
-		c.answer <- registrarAnswer{failed: true, gone: true}
+		c.answers <- registrarAnswer{registrar: l.address, failed: true, gone: true}
 	}
 	l.claims, l.sent, l.notes = nil, nil, nil
 }
@@ -206,7 +213,20 @@
 	if h == nil {
 		return status.Error(codes.Unimplemented, "this dispatcher takes no part")
 	}
-	from := ""
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	from := first.GetAddress()
+	if !address.Valid(from) {
+		return status.Errorf(codes.InvalidArgument, "address %q is not valid", from)
+	}
+	v.dispatcher.peers.learn([]string{from})
+	hello := h.answer(from, first)
+	hello.Zone = v.dispatcher.deps.Zone
+	if err := stream.Send(hello); err != nil {
+		return err
+	}
 	for {
 		f, err := stream.Recv()
 		if errors.Is(err, io.EOF) {
@@ -216,11 +236,6 @@
 			return err
 		}
 		v.dispatcher.usage.Add(usage.InquiryReceived, 1)
-		if from == "" {
-			if from = f.GetAddress(); !address.Valid(from) {
-				return status.Errorf(codes.InvalidArgument, "address %q is not valid", from)
-			}
-		}
 		for _, n := range f.GetNotes() {
 			h.learn(from, n)
 		}
--- a/node/dispatcher/holders.go
+++ b/node/dispatcher/holders.go
@@ -2,16 +2,16 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"sync"
 	"syscall"
 	"time"
 
-	"net"
-
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/corianderhook/corianderhook/common/pause"
 	"github.com/corianderhook/corianderhook/process/inquiry"
 	"github.com/corianderhook/corianderhook/process/runner"
 	"github.com/corianderhook/corianderhook/request/outcome"
@@ -26,8 +26,10 @@
 	registrarTimeout = 75 * time.Millisecond
 	// refusalTimeout limits the wait for a machine to refuse a connection to a process that is gone.
 	refusalTimeout = 75 * time.Millisecond
-	// addressesTTL is how long the known addresses are used without a look at the list.
-	addressesTTL = 100 * time.Millisecond
+	// maxRelays is the number of registrars that pass on a note: one of them may be cut off as well.
+	maxRelays = 2
+	// lookInterval is the time between two looks for dispatchers that have become known.
+	lookInterval = 100 * time.Millisecond
 )
 
 // holders sees to it that a job that reaches several dispatchers runs at one of them: each asks the
@@ -39,10 +41,7 @@
 	mu         sync.Mutex
 	links      map[string]*holderLink
 	// taken holds the jobs of this dispatcher.
-	taken       map[string]*takenJob
-	addresses   []string
-	addressesAt time.Time
-	closed      bool
+	taken map[string]*takenJob
 }
 
 // takenJob is a job that this dispatcher has been granted.
@@ -56,7 +55,7 @@
 
 func newHolders(d *Dispatcher) *holders {
 	h := &holders{
-		dispatcher: d, register: register.New(d.deps.Clock.Now()), directory: directory.New(),
+		dispatcher: d, register: register.New(d.deps.Clock.Now()), directory: directory.New(d.deps.Address, d.deps.Zone),
 		links: map[string]*holderLink{}, taken: map[string]*takenJob{},
 	}
 	d.metrics.RegisterGauge("corianderhook_registered_jobs", "Jobs that this process remembers as a registrar.", func() float64 { return float64(h.register.Jobs()) })
@@ -77,11 +76,9 @@
 		return h.concluded(job, claim.Granted)
 	}
 	hold := budget + runner.OrphanTime()
-	choice := h.directory.Choose(job, h.known(began), began)
+	choice := h.directory.Choose(job, began)
 	c := claim.New(choice.Asked)
-	for r, more := c.Next(); more && ctx.Err() == nil; r, more = c.Next() {
-		h.ask(ctx, c, r, job, hold)
-	}
+	h.ask(ctx, c, job, hold)
 	holding := inquiry.NotHeld
 	for _, a := range c.Holders() {
 		holding = worse(holding, h.askHolder(ctx, job, a, began))
@@ -133,41 +130,69 @@
 	return taken
 }
 
-// known returns the addresses of all known dispatchers.
-func (h *holders) known(now time.Time) []string {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.addresses == nil || now.Sub(h.addressesAt) > addressesTTL {
-		h.addresses, h.addressesAt = h.dispatcher.peers.addresses(), now
-		h.directory.Known(h.addresses)
+// run looks for dispatchers that have become known, and asks for their zones, until the context ends.
+func (h *holders) run(ctx context.Context) {
+	for pause.For(ctx, h.dispatcher.deps.Clock, lookInterval) {
+		for _, a := range h.directory.Unknown(h.dispatcher.peers.addresses(), h.dispatcher.deps.Clock.Now()) {
+			h.link(a)
+		}
 	}
-	return h.addresses
 }
 
-// ask asks one registrar, which may be this dispatcher itself.
-func (h *holders) ask(ctx context.Context, c *claim.Claim, registrar, job string, hold time.Duration) {
+// ask asks the registrars of a job, one after the other, until one of them has said enough. An answer
+// that is late counts too.
+func (h *holders) ask(ctx context.Context, c *claim.Claim, job string, hold time.Duration) {
 	clock := h.dispatcher.deps.Clock
-	if registrar == h.dispatcher.deps.Address {
-		now := clock.Now()
-		s, others := h.register.Claim(job, registrar, hold, now)
-		c.Answered(registrar, s, others, h.register.Knows(now))
-		return
-	}
-	timer := clock.NewTimer(registrarTimeout)
-	defer timer.Stop()
-	select {
-	case a := <-h.link(registrar).claim(job, hold):
-		if a.failed {
+	answers := make(chan registrarAnswer, len(c.Unasked()))
+	open := 0
+	for {
+		registrar, more := c.Next()
+		switch {
+		case !more && (c.Settled() || open == 0):
+			return
+		case registrar == h.dispatcher.deps.Address:
+			now := clock.Now()
+			s, others := h.register.Claim(job, registrar, hold, now)
+			c.Answered(registrar, s, others, h.register.Knows(now))
+			continue
+		case more:
+			h.link(registrar).claim(pendingClaim{job: job, hold: hold, answers: answers})
+			open++
+		}
+		a, answered := h.awaitAnswer(ctx, answers)
+		switch {
+		case answered && a.failed:
+			open--
 			c.NotAnswered(a.gone)
+		case answered:
+			open--
+			c.Answered(a.registrar, a.state, slices.DeleteFunc(a.holders, func(o string) bool { return o == h.dispatcher.deps.Address }), a.knows)
+		case !more || ctx.Err() != nil:
 			return
+		default:
+			klog.InfoS("CH1062 registrar does not answer", "entry", h.dispatcher.deps.Name, "address", registrar, "job", job)
+			h.directory.Silent(registrar, clock.Now())
+			c.NotAnswered(false)
 		}
-		c.Answered(registrar, a.state, slices.DeleteFunc(a.holders, func(o string) bool { return o == h.dispatcher.deps.Address }), a.knows)
+	}
+}
+
+// awaitAnswer waits for an answer for registrarTimeout. One that has come meanwhile goes before the
+// end of this time, as this process may have stood still.
+func (h *holders) awaitAnswer(ctx context.Context, answers <-chan registrarAnswer) (a registrarAnswer, answered bool) {
+	timer := h.dispatcher.deps.Clock.NewTimer(registrarTimeout)
+	defer timer.Stop()
+	select {
+	case a := <-answers:
+		return a, true
 	case <-timer.Chan():
-		klog.InfoS("CH1062 registrar does not answer", "entry", h.dispatcher.deps.Name, "address", registrar, "job", job)
-		h.directory.Silent(registrar, clock.Now())
-		c.NotAnswered(false)
 	case <-ctx.Done():
-		c.NotAnswered(false)
+	}
+	select {
+	case a := <-answers:
+		return a, true
+	default:
+		return registrarAnswer{}, false
 	}
 }
 
@@ -207,7 +232,7 @@
 	t.requests = 1
 	h.taken[job] = t
 	h.mu.Unlock()
-	h.announce(job, t, t.choice.Registrars(), takenOver)
+	h.announce(job, t, t.choice.Registrars, takenOver)
 }
 
 // announce tells registrars that this dispatcher has a job, some of them by way of another one.
@@ -224,11 +249,8 @@
 // relay has a note passed on to the registrars that do not answer this dispatcher.
 func (h *holders) relay(c directory.Choice, n *wire.HolderNote) {
 	for _, missed := range c.Missed {
-		for _, by := range c.Registrars() {
-			if by != h.dispatcher.deps.Address {
-				h.tell([]string{by}, &wire.HolderNote{Job: n.GetJob(), State: n.GetState(), HoldMs: n.GetHoldMs(), RelayTo: missed})
-			}
-		}
+		others := slices.DeleteFunc(slices.Clone(c.Registrars), func(a string) bool { return a == h.dispatcher.deps.Address })
+		h.tell(others[:min(maxRelays, len(others))], &wire.HolderNote{Job: n.GetJob(), State: n.GetState(), HoldMs: n.GetHoldMs(), RelayTo: missed})
 	}
 }
 
@@ -248,10 +270,9 @@
 	h.mu.Unlock()
 	switch o {
 	case outcome.NotRun:
-		h.tell(t.choice.Registrars(), &wire.HolderNote{Job: job, State: register.Free.Wire()})
+		h.tell(t.choice.Registrars, &wire.HolderNote{Job: job, State: register.Free.Wire()})
 	case outcome.Complete:
-		// The others are asked only if this one is gone.
-		h.tell(t.claimed[:min(1, len(t.claimed))], &wire.HolderNote{Job: job, State: register.Completed.Wire()})
+		h.tell(t.choice.Registrars, &wire.HolderNote{Job: job, State: register.Completed.Wire()})
 	default:
 		// The runs may take some time to end, and this dispatcher knows.
 	}
@@ -261,9 +282,9 @@
 func (h *holders) cancel(job string) {
 	now := h.dispatcher.deps.Clock.Now()
 	h.register.End(job, register.Canceled, now)
-	choice := h.directory.Choose(job, h.known(now), now)
+	choice := h.directory.Choose(job, now)
 	n := &wire.HolderNote{Job: job, State: register.Canceled.Wire()}
-	h.tell(choice.Registrars(), n)
+	h.tell(choice.Registrars, n)
 	h.relay(choice, n)
 }
 
@@ -282,7 +303,7 @@
 func (h *holders) learn(from string, n *wire.HolderNote) {
 	now := h.dispatcher.deps.Clock.Now()
 	if to := n.GetRelayTo(); to != "" && to != h.dispatcher.deps.Address {
-		if slices.Contains(h.known(now), to) {
+		if slices.Contains(h.dispatcher.peers.addresses(), to) {
 			h.link(to).note(&wire.HolderNote{Job: n.GetJob(), State: n.GetState(), HoldMs: n.GetHoldMs(), Holder: from})
 		}
 		return
@@ -306,7 +327,6 @@
 // restarted.
 func (h *holders) renew(address string) {
 	now := h.dispatcher.deps.Clock.Now()
-	addresses := h.known(now)
 	h.mu.Lock()
 	jobs := map[string]*takenJob{}
 	for job, t := range h.taken {
@@ -315,7 +335,7 @@
 	h.mu.Unlock()
 	renewed := 0
 	for job, t := range jobs {
-		if slices.Contains(h.directory.Choose(job, addresses, now).Registrars(), address) {
+		if slices.Contains(h.directory.Choose(job, now).Registrars, address) {
 			h.tell([]string{address}, &wire.HolderNote{Job: job, State: register.Held.Wire(), HoldMs: milliseconds(t.until.Sub(now))})
 			renewed++
 		}
--- a/sharing/holder/claim/claim.go
+++ b/sharing/holder/claim/claim.go
@@ -62,6 +62,12 @@
 	}
 }
 
+// Unasked returns the registrars that have not been asked yet.
+func (c *Claim) Unasked() []string { return c.asked }
+
+// Settled reports whether no other registrar needs to be asked.
+func (c *Claim) Settled() bool { return c.settled }
+
 // Claimed returns the registrars that know of this claim.
 func (c *Claim) Claimed() []string { return c.claimed }
 
--- a/sharing/holder/directory/directory.go
+++ b/sharing/holder/directory/directory.go
@@ -1,9 +1,11 @@
-// Package directory chooses the registrars of a job: the dispatchers that remember who has it. All
-// dispatchers choose the same ones, as far as they know the same others, and their number does not
-// grow with that of the dispatchers. The package does no I/O.
+// Package directory chooses the registrars of a job: the dispatchers that remember who has it. Each
+// availability zone has one, so that a dispatcher asks within its own zone, or itself. All dispatchers
+// choose the same ones, as far as they know the same others, and their number does not grow with that
+// of the dispatchers. The package does no I/O.
 package directory
 
 import (
+	"cmp"
 	"hash/fnv"
 	"slices"
 	"sync"
@@ -11,94 +13,135 @@
 )
 
 const (
-	// Copies is the number of registrars that remember a job.
-	Copies = 2
-	// maxChosen is the number of registrars that are asked at most, one after the other.
-	maxChosen = Copies + 1
+	// minRegistrars is the number of registrars that remember a job, also within a single zone.
+	minRegistrars = 2
+	// maxRegistrars limits them on sites of many zones.
+	maxRegistrars = 8
+	// maxAsked is the number of registrars that are asked at most, one after the other.
+	maxAsked = 3
 	// SilenceTTL is how long a dispatcher that has not answered is passed over.
 	SilenceTTL = time.Second
 	// lackTTL is how long a dispatcher that takes no part is passed over: until it may have been upgraded.
 	lackTTL = 30 * time.Second
 )
 
-// Directory knows which dispatchers answer as registrars. It is safe for concurrent use.
+// Directory knows the zones of the dispatchers, and which of them answer as registrars. It is safe for
+// concurrent use.
 type Directory struct {
-	mu sync.Mutex
-	// hashes holds the hashes of addresses.
-	hashes map[string]uint64
+	zone    string
+	mu      sync.Mutex
+	members map[string]member
 	// passedOver holds until when an address is not asked.
 	passedOver map[string]time.Time
 }
 
-// New returns a directory in which all dispatchers answer.
-func New() *Directory {
-	return &Directory{hashes: map[string]uint64{}, passedOver: map[string]time.Time{}}
+// member is a dispatcher that takes part.
+type member struct {
+	zone string
+	hash uint64
+}
+
+// New returns the directory of a dispatcher that knows no other one.
+func New(address, zone string) *Directory {
+	d := &Directory{zone: zone, members: map[string]member{}, passedOver: map[string]time.Time{}}
+	d.Join(address, zone)
+	return d
+}
+
+// Join adds a dispatcher that takes part.
+func (d *Directory) Join(address, zone string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.members[address] = member{zone: zone, hash: hash(address)}
 }
 
 // Choice holds the registrars of a job.
 type Choice struct {
 	// Asked holds those to ask, in order.
 	Asked []string
+	// Registrars holds those that are to remember the job.
+	Registrars []string
 	// Missed holds those that others may ask for the job, but that do not answer here.
 	Missed []string
 }
 
-// Registrars returns those that are to remember the job.
-func (c Choice) Registrars() []string { return c.Asked[:min(Copies, len(c.Asked))] }
+// candidate is a dispatcher that may be a registrar of a job.
+type candidate struct {
+	address string
+	weight  uint64
+}
+
+// zoneChoice holds the candidates of one zone: the best ones, and the best one that is passed over.
+type zoneChoice struct {
+	zone         string
+	first, other candidate
+	passedOver   candidate
+}
 
-// Choose returns the registrars of a job among the known addresses.
-func (d *Directory) Choose(job string, addresses []string, now time.Time) Choice {
+// Choose returns the registrars of a job.
+func (d *Directory) Choose(job string, now time.Time) Choice {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(d.hashes) > 2*len(addresses)+maxChosen {
-		clear(d.hashes)
-	}
-	key := hash(job)
-	weight := func(a string) uint64 { return d.weight(key, a) }
+	zones := d.choices(hash(job), now)
+	slices.SortFunc(zones, d.compare)
 	var c Choice
-	if len(d.passedOver) == 0 {
-		c.Asked = highest(addresses, weight)
-		return c
+	for _, z := range zones {
+		if z.first.address != "" && len(c.Registrars) < maxRegistrars {
+			c.Registrars = append(c.Registrars, z.first.address)
+		}
+		if z.passedOver.address != "" && z.passedOver.weight > z.first.weight {
+			c.Missed = append(c.Missed, z.passedOver.address)
+		}
 	}
-	passed := func(a string) bool { return now.Before(d.passedOver[a]) }
-	all := highest(addresses, weight)
-	c.Asked = highest(slices.DeleteFunc(slices.Clone(addresses), passed), weight)
-	for _, a := range all[:min(Copies, len(all))] {
-		if passed(a) {
-			c.Missed = append(c.Missed, a)
+	for _, z := range zones {
+		if z.other.address != "" && len(c.Registrars) < minRegistrars {
+			c.Registrars = append(c.Registrars, z.other.address)
 		}
 	}
+	c.Asked = c.Registrars[:min(maxAsked, len(c.Registrars))]
 	return c
 }
 
-// highest returns up to maxChosen addresses of highest weight, in order.
-func highest(addresses []string, weight func(address string) uint64) []string {
-	var weights [maxChosen]uint64
-	list := make([]string, 0, maxChosen)
-	for _, a := range addresses {
-		w := weight(a)
-		at := len(list)
-		for at > 0 && w > weights[at-1] {
-			at--
+// choices returns the candidates of each zone.
+func (d *Directory) choices(key uint64, now time.Time) []zoneChoice {
+	zones := make([]zoneChoice, 0, maxRegistrars)
+	for a, m := range d.members {
+		at := slices.IndexFunc(zones, func(z zoneChoice) bool { return z.zone == m.zone })
+		if at < 0 {
+			at = len(zones)
+			zones = append(zones, zoneChoice{zone: m.zone})
 		}
-		if at == maxChosen {
-			continue
+		z, c := &zones[at], candidate{address: a, weight: mix(key ^ m.hash)}
+		until, passed := d.passedOver[a]
+		switch {
+		case passed && now.Before(until):
+			z.passedOver = heavier(z.passedOver, c)
+		case c.weight > z.first.weight:
+			z.first, z.other = c, z.first
+		default:
+			z.other = heavier(z.other, c)
 		}
-		list = slices.Insert(list[:min(len(list), maxChosen-1)], at, a)
-		copy(weights[at+1:], weights[at:])
-		weights[at] = w
 	}
-	return list
+	return zones
+}
+
+func heavier(a, b candidate) candidate {
+	if b.weight > a.weight {
+		return b
+	}
+	return a
 }
 
-// weight returns the weight of an address for a job.
-func (d *Directory) weight(key uint64, address string) uint64 {
-	h, known := d.hashes[address]
-	if !known {
-		h = hash(address)
-		d.hashes[address] = h
+// compare puts the dispatcher's own zone first, and the others in the order of their registrars' weight.
+func (d *Directory) compare(a, b zoneChoice) int {
+	switch {
+	case a.zone == d.zone:
+		return -1
+	case b.zone == d.zone:
+		return 1
+	default:
+		return cmp.Compare(b.first.weight, a.first.weight)
 	}
-	return mix(key ^ h)
 }
 
 func hash(text string) uint64 {
@@ -136,13 +179,26 @@
 	delete(d.passedOver, address)
 }
 
-// Known drops what is known of addresses other than these.
-func (d *Directory) Known(addresses []string) {
+// Unknown returns those of the known addresses whose zone is not known, and forgets all others. Those
+// that are passed over are left out.
+func (d *Directory) Unknown(addresses []string, now time.Time) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	for a := range d.members {
+		if !slices.Contains(addresses, a) {
+			delete(d.members, a)
+		}
+	}
 	for a := range d.passedOver {
 		if !slices.Contains(addresses, a) {
 			delete(d.passedOver, a)
 		}
 	}
+	var unknown []string
+	for _, a := range addresses {
+		if _, known := d.members[a]; !known && !now.Before(d.passedOver[a]) {
+			unknown = append(unknown, a)
+		}
+	}
+	return unknown
 }
--- a/sharing/holder/register/register.go
+++ b/sharing/holder/register/register.go
@@ -4,7 +4,6 @@
 package register
 
 import (
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -14,24 +13,31 @@
 	// maxHold limits the time for which a dispatcher may say that it has a job: the longest budget
 	// of a caller, and some time for the ends of its runs.
 	maxHold = 6 * time.Minute
-	// endTTL is how long the end of a job is remembered: longer than copies of its request arrive.
-	endTTL = time.Minute
+	// completedTTL and canceledTTL are how long the end of a job is remembered: copies of its request
+	// arrive some seconds after the answer; a caller may send a canceled job again as long as it waits.
+	completedTTL = 10 * time.Second
+	canceledTTL  = time.Minute
 	// MaxJobs limits the jobs that are remembered; the oldest are forgotten first.
-	MaxJobs = 1 << 15
+	MaxJobs = 1 << 16
 	// maxHolders limits the dispatchers that are remembered for one job.
 	maxHolders = 4
 )
 
 // record is what is known of one job.
 type record struct {
-	// heldUntil holds, by address, when all runs of a dispatcher that has the job will have ended.
-	heldUntil map[string]time.Time
-	end       State
-	endedAt   time.Time
+	holdings []holding
+	end      State
+	endUntil time.Time
 	// notes counts the notes on this job.
 	notes int
 }
 
+// holding is a dispatcher that has a job, all runs of which will have ended at a time.
+type holding struct {
+	address string
+	until   time.Time
+}
+
 // note tells until when a job has to be remembered, as far as it was known at one time.
 type note struct {
 	job   string
@@ -64,9 +70,9 @@
 		return s, nil
 	}
 	if known := r.jobs[job]; known != nil {
-		for a, until := range known.heldUntil {
-			if a != address && now.Before(until) {
-				holders = append(holders, a)
+		for _, h := range known.holdings {
+			if h.address != address && now.Before(h.until) {
+				holders = append(holders, h.address)
 			}
 		}
 	}
@@ -90,7 +96,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if known := r.jobs[job]; known != nil {
-		delete(known.heldUntil, address)
+		known.holdings = slices.DeleteFunc(known.holdings, func(h holding) bool { return h.address == address })
 	}
 }
 
@@ -98,9 +104,13 @@
 func (r *Register) End(job string, s State, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	known := r.record(job, now.Add(endTTL), now)
+	ttl := completedTTL
 	// A job that was canceled just before it was completed is not to be started either way.
-	known.end, known.endedAt = max(s, r.endOf(job, now)), now
+	if s = max(s, r.endOf(job, now)); s == Canceled {
+		ttl = canceledTTL
+	}
+	known := r.record(job, now.Add(ttl), now)
+	known.end, known.endUntil, known.holdings = s, now.Add(ttl), nil
 }
 
 // EndOf returns whether a job has been completed or canceled recently, else Free.
@@ -112,7 +122,7 @@
 
 func (r *Register) endOf(job string, now time.Time) State {
 	known := r.jobs[job]
-	if known == nil || now.Sub(known.endedAt) > endTTL {
+	if known == nil || !now.Before(known.endUntil) {
 		return Free
 	}
 	return known.end
@@ -121,15 +131,15 @@
 func (r *Register) hold(job, address string, hold time.Duration, now time.Time) {
 	until := now.Add(min(max(hold, 0), maxHold))
 	known := r.record(job, until, now)
-	maps.DeleteFunc(known.heldUntil, func(_ string, u time.Time) bool { return now.After(u) })
-	if _, again := known.heldUntil[address]; !again && len(known.heldUntil) >= maxHolders {
+	known.holdings = slices.DeleteFunc(known.holdings, func(h holding) bool { return now.After(h.until) })
+	if at := slices.IndexFunc(known.holdings, func(h holding) bool { return h.address == address }); at >= 0 {
+		if until.After(known.holdings[at].until) {
+			known.holdings[at].until = until
+		}
 		return
 	}
-	if known.heldUntil == nil {
-		known.heldUntil = map[string]time.Time{}
-	}
-	if until.After(known.heldUntil[address]) {
-		known.heldUntil[address] = until
+	if len(known.holdings) < maxHolders {
+		known.holdings = append(known.holdings, holding{address: address, until: until})
 	}
 }
 
