Tell registrars sooner, and again what a lost link may have lost

Change: notes of holds wait 25 ms, others 100 ms; what a link may have lost is sent again after 250 ms.

--- a/node/dispatcher/holder_link.go
+++ b/node/dispatcher/holder_link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,9 +20,15 @@
 )
 
 const (
-	// noteLag is how long a note waits for a claim to be sent with: a caller sends its job again
-	// after several times as long.
-	noteLag = 100 * time.Millisecond
+	// noteLag is how long a note waits for others to be sent with: a caller sends its job again
+	// after several times as long. The first request may arrive late, just after the second one, so
+	// that heldNoteLag applies to the note that a job is held.
+	noteLag     = 100 * time.Millisecond
+	heldNoteLag = 25 * time.Millisecond
+	// recentTime is how long notes are kept that may have been lost with their stream, and noteTTL
+	// how long they are sent again.
+	recentTime = 2 * time.Second
+	noteTTL    = 3 * time.Second
 	// maxQueuedClaims and maxQueuedNotes limit what waits for a stream that is stuck.
 	maxQueuedClaims = 256
 	maxQueuedNotes  = 4096
@@ -45,6 +52,12 @@
 	answers chan<- registrarAnswer
 }
 
+// queuedNote is a note and the time at which it was made.
+type queuedNote struct {
+	note *wire.HolderNote
+	at   time.Time
+}
+
 // holderLink carries the claims and notes of this dispatcher to one registrar.
 type holderLink struct {
 	dispatcher *Dispatcher
@@ -52,8 +65,11 @@
 	wake       chan struct{}
 	mu         sync.Mutex
 	claims     []pendingClaim
-	notes      []*wire.HolderNote
-	noteTimer  bool
+	notes      []queuedNote
+	// recent holds the notes that were sent a short time ago, in order.
+	recent []queuedNote
+	// timers holds whether notes are about to be sent after a lag.
+	timers map[time.Duration]bool
 	// sent holds the claims that may still be answered, by the number of their frame.
 	sent       map[uint64][]pendingClaim
 	lastNumber uint64
@@ -61,7 +77,7 @@
 }
 
 func newHolderLink(d *Dispatcher, address string) *holderLink {
-	return &holderLink{dispatcher: d, address: address, wake: make(chan struct{}, 1), sent: map[uint64][]pendingClaim{}}
+	return &holderLink{dispatcher: d, address: address, wake: make(chan struct{}, 1), sent: map[uint64][]pendingClaim{}, timers: map[time.Duration]bool{}}
 }
 
 // claim sends a claim. What waits for the registrar is sent in one frame.
@@ -76,25 +92,34 @@
 	l.signal()
 }
 
-// note sends a note with the next claim, or after noteLag.
+// note sends a note with the next claim, or after a lag.
 func (l *holderLink) note(n *wire.HolderNote) {
+	l.queue(queuedNote{note: n, at: l.dispatcher.deps.Clock.Now()})
+}
+
+func (l *holderLink) queue(n queuedNote) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed || len(l.notes) >= maxQueuedNotes {
 		return
 	}
 	l.notes = append(l.notes, n)
-	if !l.noteTimer {
-		l.noteTimer = true
-		l.dispatcher.deps.Clock.AfterFunc(noteLag, func() {
-			l.mu.Lock()
-			defer l.mu.Unlock()
-			l.noteTimer = false
-			if len(l.notes) > 0 {
-				l.signal()
-			}
-		})
+	lag := noteLag
+	if n.note.GetState() == wire.HolderState_HOLDER_STATE_HELD {
+		lag = heldNoteLag
+	}
+	if l.timers[lag] {
+		return
 	}
+	l.timers[lag] = true
+	l.dispatcher.deps.Clock.AfterFunc(lag, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.timers[lag] = false
+		if len(l.notes) > 0 {
+			l.signal()
+		}
+	})
 }
 
 func (l *holderLink) signal() {
@@ -140,8 +165,11 @@
 // flush sends what waits.
 func (l *holderLink) flush(stream grpc.BidiStreamingClient[wire.HolderFrame, wire.HolderReply]) error {
 	l.mu.Lock()
-	f := &wire.HolderFrame{Notes: l.notes}
-	l.notes = nil
+	f := &wire.HolderFrame{}
+	for _, n := range l.notes {
+		f.Notes = append(f.Notes, n.note)
+	}
+	l.keepRecent(l.dispatcher.deps.Clock.Now())
 	if len(l.claims) > 0 {
 		l.lastNumber++
 		f.Number = l.lastNumber
@@ -156,6 +184,17 @@
 	return stream.Send(f)
 }
 
+// keepRecent keeps the notes that are sent now, and drops those that have arrived by now.
+func (l *holderLink) keepRecent(now time.Time) {
+	kept := slices.IndexFunc(l.recent, func(n queuedNote) bool { return now.Sub(n.at) <= recentTime })
+	if kept < 0 {
+		kept = len(l.recent)
+	}
+	l.recent = append(l.recent[kept:], l.notes...)
+	l.recent = l.recent[max(0, len(l.recent)-maxQueuedNotes):]
+	l.notes = nil
+}
+
 // receive passes on answers until the stream fails.
 func (l *holderLink) receive(stream grpc.BidiStreamingClient[wire.HolderFrame, wire.HolderReply]) error {
 	for {
@@ -193,8 +232,9 @@
 	return registrarAnswer{failed: !known, state: s, holders: a.GetHolders(), knows: time.Duration(reply.GetKnowsMs()) * time.Millisecond}
 }
 
-// close fails the claims without an answer. Nothing can be sent afterwards.
-func (l *holderLink) close() {
+// close fails the claims without an answer, and returns the notes that may have been lost. Nothing
+// can be sent afterwards.
+func (l *holderLink) close(now time.Time) (lost []queuedNote) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.closed = true
@@ -204,7 +244,10 @@
 	for _, c := range l.claims {
 		c.answers <- registrarAnswer{registrar: l.address, failed: true, gone: true}
 	}
-	l.claims, l.sent, l.notes = nil, nil, nil
+	l.keepRecent(now)
+	lost = slices.DeleteFunc(l.recent, func(n queuedNote) bool { return now.Sub(n.at) > noteTTL })
+	l.claims, l.sent, l.recent = nil, nil, nil
+	return lost
 }
 
 // Holders serves the claims and notes of another dispatcher on a stream.
--- a/node/dispatcher/holders.go
+++ b/node/dispatcher/holders.go
@@ -26,6 +26,8 @@
 	registrarTimeout = 75 * time.Millisecond
 	// refusalTimeout limits the wait for a machine to refuse a connection to a process that is gone.
 	refusalTimeout = 75 * time.Millisecond
+	// retryTime is the time from the end of a link to its next opening, if it has lost anything.
+	retryTime = 250 * time.Millisecond
 	// maxRelays is the number of registrars that pass on a note: one of them may be cut off as well.
 	maxRelays = 2
 	// lookInterval is the time between two looks for dispatchers that have become known.
@@ -335,7 +337,8 @@
 	h.mu.Unlock()
 	renewed := 0
 	for job, t := range jobs {
-		if slices.Contains(h.directory.Choose(job, now).Registrars, address) {
+		c := h.directory.Choose(job, now)
+		if slices.Contains(c.Registrars, address) || slices.Contains(c.Missed, address) {
 			h.tell([]string{address}, &wire.HolderNote{Job: job, State: register.Held.Wire(), HoldMs: milliseconds(t.until.Sub(now))})
 			renewed++
 		}
@@ -370,14 +373,18 @@
 	}
 	now := d.deps.Clock.Now()
 	klog.InfoS("CH1065 link to a registrar ended", "entry", d.deps.Name, "address", l.address, "lacking", lacking, "error", err)
+	lost := l.close(now)
 	if lacking {
 		h.directory.Lacking(l.address, now)
-		l.close()
 		return
 	}
 	h.directory.Silent(l.address, now)
-	l.close()
-	d.deps.Clock.AfterFunc(directory.SilenceTTL, func() { h.renew(l.address) })
+	d.deps.Clock.AfterFunc(retryTime, func() {
+		for _, n := range lost {
+			h.link(l.address).queue(n)
+		}
+		h.renew(l.address)
+	})
 }
 
 // milliseconds returns a time for a message, rounded up.
