--- a/lab/soak/upgrade.go
+++ b/lab/soak/upgrade.go
@@ -35,3 +35,12 @@
 		c.markDisturbed(p.Name(), 0)
 	}
 }
+
+// sharing returns the settings of the sharing parts: those of the deploy file, unless the previous build
+// may not know them.
+func (c *cluster) sharing() string {
+	if c.settings.PreviousBinary != "" {
+		return ""
+	}
+	return "[sharing]\nholders = on\n"
+}
--- a/node/dispatcher/holder_link.go
+++ b/node/dispatcher/holder_link.go
@@ -23,8 +23,8 @@
 	// noteLag is how long a note waits for others to be sent with: a caller sends its job again
 	// after several times as long. The first request may arrive late, just after the second one, so
 	// that heldNoteLag applies to the note that a job is held.
-	noteLag     = 100 * time.Millisecond
-	heldNoteLag = 25 * time.Millisecond
+	noteLag     = 250 * time.Millisecond
+	heldNoteLag = 50 * time.Millisecond
 	// recentTime is how long notes are kept that may have been lost with their stream, and noteTTL
 	// how long they are sent again.
 	recentTime = 2 * time.Second
