Ask a common registrar too for requests that may be late

Change: unless its caller has just had an answer on the same connection, a request is claimed at the registrar of the zone and, at the same time, at one that all dispatchers ask then.

--- a/node/dispatcher/holders.go
+++ b/node/dispatcher/holders.go
@@ -64,9 +64,9 @@
 	return h
 }
 
-// take asks the registrars of a job for it. If it is granted, leave has to be called with its
-// outcome.
-func (h *holders) take(ctx context.Context, job string, budget time.Duration) claim.Verdict {
+// take asks the registrars of a job for it: that of this zone and, unless its request is recent, one that
+// all dispatchers ask then. If it is granted, leave has to be called with its outcome.
+func (h *holders) take(ctx context.Context, job string, budget time.Duration, recent bool) claim.Verdict {
 	began := h.dispatcher.deps.Clock.Now()
 	switch h.register.EndOf(job, began) {
 	case register.Canceled:
@@ -79,7 +79,11 @@
 	}
 	hold := budget + runner.OrphanTime()
 	choice := h.directory.Choose(job, began)
-	c := claim.New(choice.Asked)
+	needed := choice.Common
+	if recent {
+		needed = 1
+	}
+	c := claim.New(choice.Asked, needed)
 	h.ask(ctx, c, job, hold)
 	holding := inquiry.NotHeld
 	for _, a := range c.Holders() {
@@ -141,44 +145,55 @@
 	}
 }
 
-// ask asks the registrars of a job, one after the other, until one of them has said enough. An answer
-// that is late counts too.
+// ask asks the registrars of a job until enough of them have answered. An answer that is late counts
+// too.
 func (h *holders) ask(ctx context.Context, c *claim.Claim, job string, hold time.Duration) {
 	clock := h.dispatcher.deps.Clock
 	answers := make(chan registrarAnswer, len(c.Unasked()))
-	open := 0
+	// awaited holds the registrars whose answers are not late, open counts all without an answer.
+	awaited, open := map[string]bool{}, 0
 	for {
-		registrar, more := c.Next()
-		switch {
-		case !more && (c.Settled() || open == 0):
-			return
-		case registrar == h.dispatcher.deps.Address:
-			now := clock.Now()
-			s, others := h.register.Claim(job, registrar, hold, now)
-			c.Answered(registrar, s, others, h.register.Knows(now))
-			continue
-		case more:
-			h.link(registrar).claim(pendingClaim{job: job, hold: hold, answers: answers})
+		for r, more := c.Next(len(awaited)); more; r, more = c.Next(len(awaited)) {
+			if r == h.dispatcher.deps.Address {
+				now := clock.Now()
+				s, others := h.register.Claim(job, r, hold, now)
+				c.Answered(r, s, others, h.register.Knows(now))
+				continue
+			}
+			h.link(r).claim(pendingClaim{job: job, hold: hold, answers: answers})
+			awaited[r] = true
 			open++
 		}
+		if c.Settled() || open == 0 {
+			return
+		}
 		a, answered := h.awaitAnswer(ctx, answers)
 		switch {
-		case answered && a.failed:
-			open--
-			c.NotAnswered(a.gone)
 		case answered:
 			open--
-			c.Answered(a.registrar, a.state, slices.DeleteFunc(a.holders, func(o string) bool { return o == h.dispatcher.deps.Address }), a.knows)
-		case !more || ctx.Err() != nil:
+			delete(awaited, a.registrar)
+			h.noteAnswer(c, a)
+		case len(awaited) == 0 || ctx.Err() != nil:
 			return
 		default:
-			klog.InfoS("CH1062 registrar does not answer", "entry", h.dispatcher.deps.Name, "address", registrar, "job", job)
-			h.directory.Silent(registrar, clock.Now())
-			c.NotAnswered(false)
+			for r := range awaited {
+				klog.InfoS("CH1062 registrar does not answer", "entry", h.dispatcher.deps.Name, "address", r, "job", job)
+				h.directory.Silent(r, clock.Now())
+				c.NotAnswered(false)
+			}
+			clear(awaited)
 		}
 	}
 }
 
+func (h *holders) noteAnswer(c *claim.Claim, a registrarAnswer) {
+	if a.failed {
+		c.NotAnswered(a.gone)
+		return
+	}
+	c.Answered(a.registrar, a.state, slices.DeleteFunc(a.holders, func(o string) bool { return o == h.dispatcher.deps.Address }), a.knows)
+}
+
 // awaitAnswer waits for an answer for registrarTimeout. One that has come meanwhile goes before the
 // end of this time, as this process may have stood still.
 func (h *holders) awaitAnswer(ctx context.Context, answers <-chan registrarAnswer) (a registrarAnswer, answered bool) {
--- a/node/dispatcher/holders_test.go
+++ b/node/dispatcher/holders_test.go
@@ -27,13 +27,14 @@
 // holdingSite is a group of dispatchers that ask registrars.
 type holdingSite struct {
 	t     testing.TB
+	zones []string
 	list  []*Dispatcher
 	stops map[string]func()
 }
 
-func startHolding(t testing.TB, count int) *holdingSite {
+func startHolding(t testing.TB, count int, zones ...string) *holdingSite {
 	t.Helper()
-	s := &holdingSite{t: t, stops: map[string]func(){}}
+	s := &holdingSite{t: t, zones: zones, stops: map[string]func(){}}
 	for n := range count {
 		s.add(fmt.Sprint("d", n), listen(t), time.Hour)
 	}
@@ -69,6 +70,9 @@
 	s.t.Helper()
 	deps := dependencies(name, l, s.addresses())
 	deps.Holders = true
+	if len(s.zones) > 0 {
+		deps.Zone = s.zones[len(s.list)%len(s.zones)]
+	}
 	d := New(deps)
 	d.holders.register = register.New(time.Now().Add(-knows))
 	adopt(s.t, d, 3)
@@ -101,7 +105,34 @@
 func (s *holdingSite) takeAt(d *Dispatcher, job string) claim.Verdict {
 	s.t.Helper()
 	defer d.NoteArrival(job)()
-	return d.holders.take(s.t.Context(), job, holdBudget)
+	return d.holders.take(s.t.Context(), job, holdBudget, true)
+}
+
+// Guards against a second run: a cut ends just after the caller has sent its job again, so that both
+// requests arrive at the same time, in different zones.
+func TestJobThatArrivesInTwoZonesAtOnceIsGrantedOnce(t *testing.T) {
+	i := is.New(t)
+	s := startHolding(t, 5, "z0", "z1", "z2")
+	const jobs = 60
+	granted := 0
+	for n := range jobs {
+		job := fmt.Sprintf("%016x", n)
+		verdicts := make(chan claim.Verdict, 2)
+		for _, d := range s.list[n%3 : n%3+2] {
+			defer d.NoteArrival(job)()
+			go func() { verdicts <- d.holders.take(t.Context(), job, holdBudget, false) }()
+		}
+		both := 0
+		for range 2 {
+			if <-verdicts == claim.Granted {
+				both++
+			}
+		}
+		i.True(both <= 1)
+		granted += both
+	}
+	t.Logf("%d of %d jobs were granted", granted, jobs)
+	i.True(granted >= jobs/2)
 }
 
 // awaitVerdict asks again while an answer is missing, as it may be on a busy machine.
--- a/node/dispatcher/submit.go
+++ b/node/dispatcher/submit.go
@@ -24,17 +24,30 @@
 	HasLeft() bool
 }
 
+// submission is a request that Submit submits.
+type submission struct {
+	scheduler.Request
+	// recent is set if the request has not been on its way for long.
+	recent bool
+}
+
 // SubmitOption changes how Submit submits a job.
-type SubmitOption func(r *scheduler.Request)
+type SubmitOption func(s *submission)
 
 // WithCaller has the caller asked whether it is still there, whenever tasks are about to be placed.
 func WithCaller(c Caller) SubmitOption {
-	return func(r *scheduler.Request) { r.HasLeft = c.HasLeft }
+	return func(s *submission) { s.HasLeft = c.HasLeft }
 }
 
 // WithElapsed takes the time that the caller has waited already off its budget.
 func WithElapsed(d time.Duration) SubmitOption {
-	return func(r *scheduler.Request) { r.Elapsed = d }
+	return func(s *submission) { s.Elapsed = d }
+}
+
+// WithRecentRequest says that the request was sent a short time ago, as its caller has just had an
+// answer on the same connection. Any other may have been on its way for as long as a caller waits.
+func WithRecentRequest(recent bool) SubmitOption {
+	return func(s *submission) { s.recent = recent }
 }
 
 // Submit submits a job and waits for its answer. The end of the context means that the
@@ -49,14 +62,20 @@
 		d.metrics.CountRefusal(queue.Name, "busy")
 		return answer.New(outcome.NotRun, "busy", "this entry is short of processor time").WithRetryAfter(busyRetryAfter)
 	}
+	reply := make(chan answer.Answer, 1)
+	s := submission{Request: scheduler.Request{
+		Work: work, Queue: queue, Budget: budget, ConfigVersion: d.Catalog().Version(),
+		Reply: func(a answer.Answer) { reply <- a },
+	}}
+	for _, apply := range options {
+		apply(&s)
+	}
 	if d.holders != nil {
-		v := d.holders.take(ctx, work.ID(), budget)
-		if v != claim.Granted {
+		if v := d.holders.take(ctx, work.ID(), budget, s.recent); v != claim.Granted {
 			return d.answerNotGranted(queue, v)
 		}
 	}
-	// A caller may have canceled its job while the registrars were asked.
-	a := d.submitGranted(ctx, work, queue, budget, submittedAt, options)
+	a := d.submitGranted(ctx, s.Request, reply, submittedAt)
 	if d.holders != nil {
 		d.holders.leave(work.ID(), a.Outcome())
 	}
@@ -81,8 +100,10 @@
 }
 
 // submitGranted passes a job to the scheduler and waits for its answer.
-func (d *Dispatcher) submitGranted(ctx context.Context, work *workload.Workload, queue catalog.Queue, budget time.Duration, readAt time.Time, options []SubmitOption) answer.Answer {
+func (d *Dispatcher) submitGranted(ctx context.Context, request scheduler.Request, reply <-chan answer.Answer, readAt time.Time) answer.Answer {
+	work, queue := request.Work, request.Queue
 	submittedAt := d.deps.Clock.Now()
+	// The caller may have canceled its job while the registrars were asked.
 	if d.cancellations.Find(work.ID(), submittedAt) != nil {
 		klog.InfoS("CH1016 canceled job refused", "job", work.ID(), "queue", queue.Name)
 		d.metrics.CountRefusal(queue.Name, "canceled")
@@ -93,14 +114,6 @@
 		d.metrics.CountRefusal(queue.Name, "stale")
 		return answer.New(outcome.NotRun, "stale", "this entry stood still after it had asked for the job").WithRetryAfter(busyRetryAfter)
 	}
-	reply := make(chan answer.Answer, 1)
-	request := scheduler.Request{
-		Work: work, Queue: queue, Budget: budget, ConfigVersion: d.Catalog().Version(),
-		Reply: func(a answer.Answer) { reply <- a },
-	}
-	for _, apply := range options {
-		apply(&request)
-	}
 	request.Elapsed += submittedAt.Sub(readAt)
 	d.deps.System.Root.Send(d.scheduler, submit{sentAt: submittedAt, request: request})
 	var a answer.Answer
--- a/sharing/holder/claim/claim.go
+++ b/sharing/holder/claim/claim.go
@@ -22,21 +22,26 @@
 // Claim is the question for one job. It is not safe for concurrent use.
 type Claim struct {
 	// asked holds the registrars that have not been asked yet.
-	asked   []string
+	asked []string
+	// needed is the number of registrars whose words are enough.
+	needed  int
 	claimed []string
 	state   register.State
 	holders []string
 	settled bool
 	silent  int
-	young   int
+	// enough counts the answers of registrars that would know, young those of others.
+	enough, young int
 }
 
-// New returns the claim for a job with the given registrars, in the order in which to ask them.
-func New(registrars []string) *Claim { return &Claim{asked: registrars} }
+// New returns the claim for a job with the given registrars, in the order in which to ask them, until
+// as many as needed have answered.
+func New(registrars []string, needed int) *Claim { return &Claim{asked: registrars, needed: needed} }
 
-// Next returns the registrar to ask next, and false if none needs to be asked.
-func (c *Claim) Next() (registrar string, more bool) {
-	if c.settled || len(c.asked) == 0 {
+// Next returns the registrar to ask next while some answers are awaited, and false if none needs to
+// be asked.
+func (c *Claim) Next(awaited int) (registrar string, more bool) {
+	if c.settled || len(c.asked) == 0 || c.enough+awaited >= c.needed {
 		return "", false
 	}
 	registrar, c.asked = c.asked[0], c.asked[1:]
@@ -48,11 +53,13 @@
 	c.claimed = append(c.claimed, registrar)
 	c.state = max(c.state, s)
 	c.holders = append(c.holders, holders...)
-	if s == register.Free && knows < youngTime {
+	if knows >= youngTime {
+		c.enough++
+	} else {
 		c.young++
 	}
-	// A second registrar that has just started does not know less than a third one.
-	c.settled = s != register.Free || knows >= youngTime || c.young > 1
+	// Another registrar that has just started does not know less than one more.
+	c.settled = c.state != register.Free || c.enough >= c.needed || c.enough+c.young > c.needed
 }
 
 // NotAnswered notes that a registrar has not answered in time, or is gone.
--- a/sharing/holder/directory/directory.go
+++ b/sharing/holder/directory/directory.go
@@ -59,6 +59,8 @@
 type Choice struct {
 	// Asked holds those to ask, in order.
 	Asked []string
+	// Common is how many of them have to be asked for one among them that all dispatchers ask then.
+	Common int
 	// Registrars holds those that are to remember the job.
 	Registrars []string
 	// Missed holds those that others may ask for the job, but that do not answer here.
@@ -99,6 +101,10 @@
 		}
 	}
 	c.Asked = c.Registrars[:min(maxAsked, len(c.Registrars))]
+	c.Common = 1
+	if len(zones) > 1 && zones[1].first.weight > zones[0].first.weight {
+		c.Common = 2
+	}
 	return c
 }
 
--- a/sharing/holder/directory/directory_test.go
+++ b/sharing/holder/directory/directory_test.go
@@ -64,6 +64,21 @@
 	}
 }
 
+// Dispatchers of different zones ask one registrar in common for a request that may be old.
+func TestOneRegistrarIsCommon(t *testing.T) {
+	i := is.New(t)
+	const zones = 4
+	d, list := site(9, zones)
+	other := New(list[2], "z2")
+	for n, a := range list {
+		other.Join(a, fmt.Sprint("z", n%zones))
+	}
+	for n := range 500 {
+		here, there := d.Choose(job(n), start), other.Choose(job(n), start)
+		i.Equal(here.Asked[here.Common-1], there.Asked[there.Common-1])
+	}
+}
+
 // A site of one zone has two registrars for each job.
 func TestSiteOfOneZoneHasTwoRegistrars(t *testing.T) {
 	i := is.New(t)
