--- /dev/null
+++ b/node/dispatcher/holders.go
@@ -0,0 +1,408 @@
+package dispatcher
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/corianderhook/corianderhook/common/pause"
+	"github.com/corianderhook/corianderhook/process/inquiry"
+	"github.com/corianderhook/corianderhook/process/runner"
+	"github.com/corianderhook/corianderhook/request/outcome"
+	"github.com/corianderhook/corianderhook/sharing/holder/claim"
+	"github.com/corianderhook/corianderhook/sharing/holder/directory"
+	"github.com/corianderhook/corianderhook/sharing/holder/register"
+	"github.com/corianderhook/corianderhook/wire"
+)
+
+const (
+	// registrarTimeout limits the wait for the answer of one registrar.
+	registrarTimeout = 75 * time.Millisecond
+	// refusalTimeout limits the wait for a machine to refuse a connection to a process that is gone.
+	refusalTimeout = 75 * time.Millisecond
+	// retryTime is the time from the end of a link to its next opening, if it has lost anything.
+	retryTime = 250 * time.Millisecond
+	// maxRelays is the number of registrars that pass on a note: one of them may be cut off as well.
+	maxRelays = 2
+	// lookInterval is the time between two looks for dispatchers that have become known.
+	lookInterval = 100 * time.Millisecond
+)
+
+// holders sees to it that a job that reaches several dispatchers runs at one of them: each asks the
+// registrars of the job before it submits it.
+type holders struct {
+	dispatcher *Dispatcher
+	register   *register.Register
+	directory  *directory.Directory
+	mu         sync.Mutex
+	links      map[string]*holderLink
+	// taken holds the jobs of this dispatcher.
+	taken map[string]*takenJob
+}
+
+// takenJob is a job that this dispatcher has been granted.
+type takenJob struct {
+	// requests counts those in hand.
+	requests int
+	until    time.Time
+	choice   directory.Choice
+	claimed  []string
+}
+
+func newHolders(d *Dispatcher) *holders {
+	h := &holders{
+		dispatcher: d, register: register.New(d.deps.Clock.Now()), directory: directory.New(d.deps.Address, d.deps.Zone),
+		links: map[string]*holderLink{}, taken: map[string]*takenJob{},
+	}
+	d.metrics.RegisterGauge("corianderhook_registered_jobs", "Jobs that this process remembers as a registrar.", func() float64 { return float64(h.register.Jobs()) })
+	return h
+}
+
+// take asks the registrars of a job for it: that of this zone and, unless its request is recent, one that
+// all dispatchers ask then. If it is granted, leave has to be called with its outcome.
+func (h *holders) take(ctx context.Context, job string, budget time.Duration, recent bool) claim.Verdict {
+	began := h.dispatcher.deps.Clock.Now()
+	switch h.register.EndOf(job, began) {
+	case register.Canceled:
+		return h.concluded(job, claim.Canceled)
+	case register.Completed:
+		return h.concluded(job, claim.Completed)
+	}
+	if h.joins(job) {
+		return h.concluded(job, claim.Granted)
+	}
+	hold := budget + runner.OrphanTime()
+	choice := h.directory.Choose(job, began)
+	needed := choice.Common
+	if recent {
+		needed = 1
+	}
+	c := claim.New(choice.Asked, needed)
+	h.ask(ctx, c, job, hold)
+	holding := inquiry.NotHeld
+	for _, a := range c.Holders() {
+		holding = worse(holding, h.askHolder(ctx, job, a, began))
+	}
+	v := c.Conclude(holding)
+	if ctx.Err() != nil {
+		v = claim.Unsure
+	}
+	if v == claim.Granted {
+		h.keep(job, &takenJob{until: began.Add(hold), choice: choice, claimed: c.Claimed()}, len(c.Holders()) > 0)
+	} else {
+		h.tell(c.Claimed(), &wire.HolderNote{Job: job, State: register.Free.Wire()})
+	}
+	if v != claim.Granted || len(c.Holders()) > 0 || len(c.Claimed()) == 0 && len(choice.Asked) > 0 {
+		klog.InfoS("CH1060 registrars asked for a job", "entry", h.dispatcher.deps.Name, "job", job, "verdict", v, "registrars", choice.Asked, "answered", c.Claimed(),
+			"missed", choice.Missed, "holders", c.Holders(), "holding", holding, "took", h.dispatcher.deps.Clock.Since(began))
+	}
+	return h.concluded(job, v)
+}
+
+func (h *holders) concluded(job string, v claim.Verdict) claim.Verdict {
+	h.dispatcher.metrics.CountClaim(v.String())
+	if v == claim.Completed || v == claim.Canceled {
+		klog.InfoS("CH1061 job had ended before", "entry", h.dispatcher.deps.Name, "job", job, "verdict", v)
+	}
+	return v
+}
+
+// worse returns what two holders have answered together.
+func worse(a, b inquiry.Holding) inquiry.Holding {
+	switch {
+	case a == inquiry.Held || b == inquiry.Held:
+		return inquiry.Held
+	case a == inquiry.Unknown || b == inquiry.Unknown:
+		return inquiry.Unknown
+	default:
+		return inquiry.NotHeld
+	}
+}
+
+// joins counts a request for a job that this dispatcher has.
+func (h *holders) joins(job string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	t, taken := h.taken[job]
+	if taken {
+		t.requests++
+	}
+	return taken
+}
+
+// run looks for dispatchers that have become known, and asks for their zones, until the context ends.
+func (h *holders) run(ctx context.Context) {
+	for pause.For(ctx, h.dispatcher.deps.Clock, lookInterval) {
+		for _, a := range h.directory.Unknown(h.dispatcher.peers.addresses(), h.dispatcher.deps.Clock.Now()) {
+			h.link(a)
+		}
+	}
+}
+
+// ask asks the registrars of a job until enough of them have answered. An answer that is late counts
+// too.
+func (h *holders) ask(ctx context.Context, c *claim.Claim, job string, hold time.Duration) {
+	clock := h.dispatcher.deps.Clock
+	answers := make(chan registrarAnswer, len(c.Unasked()))
+	// awaited holds the registrars whose answers are not late, open counts all without an answer.
+	awaited, open := map[string]bool{}, 0
+	for {
+		for r, more := c.Next(len(awaited)); more; r, more = c.Next(len(awaited)) {
+			if r == h.dispatcher.deps.Address {
+				now := clock.Now()
+				s, others := h.register.Claim(job, r, hold, now)
+				c.Answered(r, s, others, h.register.Knows(now))
+				continue
+			}
+			h.link(r).claim(pendingClaim{job: job, hold: hold, answers: answers})
+			awaited[r] = true
+			open++
+		}
+		if c.Settled() || open == 0 {
+			return
+		}
+		a, answered := h.awaitAnswer(ctx, answers)
+		switch {
+		case answered:
+			open--
+			delete(awaited, a.registrar)
+			h.noteAnswer(c, a)
+		case len(awaited) == 0 || ctx.Err() != nil:
+			return
+		default:
+			for r := range awaited {
+				klog.InfoS("CH1062 registrar does not answer", "entry", h.dispatcher.deps.Name, "address", r, "job", job)
+				h.directory.Silent(r, clock.Now())
+				c.NotAnswered(false)
+			}
+			clear(awaited)
+		}
+	}
+}
+
+func (h *holders) noteAnswer(c *claim.Claim, a registrarAnswer) {
+	if a.failed {
+		c.NotAnswered(a.gone)
+		return
+	}
+	c.Answered(a.registrar, a.state, slices.DeleteFunc(a.holders, func(o string) bool { return o == h.dispatcher.deps.Address }), a.knows)
+}
+
+// awaitAnswer waits for an answer for registrarTimeout. One that has come meanwhile goes before the
+// end of this time, as this process may have stood still.
+func (h *holders) awaitAnswer(ctx context.Context, answers <-chan registrarAnswer) (a registrarAnswer, answered bool) {
+	timer := h.dispatcher.deps.Clock.NewTimer(registrarTimeout)
+	defer timer.Stop()
+	select {
+	case a := <-answers:
+		return a, true
+	case <-timer.Chan():
+	case <-ctx.Done():
+	}
+	select {
+	case a := <-answers:
+		return a, true
+	default:
+		return registrarAnswer{}, false
+	}
+}
+
+// askHolder asks a dispatcher whether it still has a job. The runs of one that is gone end before
+// its callers send their jobs again.
+func (h *holders) askHolder(ctx context.Context, job, address string, arrivedAt time.Time) inquiry.Holding {
+	d := h.dispatcher
+	holding := d.inquire(ctx, &question{job: job, arrivedAt: arrivedAt}, []string{address})
+	if holding == inquiry.Unknown && refusesConnections(ctx, address) {
+		klog.InfoS("CH1063 dispatcher that had a job is gone", "entry", d.deps.Name, "job", job, "address", address)
+		return inquiry.NotHeld
+	}
+	return holding
+}
+
+// refusesConnections reports whether no process listens at an address of a machine that answers.
+func refusesConnections(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		conn.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// keep notes a granted job, and tells the registrars that have not been asked. All are told of a
+// job that others have had.
+func (h *holders) keep(job string, t *takenJob, takenOver bool) {
+	h.mu.Lock()
+	if known, taken := h.taken[job]; taken {
+		known.requests++
+		h.mu.Unlock()
+		return
+	}
+	t.requests = 1
+	h.taken[job] = t
+	h.mu.Unlock()
+	h.announce(job, t, t.choice.Registrars, takenOver)
+}
+
+// announce tells registrars that this dispatcher has a job, some of them by way of another one.
+func (h *holders) announce(job string, t *takenJob, registrars []string, again bool) {
+	hold := milliseconds(t.until.Sub(h.dispatcher.deps.Clock.Now()))
+	for _, r := range registrars {
+		if again || !slices.Contains(t.claimed, r) {
+			h.tell([]string{r}, &wire.HolderNote{Job: job, State: register.Held.Wire(), HoldMs: hold})
+		}
+	}
+	h.relay(t.choice, &wire.HolderNote{Job: job, State: register.Held.Wire(), HoldMs: hold})
+}
+
+// relay has a note passed on to the registrars that do not answer this dispatcher.
+func (h *holders) relay(c directory.Choice, n *wire.HolderNote) {
+	for _, missed := range c.Missed {
+		others := slices.DeleteFunc(slices.Clone(c.Registrars), func(a string) bool { return a == h.dispatcher.deps.Address })
+		h.tell(others[:min(maxRelays, len(others))], &wire.HolderNote{Job: n.GetJob(), State: n.GetState(), HoldMs: n.GetHoldMs(), RelayTo: missed})
+	}
+}
+
+// leave notes that a request for a granted job has been answered, or that its caller has left.
+func (h *holders) leave(job string, o outcome.Outcome) {
+	h.mu.Lock()
+	t, taken := h.taken[job]
+	if !taken {
+		h.mu.Unlock()
+		return
+	}
+	if t.requests--; t.requests > 0 {
+		h.mu.Unlock()
+		return
+	}
+	delete(h.taken, job)
+	h.mu.Unlock()
+	switch o {
+	case outcome.NotRun:
+		h.tell(t.choice.Registrars, &wire.HolderNote{Job: job, State: register.Free.Wire()})
+	case outcome.Complete:
+		h.tell(t.choice.Registrars, &wire.HolderNote{Job: job, State: register.Completed.Wire()})
+	default:
+		// The runs may take some time to end, and this dispatcher knows.
+	}
+}
+
+// cancel remembers that a job of this dispatcher has been canceled.
+func (h *holders) cancel(job string) {
+	now := h.dispatcher.deps.Clock.Now()
+	h.register.End(job, register.Canceled, now)
+	choice := h.directory.Choose(job, now)
+	n := &wire.HolderNote{Job: job, State: register.Canceled.Wire()}
+	h.tell(choice.Registrars, n)
+	h.relay(choice, n)
+}
+
+// tell sends a note to registrars. It does not wait for them.
+func (h *holders) tell(registrars []string, n *wire.HolderNote) {
+	for _, r := range registrars {
+		if r == h.dispatcher.deps.Address {
+			h.learn(r, n)
+			continue
+		}
+		h.link(r).note(n)
+	}
+}
+
+// learn applies a note of a dispatcher.
+func (h *holders) learn(from string, n *wire.HolderNote) {
+	now := h.dispatcher.deps.Clock.Now()
+	if to := n.GetRelayTo(); to != "" && to != h.dispatcher.deps.Address {
+		if slices.Contains(h.dispatcher.peers.addresses(), to) {
+			h.link(to).note(&wire.HolderNote{Job: n.GetJob(), State: n.GetState(), HoldMs: n.GetHoldMs(), Holder: from})
+		}
+		return
+	}
+	if n.GetHolder() != "" {
+		from = n.GetHolder()
+	}
+	s, known := register.FromWire(n.GetState())
+	switch {
+	case !known:
+	case s == register.Held:
+		h.register.Hold(n.GetJob(), from, time.Duration(n.GetHoldMs())*time.Millisecond, now)
+	case s == register.Free:
+		h.register.Release(n.GetJob(), from)
+	default:
+		h.register.End(n.GetJob(), s, now)
+	}
+}
+
+// renew tells a registrar that could not be reached of the jobs of this dispatcher: it may have
+// restarted.
+func (h *holders) renew(address string) {
+	now := h.dispatcher.deps.Clock.Now()
+	h.mu.Lock()
+	jobs := map[string]*takenJob{}
+	for job, t := range h.taken {
+		jobs[job] = t
+	}
+	h.mu.Unlock()
+	renewed := 0
+	for job, t := range jobs {
+		c := h.directory.Choose(job, now)
+		if slices.Contains(c.Registrars, address) || slices.Contains(c.Missed, address) {
+			h.tell([]string{address}, &wire.HolderNote{Job: job, State: register.Held.Wire(), HoldMs: milliseconds(t.until.Sub(now))})
+			renewed++
+		}
+	}
+	if renewed > 0 {
+		klog.InfoS("CH1064 registrar told again of jobs", "entry", h.dispatcher.deps.Name, "address", address, "jobs", renewed)
+	}
+}
+
+// link returns the link to an address, which is opened if there is none.
+func (h *holders) link(address string) *holderLink {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	l, open := h.links[address]
+	if !open {
+		l = newHolderLink(h.dispatcher, address)
+		h.links[address] = l
+		go h.serve(l)
+	}
+	return l
+}
+
+// serve runs a link until it fails.
+func (h *holders) serve(l *holderLink) {
+	d := h.dispatcher
+	lacking, err := l.run(d.inquirer.ctx)
+	h.mu.Lock()
+	delete(h.links, l.address)
+	h.mu.Unlock()
+	if d.inquirer.ctx.Err() != nil {
+		return
+	}
+	now := d.deps.Clock.Now()
+	klog.InfoS("CH1065 link to a registrar ended", "entry", d.deps.Name, "address", l.address, "lacking", lacking, "error", err)
+	lost := l.close(now)
+	if lacking {
+		h.directory.Lacking(l.address, now)
+		return
+	}
+	h.directory.Silent(l.address, now)
+	d.deps.Clock.AfterFunc(retryTime, func() {
+		for _, n := range lost {
+			h.link(l.address).queue(n)
+		}
+		h.renew(l.address)
+	})
+}
+
+// milliseconds returns a time for a message, rounded up.
+func milliseconds(t time.Duration) uint32 {
+	return uint32(max(0, (t + time.Millisecond - 1).Milliseconds()))
+}
