Keep scarce room for the most urgent work, as a switch

Cause: in bursts over the endpoints' capacity every dispatcher limits what waits by constants of its own. The most urgent kind is refused while less urgent work is admitted, and a less urgent job that sees free cores takes them though admitted work waits elsewhere. Callers are told that a job could not end in time, which is not so. Change: with [sharing] room = on sidecars tell by urgency what started work of all dispatchers takes of their room; a dispatcher lowers the limits of less urgent work by the share of the most urgent one, and refuses with the true cause and a Retry-After that is spread. Off, nothing is sent or decided anew. A replay of 13 dispatchers and 70 endpoints with partial sessions.

--- a/node/dispatcher/actor.go
+++ b/node/dispatcher/actor.go
@@ -71,7 +71,11 @@
 
 func newSchedulerActor(d *Dispatcher) *schedulerActor {
 	a := &schedulerActor{dispatcher: d, sessions: map[string]*session{}, attachments: attachment.New(), suspensions: suspension.New()}
-	a.scheduler = scheduler.New(a, fleet.New(d.deps.Zone), d.firstRun, scheduler.WithCrashLog(d.crashes))
+	options := []scheduler.Option{scheduler.WithCrashLog(d.crashes)}
+	if d.deps.SharesRoom {
+		options = append(options, scheduler.WithSharedRoom())
+	}
+	a.scheduler = scheduler.New(a, fleet.New(d.deps.Zone), d.firstRun, options...)
 	return a
 }
 
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -66,6 +66,8 @@
 	// Decode parses a configuration received from another dispatcher.
 	Decode  func(text []byte) (*catalog.Catalog, error)
 	Metrics *metrics.Metrics
+	// SharesRoom makes admission use what the sidecars report of the work of all dispatchers.
+	SharesRoom bool
 }
 
 // Dispatcher is a dispatcher process. It is safe for concurrent use.
--- a/node/sidecar/actor.go
+++ b/node/sidecar/actor.go
@@ -130,6 +130,9 @@
 		suspensions: suspension.New(),
 	}
 	a.runner = runner.New(a)
+	if s.deps.SharesRoom {
+		a.runner.ShareRoom()
+	}
 	return a
 }
 
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -95,6 +95,8 @@
 	EvacuationTime time.Duration
 	Clock          clockwork.Clock
 	System         *actor.ActorSystem
+	// SharesRoom makes capacity reports tell the work of all dispatchers by urgency.
+	SharesRoom bool
 }
 
 // Sidecar is a sidecar process. It is safe for concurrent use.
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -54,10 +54,12 @@
 	reason    string
 	// born is the start of the endpoint's incarnation in Unix milliseconds; 0 if the agent
 	// has not told it.
-	born        int64
-	lastHeard   time.Time
-	free        size.Size
-	queuedWork  [backlog.Bands]float64
+	born       int64
+	lastHeard  time.Time
+	free       size.Size
+	queuedWork [backlog.Bands]float64
+	// taken is the rate at which the started work of all dispatchers takes room, by urgency.
+	taken       []uint32
 	running     int
 	completions completion.Rate
 	// unacknowledged holds the tasks sent in frames that the agent had not yet seen at its
@@ -190,6 +192,7 @@
 		a.queuedWork[min(i, backlog.Bands-1)] += float64(work)
 	}
 	a.running = int(room.GetRunning())
+	a.taken = room.GetTaken()
 	a.completions = completion.FromNext(time.Duration(room.GetNextEndUs()) * time.Microsecond)
 	a.failureRate = min(float64(room.GetFailingPercent())/100, maxFailureRate)
 	a.slowness = float64(room.GetSlownessPercent()) / 100
--- a/process/replay/entry_test.go
+++ b/process/replay/entry_test.go
@@ -1,6 +1,8 @@
 package replay
 
 import (
+	"fmt"
+	"hash/fnv"
 	"time"
 
 	"github.com/corianderhook/corianderhook/process/fleet"
@@ -28,10 +30,34 @@
 
 func newEntry(w *world, incarnation uint64) *entry {
 	e := &entry{world: w, incarnation: incarnation, frameNumbers: map[string]uint64{}, onConnectionLost: map[string]func(){}, decisions: map[string]int{}}
-	e.scheduler = scheduler.New(e, fleet.New("zone"), func() uint64 { return uint64(w.now.UnixMilli()) })
+	var options []scheduler.Option
+	if w.sharedRoom {
+		options = append(options, scheduler.WithSharedRoom())
+	}
+	e.scheduler = scheduler.New(e, fleet.New("zone"), func() uint64 { return uint64(w.now.UnixMilli()) }, options...)
 	return e
 }
 
+// connected reports whether a sidecar has a session with an entry: each has some, chosen by a hash
+// of both names.
+func (w *world) connected(e *entry, agent string) bool {
+	if w.sessions == 0 {
+		return true
+	}
+	rank := func(o *entry) uint64 {
+		h := fnv.New64a()
+		_, _ = fmt.Fprint(h, agent, " ", o.incarnation%100)
+		return h.Sum64()
+	}
+	before := 0
+	for _, o := range w.entries {
+		if rank(o) < rank(e) {
+			before++
+		}
+	}
+	return before < w.sessions
+}
+
 func (e *entry) Now() time.Time { return e.world.now }
 
 func (e *entry) Send(agent string, o *wire.Offer) (uint64, bool) {
--- a/process/replay/sidecar_test.go
+++ b/process/replay/sidecar_test.go
@@ -60,8 +60,14 @@
 		reportedFreeCPU: map[uint64]int{}, runs: map[string]bool{}, ended: map[string]bool{}, born: w.now, crashes: crash.NewLog(),
 	}
 	s.runner = runner.New(s)
+	if w.sharedRoom {
+		s.runner.ShareRoom()
+	}
 	s.runner.Accept(s.capacity)
 	for _, e := range w.entries {
+		if !w.connected(e, name) {
+			continue
+		}
 		e.scheduler.AttachAgent(name, "zone", nil, &wire.SidecarFrame{Endpoint: s.endpointState(), Room: s.runner.Room()})
 		s.runner.Heard(e.incarnation, fmt.Sprint(e.incarnation%100), w.now)
 	}
@@ -129,6 +135,9 @@
 	s.runner.Tick()
 	free := int(s.runner.Room().GetFree().GetCpu())
 	for _, e := range s.world.entries {
+		if !s.world.connected(e, s.name) {
+			continue
+		}
 		change := free - s.reportedFreeCPU[e.incarnation]
 		due := s.world.now.Sub(s.sentAt[e.incarnation]) >= heartbeatInterval
 		if due || len(s.pending[e.incarnation]) > 0 || change > 1000 || change < -1000 {
--- a/process/replay/world_test.go
+++ b/process/replay/world_test.go
@@ -60,6 +60,10 @@
 	random   *rand.Rand
 	entries  []*entry
 	sidecars []*sidecar
+	// sessions is the number of entries that a sidecar has sessions with; 0 means all.
+	sessions int
+	// sharedRoom is set if admission uses what the sidecars report of all entries' work.
+	sharedRoom bool
 	// running counts the runs of each task over all endpoints.
 	running map[string]int
 	// crashes counts by task the endpoints that have crashed under it, startsAfter its starts
@@ -165,11 +169,14 @@
 }
 
 // newWorld returns a world with one sidecar for each run factor.
-func newWorld(t *testing.T, seed uint64, entries int, runFactors []float64) *world {
+func newWorld(t *testing.T, seed uint64, entries int, runFactors []float64, options ...func(w *world)) *world {
 	w := &world{
 		t: t, now: time.Unix(1_700_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)),
 		running: map[string]int{}, jobs: map[string]job{}, crashes: map[string]int{}, startsAfter: map[string]int{},
 	}
+	for _, apply := range options {
+		apply(w)
+	}
 	for i := range entries {
 		w.entries = append(w.entries, newEntry(w, uint64(i+1)))
 	}
--- a/process/runner/report.go
+++ b/process/runner/report.go
@@ -182,6 +182,9 @@
 			completions.Add(t.expected, now.Sub(t.orderedAt))
 		}
 	}
+	if r.taken != nil {
+		room.Taken = r.taken.Millicores(now)
+	}
 	room.FailingPercent = percent(r.evidence.FailureRate(now))
 	room.SlownessPercent = percent(r.evidence.Slowness(now))
 	room.NextEndUs = uint32(completions.UntilNext().Microseconds())
--- a/process/runner/runner.go
+++ b/process/runner/runner.go
@@ -22,6 +22,7 @@
 	"github.com/corianderhook/corianderhook/process/lease"
 	"github.com/corianderhook/corianderhook/process/ledger"
 	"github.com/corianderhook/corianderhook/request/size"
+	"github.com/corianderhook/corianderhook/sharing/room"
 	"github.com/corianderhook/corianderhook/wire"
 )
 
@@ -109,6 +110,8 @@
 	// resumedAt is when the machine was last resumed, suspension how long it was suspended.
 	resumedAt  time.Time
 	suspension time.Duration
+	// taken measures the started work by urgency; nil if reports do not tell it.
+	taken *room.Taken
 	// crashedBorn is the start of the incarnation that crashed last.
 	crashedBorn time.Time
 }
@@ -128,6 +131,9 @@
 	}
 }
 
+// ShareRoom makes capacity reports tell the started work by urgency.
+func (r *Runner) ShareRoom() { r.taken = &room.Taken{} }
+
 func taskName(dispatcher, ref uint64) string {
 	return strconv.FormatUint(dispatcher, 36) + "/" + strconv.FormatUint(ref, 36)
 }
@@ -237,6 +243,9 @@
 		if !found {
 			return
 		}
+		if r.taken != nil {
+			r.taken.Observe(item.Urgency, float64(item.Size.CPU)*float64(item.Expected.Milliseconds()), r.host.Now())
+		}
 		r.start(r.tasks[item.Name])
 	}
 }
--- a/process/scheduler/scheduler.go
+++ b/process/scheduler/scheduler.go
@@ -164,6 +164,8 @@
 	crashes     *crash.Log
 	quarantines map[string]*quarantine.Quarantine
 	lostAgents  map[string]lostAgent
+	// sharesRoom is set if admission uses what the agents report of the work of all dispatchers.
+	sharesRoom bool
 }
 
 // Option changes a scheduler that New returns.
@@ -266,7 +268,12 @@
 		s.refuse(r, "no-endpoint", "no endpoint can take the job", 0)
 		return
 	}
-	if !p.admits(r.Queue.Urgency, j.objective, r.Budget-r.Elapsed) {
+	if s.sharesRoom {
+		if v := s.sharedRoomVerdict(r, j, p); !v.Admitted() {
+			s.refuseForRoom(r, j, p, v)
+			return
+		}
+	} else if !p.admits(r.Queue.Urgency, j.objective, r.Budget-r.Elapsed) {
 		s.host.LogDecision("CH1022 job refused", id, "reason", "overload", "queue", r.Queue.Name, "backlog", p.backlog,
 			"limit", p.backlogLimit(r.Queue.Urgency), "share", p.backlogShare, "ends", p.makespan(), "objective", j.objective, "budget", r.Budget, "endpoints", len(s.candidates), "version", r.ConfigVersion)
 		r.Reply(refusal("overload", "the job could not end in time", max(p.backlog, p.makespan()-j.objective)))
--- a/version/config/config.go
+++ b/version/config/config.go
@@ -119,7 +119,8 @@
 // Sharing switches the parts that let dispatchers and sidecars share the room at the
 // endpoints. A part that is off sends nothing and decides nothing.
 type Sharing struct {
-	// Room lets dispatchers tell each other what they have admitted and not yet placed.
+	// Room lets sidecars tell by urgency what work takes their room, and dispatchers keep room
+	// for the most urgent work.
 	Room bool
 	// Holders lets a dispatcher ask who holds a job before it submits the job again.
 	Holders bool
--- a/version/config/fields.go
+++ b/version/config/fields.go
@@ -74,7 +74,7 @@
 			{Key: "evacuation", Default: "5s", Unit: "time", Doc: "Time within which the evacuation of an availability zone has to be in force.", set: setTime(500*time.Millisecond, time.Hour, func(b *builder) *time.Duration { return &b.c.runtime.EvacuationTime })},
 		}},
 		{Name: "sharing", Fields: []Field{
-			{Key: "room", Default: "off", Unit: "on or off", Doc: "Whether dispatchers tell each other what they have admitted and not yet placed.", set: setSwitch(func(b *builder) *bool { return &b.c.sharing.Room })},
+			{Key: "room", Default: "off", Unit: "on or off", Doc: "Whether sidecars tell by urgency what work takes their room, and dispatchers keep room for the most urgent work.", set: setSwitch(func(b *builder) *bool { return &b.c.sharing.Room })},
 			{Key: "holders", Default: "off", Unit: "on or off", Doc: "Whether a dispatcher asks who holds a job before it submits the job again.", set: setSwitch(func(b *builder) *bool { return &b.c.sharing.Holders })},
 			{Key: "neighbors", Default: "off", Unit: "on or off", Doc: "Whether tasks that slow each other down are kept apart.", set: setSwitch(func(b *builder) *bool { return &b.c.sharing.Neighbors })},
 			{Key: "recovery", Default: "off", Unit: "on or off", Doc: "Whether a restarted process takes over what its peers have measured.", set: setSwitch(func(b *builder) *bool { return &b.c.sharing.Recovery })},
