--- a/sharing/admission/admission.go
+++ b/sharing/admission/admission.go
@@ -42,7 +42,7 @@
 // limit returns how much waiting work the job may join. It is never more than a more urgent job of
 // its size may join, so that no urgent work is refused while less urgent work is admitted.
 func (c Case) limit() time.Duration {
-	return min(time.Duration((1-min(max(c.Reserved, 0), 1))*float64(c.Limit)), c.Most)
+	return time.Duration((1 - min(max(c.Reserved, 0), 1)) * float64(min(c.Limit, c.Most)))
 }
 
 // Decide returns the verdict on a job. A job that could start at once is refused too if more work
