Test that a restarted dispatcher keeps room from its first reports

Cause: what is kept for urgent work must not depend on memory. Change: a replay that crashes a dispatcher in a burst; replayed sidecars connect again only to the dispatchers that they have sessions with.

--- a/process/replay/scarce_test.go
+++ b/process/replay/scarce_test.go
@@ -111,6 +111,24 @@
 	}
 }
 
+// A dispatcher that has lost its memory in a burst keeps room again once its sessions are back.
+func TestRestartedDispatcherKeepsRoom(t *testing.T) {
+	t.Parallel()
+	i := is.New(t)
+	w := newScarceWorld(t, 1, true)
+	w.load(scarceBurst{1.7, 1, 2.5, false}.kinds(), 1500*time.Millisecond)
+	w.advance(800 * time.Millisecond)
+	const restart = 200 * time.Millisecond
+	before := w.entries[0].scheduler.Fleet().Reserved("service", 2, w.now)
+	w.entries[0].crash(restart)
+	w.advance(restart + 50*time.Millisecond)
+	after := w.entries[0].scheduler.Fleet().Reserved("service", 2, w.now)
+	t.Logf("reserved before %.2f, after %.2f", before, after)
+	i.True(before > 0.1 && before < 0.5)
+	i.True(after > before/2 && after < 2*before)
+	i.Equal(w.entries[0].scheduler.Fleet().Reserved("service", 0, w.now), 0.0)
+}
+
 const (
 	// fastest is the speed of the fastest endpoint.
 	fastest = 1.25
--- a/process/replay/sidecar_test.go
+++ b/process/replay/sidecar_test.go
@@ -282,7 +282,7 @@
 	s.unreadEnds = nil
 	s.runner.Tick()
 	for _, e := range s.world.entries {
-		if e.crashed {
+		if e.crashed || !s.world.connected(e, s.name) {
 			continue
 		}
 		s.runner.Heard(e.incarnation, fmt.Sprint(e.incarnation%100), s.world.now)
@@ -321,7 +321,7 @@
 		}
 	}
 	for _, s := range w.sidecars {
-		if s.suspended {
+		if s.suspended || !w.connected(next, s.name) {
 			continue
 		}
 		s.runner.Heard(next.incarnation, fmt.Sprint(e.incarnation%100), w.now)
