Count long tasks as the cores that they take, and one level of urgency for all endpoints

Change: a task counts for at most the time in which it is remembered; the most urgent level is chosen over all endpoints that a dispatcher may use; rates are clamped.

--- a/process/fleet/reserve_test.go
+++ b/process/fleet/reserve_test.go
@@ -19,6 +19,11 @@
 	f.UpdateRoom("agent-00", &wire.Room{Free: free, Taken: []uint32{24000, 4000}}, 0)
 	i.Equal(f.Reserved("checks", 2, now()), 0.25)
 	i.Equal(f.Reserved("checks", 0, now()), 0.0)
+	// The most urgent work at one endpoint is not that of all.
+	f.UpdateRoom("agent-01", &wire.Room{Free: free, Taken: []uint32{0, 8000}}, 0)
+	i.Equal(f.Reserved("checks", 2, now()), 0.25)
+	i.Equal(f.Reserved("checks", 1, now()), 0.25)
+	f.UpdateRoom("agent-01", &wire.Room{Free: free}, 0)
 	i.Equal(f.Reserved("other", 2, now()), 0.0)
 	later := now().Add(400 * time.Millisecond)
 	f.RecordContact("agent-01", later)
--- a/process/runner/runner.go
+++ b/process/runner/runner.go
@@ -244,7 +244,7 @@
 			return
 		}
 		if r.taken != nil {
-			r.taken.Observe(item.Urgency, float64(item.Size.CPU)*float64(item.Expected.Milliseconds()), r.host.Now())
+			r.taken.Observe(item.Urgency, item.Size.CPU, item.Expected, r.host.Now())
 		}
 		r.start(r.tasks[item.Name])
 	}
--- a/sharing/room/room.go
+++ b/sharing/room/room.go
@@ -27,10 +27,11 @@
 // level returns the level of an urgency; 0 is the most urgent.
 func level(urgency int) int { return min(max(urgency, 0), Levels-1) }
 
-// Observe records that work of the given millicore-milliseconds has started.
-func (t *Taken) Observe(urgency int, work float64, now time.Time) {
+// Observe records that a task has started that takes some millicores for the given time. A long task
+// counts as what it takes while it is remembered, so that it never counts as more than its cores.
+func (t *Taken) Observe(urgency, millicores int, run time.Duration, now time.Time) {
 	t.fade(now)
-	t.work[level(urgency)] += work
+	t.work[level(urgency)] += float64(max(0, millicores)) * float64(min(max(run, 0), fadeTime).Milliseconds())
 }
 
 // Millicores returns the rate by level, up to the last level that has one, or nil.
@@ -38,7 +39,7 @@
 	t.fade(now)
 	var rates []uint32
 	for i, work := range t.work {
-		if rate := uint32(work / float64(fadeTime.Milliseconds())); rate > 0 {
+		if rate := uint32(min(work/float64(fadeTime.Milliseconds()), math.MaxUint32)); rate > 0 {
 			rates = append(rates, make([]uint32, i+1-len(rates))...)
 			rates[i] = rate
 		}
@@ -56,14 +57,14 @@
 	}
 }
 
-// MostUrgent returns the rate of the most urgent level that has one, if that is more urgent than
-// the given urgency. The levels between are left to the limits of each: if room were kept for them
-// too, long work would have none.
-func MostUrgent(rates []uint32, urgency int) uint32 {
-	for _, rate := range rates[:min(level(urgency), len(rates))] {
+// MostUrgent returns the most urgent level that has a rate, if that is more urgent than the given
+// urgency. The levels between are left to the limits of each: if room were kept for them too, long
+// work would have none.
+func MostUrgent(rates []uint32, urgency int) (mostUrgent int, found bool) {
+	for i, rate := range rates[:min(level(urgency), len(rates))] {
 		if rate > 0 {
-			return rate
+			return i, true
 		}
 	}
-	return 0
+	return 0, false
 }
