--- a/node/dispatcher/actor.go
+++ b/node/dispatcher/actor.go
@@ -82,6 +82,9 @@
 	if d.deps.Slowness {
 		options = append(options, scheduler.WithSlowdowns())
 	}
+	if d.deps.SharesRoom {
+		options = append(options, scheduler.WithSharedRoom())
+	}
 	a.scheduler = scheduler.New(a, fleet.New(d.deps.Zone), d.firstRun, options...)
 	return a
 }
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -73,6 +73,8 @@
 	Slowness bool
 	// Holders has the registrars of a job asked before it is submitted.
 	Holders bool
+	// SharesRoom makes admission use what the sidecars report of the work of all dispatchers.
+	SharesRoom bool
 }
 
 // Dispatcher is a dispatcher process. It is safe for concurrent use.
--- a/node/sidecar/actor.go
+++ b/node/sidecar/actor.go
@@ -136,6 +136,9 @@
 	if s.deps.Slowness {
 		options = append(options, runner.WithSlowdowns(slowdown.New()))
 	}
+	if s.deps.SharesRoom {
+		options = append(options, runner.WithSharedRoom())
+	}
 	a.runner = runner.New(a, options...)
 	return a
 }
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -99,8 +99,10 @@
 	Neighbors bool
 	// Slowness makes the sidecar report its endpoint as slow by the runs that are under way too.
 	Slowness bool
-	Clock    clockwork.Clock
-	System   *actor.ActorSystem
+	// SharesRoom makes capacity reports tell the work of all dispatchers by urgency.
+	SharesRoom bool
+	Clock      clockwork.Clock
+	System     *actor.ActorSystem
 }
 
 // Sidecar is a sidecar process. It is safe for concurrent use.
--- a/process/replay/neighbors_test.go
+++ b/process/replay/neighbors_test.go
@@ -37,6 +37,9 @@
 	if w.takesBack {
 		options = append(options, scheduler.WithSlowdowns())
 	}
+	if w.sharedRoom {
+		options = append(options, scheduler.WithSharedRoom())
+	}
 	return options
 }
 
@@ -50,6 +53,9 @@
 	if s.world.takesBack {
 		options = append(options, runner.WithSlowdowns(slowdown.New()))
 	}
+	if s.world.sharedRoom {
+		options = append(options, runner.WithSharedRoom())
+	}
 	return options
 }
 
--- a/process/replay/sidecar_test.go
+++ b/process/replay/sidecar_test.go
@@ -68,6 +68,9 @@
 	s.runner = runner.New(s, s.runnerOptions()...)
 	s.runner.Accept(s.capacity)
 	for _, e := range w.entries {
+		if !w.connected(e, name) {
+			continue
+		}
 		e.scheduler.AttachAgent(name, "zone", nil, &wire.SidecarFrame{Endpoint: s.endpointState(), Room: s.runner.Room()})
 		s.runner.Heard(e.incarnation, fmt.Sprint(e.incarnation%100), w.now)
 	}
@@ -136,6 +139,9 @@
 	s.evaluateNeighbors()
 	free := int(s.runner.Room().GetFree().GetCpu())
 	for _, e := range s.world.entries {
+		if !s.world.connected(e, s.name) {
+			continue
+		}
 		change := free - s.reportedFreeCPU[e.incarnation]
 		due := s.world.now.Sub(s.sentAt[e.incarnation]) >= heartbeatInterval
 		if due || len(s.pending[e.incarnation]) > 0 || change > 1000 || change < -1000 {
@@ -281,7 +287,7 @@
 	s.unreadEnds = nil
 	s.runner.Tick()
 	for _, e := range s.world.entries {
-		if e.crashed {
+		if e.crashed || !s.world.connected(e, s.name) {
 			continue
 		}
 		s.runner.Heard(e.incarnation, fmt.Sprint(e.incarnation%100), s.world.now)
@@ -320,7 +326,7 @@
 		}
 	}
 	for _, s := range w.sidecars {
-		if s.suspended {
+		if s.suspended || !w.connected(next, s.name) {
 			continue
 		}
 		s.runner.Heard(next.incarnation, fmt.Sprint(e.incarnation%100), w.now)
--- a/process/replay/world_test.go
+++ b/process/replay/world_test.go
@@ -60,6 +60,10 @@
 	random   *rand.Rand
 	entries  []*entry
 	sidecars []*sidecar
+	// sessions is the number of entries that a sidecar has sessions with; 0 means all.
+	sessions int
+	// sharedRoom is set if admission uses what the sidecars report of all entries' work.
+	sharedRoom bool
 	// running counts the runs of each task over all endpoints.
 	running map[string]int
 	// crashes counts by task the endpoints that have crashed under it, startsAfter its starts
--- a/process/runner/runner.go
+++ b/process/runner/runner.go
@@ -23,6 +23,7 @@
 	"github.com/corianderhook/corianderhook/process/ledger"
 	"github.com/corianderhook/corianderhook/request/size"
 	"github.com/corianderhook/corianderhook/sharing/interference"
+	"github.com/corianderhook/corianderhook/sharing/room"
 	"github.com/corianderhook/corianderhook/sharing/slowdown"
 	"github.com/corianderhook/corianderhook/wire"
 )
@@ -111,6 +112,8 @@
 	// resumedAt is when the machine was last resumed, suspension how long it was suspended.
 	resumedAt  time.Time
 	suspension time.Duration
+	// taken measures the started work by urgency; nil if reports do not tell it.
+	taken *room.Taken
 	// crashedBorn is the start of the incarnation that crashed last.
 	crashedBorn time.Time
 	// slowdowns tells early that the endpoint has turned slow; nil if nobody wants to know.
@@ -125,6 +128,9 @@
 // WithNeighbors makes the runner pass its runs to an estimator.
 func WithNeighbors(e *interference.Estimator) Option { return func(r *Runner) { r.neighbors = e } }
 
+// WithSharedRoom makes capacity reports tell the started work by urgency.
+func WithSharedRoom() Option { return func(r *Runner) { r.taken = &room.Taken{} } }
+
 // New returns a runner that accepts no tasks until Accept is called.
 func New(host Host, options ...Option) *Runner {
 	r := &Runner{
@@ -257,6 +263,9 @@
 		if !found {
 			return
 		}
+		if r.taken != nil {
+			r.taken.Observe(item.Urgency, item.Size.CPU, item.Expected, r.host.Now())
+		}
 		r.start(r.tasks[item.Name])
 	}
 }
--- a/process/scheduler/scheduler.go
+++ b/process/scheduler/scheduler.go
@@ -169,6 +169,8 @@
 	neighbors *separation.View
 	// takesBack is set if what waits at an endpoint that turns slow is taken back.
 	takesBack bool
+	// sharesRoom is set if admission uses what the agents report of the work of all dispatchers.
+	sharesRoom bool
 }
 
 // Option changes a scheduler that New returns.
@@ -271,7 +273,12 @@
 		s.refuse(r, "no-endpoint", "no endpoint can take the job", 0)
 		return
 	}
-	if !p.admits(r.Queue.Urgency, j.objective, r.Budget-r.Elapsed) {
+	if s.sharesRoom {
+		if v := s.sharedRoomVerdict(r, j, p); !v.Admitted() {
+			s.refuseForRoom(r, j, p, v)
+			return
+		}
+	} else if !p.admits(r.Queue.Urgency, j.objective, r.Budget-r.Elapsed) {
 		s.host.LogDecision("CH1022 job refused", id, "reason", "overload", "queue", r.Queue.Name, "backlog", p.backlog,
 			"limit", p.backlogLimit(r.Queue.Urgency), "share", p.backlogShare, "ends", p.makespan(), "objective", j.objective, "budget", r.Budget, "endpoints", len(s.candidates), "version", r.ConfigVersion)
 		r.Reply(refusal("overload", "the job could not end in time", max(p.backlog, p.makespan()-j.objective)))
