--- a/lab/hostile/process_test.go
+++ b/lab/hostile/process_test.go
@@ -13,6 +13,9 @@
 	"strings"
 	"syscall"
 	"testing"
+
+	// A cached result holds for the program that it is from.
+	_ "github.com/corianderhook/corianderhook/commands"
 )
 
 const (
