--- a/process/scheduler/scheduler.go
+++ b/process/scheduler/scheduler.go
@@ -219,13 +219,6 @@
 // RecentlyCompleted reports whether a job was completed here within completedTTL.
 func (s *Scheduler) RecentlyCompleted(id string) bool { return s.completed[id] }
 
-// refusal returns the answer to a job that has not run. After is how long the caller should
-// wait before it retries, bounded by minRetryAfter and
-// maxRetryAfter.
-func refusal(reason, detail string, after time.Duration) answer.Answer {
-	return answer.New(outcome.NotRun, reason, detail).WithRetryAfter(min(max(after, minRetryAfter), maxRetryAfter))
-}
-
 // Submit accepts, parks or refuses a job. A request for a job that is known here shares its
 // answer; one for a recently completed job is answered at once.
 func (s *Scheduler) Submit(r Request) {
@@ -298,11 +291,6 @@
 	return len(s.candidates) == 0 && (now.Sub(s.startedAt) < startupGrace || s.fleet.SeenRecently(service, now))
 }
 
-func (s *Scheduler) refuse(r Request, reason, detail string, after time.Duration) {
-	s.host.LogDecision("CH1022 job refused", r.Work.ID(), "reason", reason, "queue", r.Queue.Name, "endpoints", len(s.candidates), "version", r.ConfigVersion)
-	r.Reply(refusal(reason, detail, after))
-}
-
 func (s *Scheduler) newJob(r Request) *job {
 	now := s.host.Now()
 	j := &job{
