--- a/process/replay/entry_test.go
+++ b/process/replay/entry_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"slices"
 	"time"
 
 	"github.com/corianderhook/corianderhook/process/fleet"
--- a/process/replay/sidecar_test.go
+++ b/process/replay/sidecar_test.go
@@ -5,7 +5,6 @@
 	"hash/fnv"
 	"maps"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/corianderhook/corianderhook/process/crash"
