--- a/process/replay/entry_test.go
+++ b/process/replay/entry_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"time"
 
--- a/process/replay/sidecar_test.go
+++ b/process/replay/sidecar_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"hash/fnv"
-	"maps"
 	"math/rand/v2"
 	"time"
 
