--- a/node/sidecar/actor.go
+++ b/node/sidecar/actor.go
@@ -172,6 +172,9 @@
 	case tick:
 		a.checkLease()
 		a.runner.Tick()
+		if a.sidecar.stalls.Recent(a.Now()) > 0 {
+			a.runner.StoodStill()
+		}
 		a.compareNeighbors()
 		a.sidecar.runsInDoubt.Store(int64(a.runner.InDoubt()))
 		a.tick()
--- a/process/fleet/reserve.go
+++ b/process/fleet/reserve.go
@@ -16,7 +16,8 @@
 			continue
 		}
 		if mostUrgent < len(a.taken) {
-			taken += float64(a.taken[mostUrgent]) * f.slowness(a, now)
+			// What a slow endpoint takes is no more than its room.
+			taken += min(float64(a.taken[mostUrgent])*f.slowness(a, now), float64(a.capacity.CPU))
 		}
 		capacity += float64(a.capacity.CPU)
 	}
--- a/process/fleet/reserve_test.go
+++ b/process/fleet/reserve_test.go
@@ -25,6 +25,10 @@
 	i.Equal(f.Reserved("checks", 1, now()), 0.25)
 	f.UpdateRoom("agent-01", &wire.Room{Free: free}, 0)
 	i.Equal(f.Reserved("other", 2, now()), 0.0)
+	// A slow endpoint takes no more than its room.
+	f.UpdateRoom("agent-00", &wire.Room{Free: free, Taken: []uint32{24000, 4000}, SlownessPercent: 900}, 0)
+	i.True(f.Reserved("checks", 2, now()) < 0.34)
+	f.UpdateRoom("agent-00", &wire.Room{Free: free, Taken: []uint32{24000, 4000}}, 0)
 	later := now().Add(400 * time.Millisecond)
 	f.RecordContact("agent-01", later)
 	i.Equal(f.Reserved("checks", 2, later), 0.0)
--- a/process/runner/slowness.go
+++ b/process/runner/slowness.go
@@ -9,6 +9,13 @@
 // WithSlowdowns makes the runner report its endpoint as slow by the runs that are under way too.
 func WithSlowdowns(t *slowdown.Tracker) Option { return func(r *Runner) { r.slowdowns = t } }
 
+// StoodStill makes the runner report its endpoint as slow only by runs that begin from now on.
+func (r *Runner) StoodStill() {
+	if r.slowdowns != nil {
+		r.slowdowns.StoodStill(r.host.Now())
+	}
+}
+
 // recordEnded records that the run of a task has succeeded.
 func (r *Runner) recordEnded(t *task) {
 	if r.slowdowns != nil {
--- a/process/scheduler/events.go
+++ b/process/scheduler/events.go
@@ -54,7 +54,10 @@
 }
 
 // DetachAgent records that an agent's session has ended. Its tasks may still run.
-func (s *Scheduler) DetachAgent(agent string) { s.fleet.Detach(agent) }
+func (s *Scheduler) DetachAgent(agent string) {
+	s.fleet.Detach(agent)
+	delete(s.slownessAtLook, agent)
+}
 
 // HandleFrame applies a frame from an agent.
 func (s *Scheduler) HandleFrame(agent string, f *wire.SidecarFrame) {
--- a/process/scheduler/scheduler.go
+++ b/process/scheduler/scheduler.go
@@ -128,7 +128,9 @@
 	// atOnceReturns counts by task number how often a task was returned because it could not
 	// start at once.
 	atOnceReturns map[int]int
-	firstRun      uint64
+	// takenBack is set by task number once a task was taken back from a slow endpoint.
+	takenBack map[int]bool
+	firstRun  uint64
 	// runs holds the successful runs by step.
 	runs [][]speed.Run
 	// overrun is by step the longest time by which a task ran longer than expected.
@@ -168,7 +170,9 @@
 	// neighbors tells which queues are kept apart; nil if none ever is.
 	neighbors *separation.View
 	// takesBack is set if what waits at an endpoint that turns slow is taken back.
-	takesBack bool
+	// slownessAtLook holds by agent the slowness at which that was last looked at.
+	takesBack      bool
+	slownessAtLook map[string]float64
 	// sharesRoom is set if admission uses what the agents report of the work of all dispatchers.
 	sharesRoom bool
 }
--- a/process/scheduler/slowness.go
+++ b/process/scheduler/slowness.go
@@ -14,7 +14,9 @@
 const slowdownFactor = 1.5
 
 // WithSlowdowns makes the scheduler take back what waits at an endpoint that turns slow.
-func WithSlowdowns() Option { return func(s *Scheduler) { s.takesBack = true } }
+func WithSlowdowns() Option {
+	return func(s *Scheduler) { s.takesBack, s.slownessAtLook = true, map[string]float64{} }
+}
 
 // updateRoom applies an agent's capacity report, made after the agent had seen the frame of the
 // given number.
@@ -23,20 +25,30 @@
 		s.fleet.UpdateRoom(agent, room, seen)
 		return
 	}
-	before := s.fleet.Slowness(agent, s.host.Now())
+	now := s.host.Now()
+	before, looked := s.slownessAtLook[agent]
+	if !looked {
+		before = s.fleet.Slowness(agent, now)
+	}
 	s.fleet.UpdateRoom(agent, room, seen)
-	s.takeBackFromSlow(agent, before)
+	slowness := s.fleet.Slowness(agent, now)
+	if slowness >= before*slowdownFactor {
+		s.takeBackFromSlow(agent, before, slowness)
+		before = slowness
+	}
+	// The runs under way show a slowness little by little, so that it is compared with the one at
+	// the last look.
+	if !looked || before == slowness || slowness < before/slowdownFactor {
+		s.slownessAtLook[agent] = slowness
+	}
 }
 
 // takeBackFromSlow withdraws the tasks that wait at an endpoint whose slowness has grown and that
 // would be late there, if another endpoint can still end them on time. Those with the least slack
-// go first. All other tasks stay: a task that is withdrawn loses its turn.
-func (s *Scheduler) takeBackFromSlow(agent string, before float64) {
+// go first. All other tasks stay: a task that is withdrawn loses its turn, and none is taken back
+// twice.
+func (s *Scheduler) takeBackFromSlow(agent string, before, slowness float64) {
 	now := s.host.Now()
-	slowness := s.fleet.Slowness(agent, now)
-	if slowness < before*slowdownFactor {
-		return
-	}
 	waiting := s.lateAt(agent, slowness, now)
 	if len(waiting) == 0 {
 		return
@@ -48,23 +60,32 @@
 			continue
 		}
 		w.task.revoking = true
+		w.task.job.noteTakenBack(w.task.number)
 		count++
 		s.host.Withdraw(agent, w.task.ref)
 	}
 	s.host.LogDecision("CH1047 tasks taken back from a slow endpoint", "", "agent", agent, "slowness", slowness, "before", before, "late", len(waiting), "withdrawn", count)
 }
 
+// noteTakenBack records that a task has been taken back from a slow endpoint.
+func (j *job) noteTakenBack(number int) {
+	if j.takenBack == nil {
+		j.takenBack = map[int]bool{}
+	}
+	j.takenBack[number] = true
+}
+
 // lateAt returns the tasks that wait at an agent and would be late if they started now, ordered by
-// slack, and sets their expected run times.
+// slack.
 func (s *Scheduler) lateAt(agent string, slowness float64, now time.Time) []waitingTask {
 	var list []waitingTask
 	for _, p := range s.queued {
-		if p.agent != agent || p.revoking {
+		if p.agent != agent || p.revoking || p.job.takenBack[p.number] || now.Sub(p.offeredAt) < minWithdrawAge {
 			continue
 		}
 		step, _ := p.job.work.StepAndIndex(p.number)
-		p.expectedRun = time.Duration(float64(s.forecastRun(p.job, step)) * slowness)
-		if p.job.latestStart(p.expectedRun).Before(now) && now.Before(p.job.deadline) {
+		expectedRun := time.Duration(float64(s.forecastRun(p.job, step)) * slowness)
+		if p.job.latestStart(expectedRun).Before(now) && now.Before(p.job.deadline) {
 			list = append(list, waitingTask{task: p, latestStart: p.job.latestStart(s.forecastRun(p.job, step))})
 		}
 	}
@@ -81,9 +102,10 @@
 	step, _ := p.job.work.StepAndIndex(p.number)
 	expected := s.forecastRun(p.job, step)
 	r := p.job.placementRequest(step, expected, w.latestStart.Sub(now))
+	r.Avoid = p.job.progress.FailedAt(p.number)
 	for i := range candidates {
 		c := &candidates[i]
-		if r.MaxPerEndpoint > 0 || !c.Eligible(r) || !s.mayUse(p.job, c.Name) || c.Wait(r.Size, r.Slack)+c.RunTime(r)+moveLatency > r.Slack+expected {
+		if r.MaxPerEndpoint > 0 || !c.Eligible(r) || slices.Contains(r.Avoid, c.Name) || !s.mayUse(p.job, c.Name) || c.Wait(r.Size, r.Slack)+c.RunTime(r)+moveLatency > r.Slack+expected {
 			continue
 		}
 		c.Add(r.Size, r.Slack, expected)
--- a/sharing/slowdown/slowdown.go
+++ b/sharing/slowdown/slowdown.go
@@ -12,11 +12,14 @@
 	// minRatio is the run time, relative to the expected one, from which a run counts as slow.
 	// Run times of single tasks differ by some 40 %.
 	minRatio = 2.0
-	// newestRuns is the number of runs that are considered: the overdue ones that are under way,
-	// and the ones that ended last. Of these, minSlowRuns have to be slow. One job in thirty takes
-	// several times as long as expected; its tasks are over-represented among those under way.
+	// newestRuns is the least number of runs that are considered: the overdue ones that are under
+	// way, and the ones that ended last, as many as are under way. Of newestRuns, minSlowRuns have
+	// to be slow. One job in thirty takes several times as long as expected; its tasks are
+	// over-represented among those under way.
 	newestRuns  = 8
 	minSlowRuns = 6
+	// maxEnded is the number of ended runs that are kept.
+	maxEnded = 256
 	// minJobs is the number of jobs whose runs are slow, since a job may itself be long.
 	minJobs = 3
 	// maxEndDelay is how long after the end of a run the sidecar may learn of it.
@@ -46,19 +49,33 @@
 }
 
 // Tracker holds the last runs of one endpoint. It is not safe for concurrent use.
-type Tracker struct{ ended []ended }
+type Tracker struct {
+	ended []ended
+	// countsFrom is the time from which runs have to begin to count.
+	countsFrom time.Time
+}
 
 // New returns a tracker without runs.
 func New() *Tracker { return &Tracker{} }
 
 // Ended records a run that has succeeded.
 func (t *Tracker) Ended(r Run, now time.Time) {
-	if len(t.ended) == newestRuns {
-		t.ended = slices.Delete(t.ended, 0, 1)
+	if now.Add(-r.Ran).Before(t.countsFrom) {
+		return
+	}
+	if len(t.ended) == maxEnded {
+		t.ended = slices.Delete(t.ended, 0, maxEnded/2)
 	}
 	t.ended = append(t.ended, ended{Run: r, at: now})
 }
 
+// StoodStill makes the runs that have begun until now count no more: the sidecar stood still, so
+// that their ends were noticed late.
+func (t *Tracker) StoodStill(now time.Time) {
+	t.Reset()
+	t.countsFrom = now
+}
+
 // Reset forgets all runs, those of an earlier incarnation of the endpoint.
 func (t *Tracker) Reset() { t.ended = t.ended[:0] }
 
@@ -76,11 +93,12 @@
 		}
 	}
 	for _, r := range underWay {
-		if r.ratio() >= minRatio {
+		if r.ratio() >= minRatio && !now.Add(-r.Ran).Before(t.countsFrom) {
 			add(r)
 		}
 	}
-	for i := len(t.ended) - 1; i >= 0 && len(ratios) < newestRuns && now.Sub(t.ended[i].at) <= maxRunAge; i-- {
+	window := max(newestRuns, len(underWay))
+	for i := len(t.ended) - 1; i >= 0 && len(ratios) < window && now.Sub(t.ended[i].at) <= maxRunAge; i-- {
 		add(t.ended[i].Run)
 	}
 	slices.Sort(ratios)
--- a/sharing/slowdown/slowdown_test.go
+++ b/sharing/slowdown/slowdown_test.go
@@ -14,9 +14,6 @@
 
 const expected = 100 * time.Millisecond
 
-// places is the number of runs under way at the endpoint of a test.
-const places = 9
-
 // endpoint is always full: a new run begins when one ends.
 type endpoint struct {
 	tracker *slowdown.Tracker
@@ -24,15 +21,18 @@
 	factor  float64
 	now     time.Time
 	jobs    int
-	runs    [places]struct {
-		job       string
-		began     time.Time
-		remaining time.Duration
-	}
+	runs    []simulatedRun
 }
 
-func newEndpoint(seed uint64) *endpoint {
-	e := &endpoint{tracker: slowdown.New(), random: rand.New(rand.NewPCG(seed, 1)), factor: 1, now: time.Unix(0, 0)}
+type simulatedRun struct {
+	job       string
+	began     time.Time
+	remaining time.Duration
+}
+
+// newEndpoint returns an endpoint with a number of places for runs.
+func newEndpoint(seed uint64, places int) *endpoint {
+	e := &endpoint{tracker: slowdown.New(), random: rand.New(rand.NewPCG(seed, 1)), factor: 1, now: time.Unix(0, 0), runs: make([]simulatedRun, places)}
 	for i := range e.runs {
 		e.begin(i)
 	}
@@ -81,7 +81,7 @@
 func TestSlowEndpointIsKnownWithinARunTime(t *testing.T) {
 	for seed := range uint64(20) {
 		i := is.New(t)
-		e := newEndpoint(seed)
+		e := newEndpoint(seed, 9)
 		for range 1000 {
 			e.advance()
 		}
@@ -95,20 +95,38 @@
 	}
 }
 
-// At an endpoint of ordinary speed a few long runs at a time are no slowness.
+// At an endpoint of ordinary speed a few long runs at a time are no slowness, however many places
+// it has.
 func TestLongTailIsNoSlowness(t *testing.T) {
-	slow, all := 0, 0
-	for seed := range uint64(20) {
-		e := newEndpoint(seed)
-		for range 5000 {
-			all++
-			if e.advance() != 0 {
-				slow++
+	for _, places := range []int{9, 32, 128} {
+		slow, all := 0, 0
+		for seed := range uint64(5) {
+			e := newEndpoint(seed, places)
+			for range 4000 {
+				all++
+				if e.advance() != 0 {
+					slow++
+				}
 			}
 		}
+		t.Logf("%d places: slow for %d of %d ms", places, slow, all)
+		is.New(t).True(slow*200 < all)
+	}
+}
+
+// The sidecar stands still while its endpoint works at its usual speed: the ends that it notices
+// late show nothing.
+func TestStandstillIsNoSlowness(t *testing.T) {
+	i := is.New(t)
+	e := newEndpoint(1, 9)
+	for range 1000 {
+		e.advance()
+	}
+	e.now = e.now.Add(time.Second)
+	e.tracker.StoodStill(e.now)
+	for range 1000 {
+		i.Equal(e.advance(), 0.0)
 	}
-	t.Logf("slow for %d of %d ms", slow, all)
-	is.New(t).True(slow*200 < all)
 }
 
 // All tasks of one long job at one endpoint are no slowness, however many they are.
