Refuse a canceled job elsewhere from the acknowledgment on

Cause: Cancel acknowledged at once, the registrars heard of it up to 250 ms later, and the dispatcher that had the job denied it as soon as the scheduler had answered not run: a copy of the request was granted elsewhere. Change: the end is registered before the scheduler releases the job; Holds answers held while an end is known; notes of cancellations do not wait; a job canceled at its holder goes through the rounds as well; a registrar that could not be reached is told again of cancellations of the last minute.

--- a/node/dispatcher/cancellations.go
+++ b/node/dispatcher/cancellations.go
@@ -6,6 +6,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/corianderhook/corianderhook/process/scheduler"
+	"github.com/corianderhook/corianderhook/sharing/holder/register"
 	"github.com/corianderhook/corianderhook/wire"
 )
 
@@ -20,9 +21,14 @@
 // Cancel cancels a job, whichever dispatcher holds it. It returns false if none does. If one does
 // not answer, it may hold the job: its sidecars, and the rounds, tell it later.
 func (d *Dispatcher) Cancel(ctx context.Context, id string) bool {
+	if d.holders != nil {
+		// Before the scheduler releases the job: others are told at no time that it is free.
+		d.holders.register.End(id, register.Canceled, d.deps.Clock.Now())
+	}
 	if d.cancelHere(ctx, id) {
 		if d.holders != nil {
 			d.holders.cancel(id)
+			d.spreadCancellation(id)
 		}
 		return true
 	}
@@ -31,6 +37,16 @@
 	return d.peers.cancelElsewhere(ctx, id)
 }
 
+// spreadCancellation tells the sidecars and the other dispatchers of a job that was canceled here.
+func (d *Dispatcher) spreadCancellation(id string) {
+	now := d.deps.Clock.Now()
+	d.cancellations.Add(id, true, now)
+	if c := d.cancellations.Find(id, now); c != nil {
+		d.peers.sendToSidecars(&wire.DispatcherFrame{Cancellations: []*wire.Cancellation{c}})
+	}
+	d.peers.requestRound()
+}
+
 // cancelHere cancels a job that this dispatcher holds and reports whether it does.
 func (d *Dispatcher) cancelHere(ctx context.Context, id string) bool {
 	known := make(chan bool, 1)
@@ -66,6 +82,9 @@
 		klog.InfoS("CH1014 canceled job looked for", "entry", d.deps.Name, "job", m.GetJob(), "held", held)
 		if held {
 			d.cancellations.Add(m.GetJob(), true, d.deps.Clock.Now())
+			if d.holders != nil {
+				d.holders.cancel(m.GetJob())
+			}
 		}
 	}
 	d.peers.sendToSidecars(&wire.DispatcherFrame{Cancellations: added})
--- /dev/null
+++ b/node/dispatcher/holder_ends_test.go
@@ -0,0 +1,58 @@
+package dispatcher
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/corianderhook/corianderhook/sharing/holder/claim"
+	"github.com/corianderhook/corianderhook/sharing/holder/directory"
+	"github.com/corianderhook/corianderhook/sharing/holder/register"
+)
+
+// restart ends a dispatcher and starts one that knows nothing at its address.
+func (s *holdingSite) restart(n int) *Dispatcher {
+	s.t.Helper()
+	address := s.list[n].deps.Address
+	s.stops[address]()
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return s.add("restarted", l, 0)
+}
+
+// Guards against a job that runs after its cancellation was acknowledged: a copy of its request arrives
+// elsewhere before the registrars have heard of the end.
+func TestJobCanceledWhileItWaitsIsGrantedNowhere(t *testing.T) {
+	i := is.New(t)
+	s := startHolding(t, 4)
+	job := s.jobOf(s.list[0].deps.Address, s.list[1].deps.Address)
+	answered := submitParked(t, s.list[2], job)
+	awaitJob(t, s.list[2])
+	time.Sleep(notesArrive)
+	i.True(s.list[2].Cancel(t.Context(), job))
+	i.True(s.takeAt(s.list[3], job) != claim.Granted)
+	i.Equal((<-answered).Reason(), "canceled")
+	i.True(s.takeAt(s.list[3], job) != claim.Granted)
+	// The rounds tell it to all, also to those that find no registrar.
+	for until := time.Now().Add(5 * time.Second); s.list[3].cancellations.Find(job, time.Now()) == nil; time.Sleep(5 * time.Millisecond) {
+		i.True(time.Now().Before(until))
+	}
+}
+
+func TestRestartedRegistrarIsToldOfACanceledJob(t *testing.T) {
+	i := is.New(t)
+	s := startHolding(t, 4)
+	job := s.jobOf(s.list[0].deps.Address, s.list[1].deps.Address)
+	answered := submitParked(t, s.list[2], job)
+	awaitJob(t, s.list[2])
+	i.True(s.list[2].Cancel(t.Context(), job))
+	<-answered
+	time.Sleep(noteTTL + notesArrive)
+	d := s.restart(0)
+	time.Sleep(2 * directory.SilenceTTL)
+	i.Equal(d.holders.register.EndOf(job, time.Now()), register.Canceled)
+}
--- a/node/dispatcher/holder_link.go
+++ b/node/dispatcher/holder_link.go
@@ -105,8 +105,14 @@
 	}
 	l.notes = append(l.notes, n)
 	lag := noteLag
-	if n.note.GetState() == wire.HolderState_HOLDER_STATE_HELD {
+	switch n.note.GetState() {
+	case wire.HolderState_HOLDER_STATE_HELD:
 		lag = heldNoteLag
+	case wire.HolderState_HOLDER_STATE_CANCELED:
+		// Its caller is told at once that the job is canceled.
+		l.signal()
+		return
+	default:
 	}
 	if l.timers[lag] {
 		return
--- a/node/dispatcher/holders.go
+++ b/node/dispatcher/holders.go
@@ -35,8 +35,15 @@
 	directory  *directory.Directory
 	mu         sync.Mutex
 	links      map[string]*holderLink
-	// taken holds the jobs of this dispatcher.
-	taken map[string]*takenJob
+	// taken holds the jobs of this dispatcher, canceled those that were canceled here.
+	taken    map[string]*takenJob
+	canceled []endedJob
+}
+
+// endedJob is a job that was canceled while this dispatcher had it.
+type endedJob struct {
+	job string
+	at  time.Time
 }
 
 // takenJob is a job that this dispatcher has been granted.
@@ -199,13 +206,21 @@
 // cancel remembers that a job of this dispatcher has been canceled.
 func (h *holders) cancel(job string) {
 	now := h.dispatcher.deps.Clock.Now()
-	h.register.End(job, register.Canceled, now)
+	h.mu.Lock()
+	h.canceled = slices.DeleteFunc(h.canceled, func(c endedJob) bool { return c.job == job || now.Sub(c.at) > register.CanceledTTL })
+	h.canceled = append(h.canceled[max(0, len(h.canceled)-maxQueuedNotes+1):], endedJob{job: job, at: now})
+	h.mu.Unlock()
 	choice := h.directory.Choose(job, now)
 	n := &wire.HolderNote{Job: job, State: register.Canceled.Wire()}
 	h.tell(choice.Registrars, n)
 	h.relay(choice, n)
 }
 
+// knowsEnd reports whether a job is not to be run again. Its registrars may not have heard of it yet.
+func (h *holders) knowsEnd(job string, now time.Time) bool {
+	return h.register.EndOf(job, now) != register.Free || h.dispatcher.cancellations.Find(job, now) != nil
+}
+
 // tell sends a note to registrars. It does not wait for them.
 func (h *holders) tell(registrars []string, n *wire.HolderNote) {
 	for _, r := range registrars {
@@ -250,8 +265,16 @@
 	for job, t := range h.taken {
 		jobs[job] = t
 	}
+	canceled := slices.Clone(h.canceled)
 	h.mu.Unlock()
 	renewed := 0
+	for _, j := range canceled {
+		c := h.directory.Choose(j.job, now)
+		if now.Sub(j.at) <= register.CanceledTTL && (slices.Contains(c.Registrars, address) || slices.Contains(c.Missed, address)) {
+			h.tell([]string{address}, &wire.HolderNote{Job: j.job, State: register.Canceled.Wire()})
+			renewed++
+		}
+	}
 	for job, t := range jobs {
 		c := h.directory.Choose(job, now)
 		if slices.Contains(c.Registrars, address) || slices.Contains(c.Missed, address) {
--- a/node/dispatcher/inquiries.go
+++ b/node/dispatcher/inquiries.go
@@ -302,6 +302,9 @@
 			Job: j.GetJob(), Address: r.GetAddress(), Incarnation: r.GetIncarnation(),
 			Age: time.Duration(j.GetAgeMs()) * time.Millisecond,
 		}, now)
+		if d.holders != nil && d.holders.knowsEnd(j.GetJob(), now) {
+			h = inquiry.Held
+		}
 		if h != inquiry.NotHeld {
 			klog.InfoS("CH1019 another dispatcher has asked for a job", "job", j.GetJob(), "address", r.GetAddress(), "answer", h)
 		}
--- a/sharing/holder/register/register.go
+++ b/sharing/holder/register/register.go
@@ -13,10 +13,10 @@
 	// maxHold limits the time for which a dispatcher may say that it has a job: the longest budget
 	// of a caller, and some time for the ends of its runs.
 	maxHold = 6 * time.Minute
-	// completedTTL and canceledTTL are how long the end of a job is remembered: copies of its request
+	// completedTTL and CanceledTTL are how long the end of a job is remembered: copies of its request
 	// arrive some seconds after the answer; a caller may send a canceled job again as long as it waits.
 	completedTTL = 10 * time.Second
-	canceledTTL  = time.Minute
+	CanceledTTL  = time.Minute
 	// MaxJobs limits the jobs that are remembered; the oldest are forgotten first.
 	MaxJobs = 1 << 16
 	// maxHolders limits the dispatchers that are remembered for one job.
@@ -107,7 +107,7 @@
 	ttl := completedTTL
 	// A job that was canceled just before it was completed is not to be started either way.
 	if s = max(s, r.endOf(job, now)); s == Canceled {
-		ttl = canceledTTL
+		ttl = CanceledTTL
 	}
 	known := r.record(job, now.Add(ttl), now)
 	known.end, known.endUntil, known.holdings = s, now.Add(ttl), nil
--- a/sharing/holder/register/register_test.go
+++ b/sharing/holder/register/register_test.go
@@ -65,7 +65,7 @@
 	r.End("job", Completed, start.Add(time.Second))
 	s, _ := r.Claim("job", "b:1", 3*time.Second, start.Add(4*time.Second))
 	i.Equal(s, Canceled)
-	s, _ = r.Claim("job", "b:1", 3*time.Second, start.Add(time.Second+canceledTTL))
+	s, _ = r.Claim("job", "b:1", 3*time.Second, start.Add(time.Second+CanceledTTL))
 	i.Equal(s, Free)
 }
 
