Pass on the end of a job to registrars that were out of reach

Cause: that a job is held is passed on to the registrars that do not answer its holder, its end was not: such a registrar found the holder's claim, asked, and granted a job that had been completed. A holder that is no registrar of the job did not remember the end itself. Change: leave passes on free and completed too, and registers the completion at the holder, where Holds finds it.

--- a/node/dispatcher/holder_ends_test.go
+++ b/node/dispatcher/holder_ends_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/corianderhook/corianderhook/request/outcome"
 	"github.com/corianderhook/corianderhook/sharing/holder/claim"
 	"github.com/corianderhook/corianderhook/sharing/holder/directory"
 	"github.com/corianderhook/corianderhook/sharing/holder/register"
@@ -56,3 +57,23 @@
 	time.Sleep(2 * directory.SilenceTTL)
 	i.Equal(d.holders.register.EndOf(job, time.Now()), register.Canceled)
 }
+
+// A registrar was out of reach of the holder when the job was taken, and hears of the end from another one.
+func TestRegistrarBehindACutIsToldOfTheEnd(t *testing.T) {
+	i := is.New(t)
+	s := startHolding(t, 3)
+	cut := s.list[2]
+	registrar := s.list[0].deps.Address
+	completed, refused := s.jobOf(registrar, s.list[1].deps.Address), s.jobOf(registrar, cut.deps.Address)
+	cut.holders.directory.Silent(registrar, time.Now())
+	s.hold(cut, completed)
+	s.hold(cut, refused)
+	time.Sleep(notesArrive)
+	cut.holders.leave(completed, outcome.Complete)
+	cut.holders.leave(refused, outcome.NotRun)
+	i.Equal(cut.holders.register.EndOf(completed, time.Now()), register.Completed)
+	time.Sleep(2 * notesArrive)
+	i.Equal(s.list[0].holders.register.EndOf(completed, time.Now()), register.Completed)
+	state, _ := s.list[0].holders.register.Claim(refused, "other:1", holdBudget, time.Now())
+	i.Equal(state, register.Free)
+}
--- a/node/dispatcher/holders.go
+++ b/node/dispatcher/holders.go
@@ -193,14 +193,20 @@
 	}
 	delete(h.taken, job)
 	h.mu.Unlock()
+	end := register.Free
 	switch o {
 	case outcome.NotRun:
-		h.tell(t.choice.Registrars, &wire.HolderNote{Job: job, State: register.Free.Wire()})
 	case outcome.Complete:
-		h.tell(t.choice.Registrars, &wire.HolderNote{Job: job, State: register.Completed.Wire()})
+		end = register.Completed
+		// Others may ask this dispatcher before the registrars have heard of it.
+		h.register.End(job, end, h.dispatcher.deps.Clock.Now())
 	default:
 		// The runs may take some time to end, and this dispatcher knows.
+		return
 	}
+	n := &wire.HolderNote{Job: job, State: end.Wire()}
+	h.tell(t.choice.Registrars, n)
+	h.relay(t.choice, n)
 }
 
 // cancel remembers that a job of this dispatcher has been canceled.
