Count only registrars that refuse connections as gone

Cause: any error of a stream made its claims come back as gone, also that of a connection which was closed here because its other end was silent: all registrars silent was all registrars gone, and the job was granted. Change: gone needs Unimplemented or a refused connection. A registrar whose silence has been counted is not counted again when its stream fails.

--- a/node/dispatcher/holder_ends_test.go
+++ b/node/dispatcher/holder_ends_test.go
@@ -6,11 +6,15 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"github.com/corianderhook/corianderhook/request/outcome"
 	"github.com/corianderhook/corianderhook/sharing/holder/claim"
 	"github.com/corianderhook/corianderhook/sharing/holder/directory"
 	"github.com/corianderhook/corianderhook/sharing/holder/register"
+	"github.com/corianderhook/corianderhook/wire"
 )
 
 // restart ends a dispatcher and starts one that knows nothing at its address.
@@ -77,3 +81,29 @@
 	state, _ := s.list[0].holders.register.Claim(refused, "other:1", holdBudget, time.Now())
 	i.Equal(state, register.Free)
 }
+
+// failingRegistrar ends each stream with an error, as a connection does that is closed because its
+// other end is silent.
+type failingRegistrar struct {
+	wire.UnimplementedDispatcherServer
+}
+
+func (failingRegistrar) Holders(grpc.BidiStreamingServer[wire.HolderFrame, wire.HolderReply]) error {
+	return status.Error(codes.Unavailable, "closed")
+}
+
+// A process that listens may know a holder though its stream has failed.
+func TestOnlyARegistrarThatRefusesConnectionsIsGone(t *testing.T) {
+	i := is.New(t)
+	s := startHolding(t, 1)
+	failing, dead := listen(t), listen(t)
+	serve(t, failing, failingRegistrar{})
+	dead.Close()
+	for address, gone := range map[string]bool{failing.Addr().String(): false, dead.Addr().String(): true} {
+		answers := make(chan registrarAnswer, 1)
+		s.list[0].holders.link(address).claim(pendingClaim{job: canceledJob, hold: holdBudget, answers: answers})
+		a := <-answers
+		i.True(a.failed)
+		i.Equal(a.gone, gone)
+	}
+}
--- a/node/dispatcher/holder_link.go
+++ b/node/dispatcher/holder_link.go
@@ -74,6 +74,8 @@
 	sent       map[uint64][]pendingClaim
 	lastNumber uint64
 	closed     bool
+	// gone means that nobody can be reached at the address, or that it takes no part.
+	gone bool
 }
 
 func newHolderLink(d *Dispatcher, address string) *holderLink {
@@ -85,7 +87,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed || len(l.claims) >= maxQueuedClaims {
-		p.answers <- registrarAnswer{registrar: l.address, failed: true, gone: l.closed}
+		p.answers <- registrarAnswer{registrar: l.address, failed: true, gone: l.gone}
 		return
 	}
 	l.claims = append(l.claims, p)
@@ -240,15 +242,15 @@
 
 // close fails the claims without an answer, and returns the notes that may have been lost. Nothing
 // can be sent afterwards.
-func (l *holderLink) close(now time.Time) (lost []queuedNote) {
+func (l *holderLink) close(now time.Time, gone bool) (lost []queuedNote) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.closed = true
+	l.closed, l.gone = true, gone
 	for _, claims := range l.sent {
 		l.claims = append(l.claims, claims...)
 	}
 	for _, c := range l.claims {
-		c.answers <- registrarAnswer{registrar: l.address, failed: true, gone: true}
+		c.answers <- registrarAnswer{registrar: l.address, failed: true, gone: gone}
 	}
 	l.keepRecent(now)
 	lost = slices.DeleteFunc(l.recent, func(n queuedNote) bool { return now.Sub(n.at) > noteTTL })
--- a/node/dispatcher/holders.go
+++ b/node/dispatcher/holders.go
@@ -310,6 +310,8 @@
 func (h *holders) serve(l *holderLink) {
 	d := h.dispatcher
 	lacking, err := l.run(d.inquirer.ctx)
+	// Connections to a silent registrar are closed here as well, which proves nothing.
+	gone := lacking || refusesConnections(d.inquirer.ctx, l.address)
 	h.mu.Lock()
 	delete(h.links, l.address)
 	h.mu.Unlock()
@@ -317,8 +319,8 @@
 		return
 	}
 	now := d.deps.Clock.Now()
-	klog.InfoS("CH1065 link to a registrar ended", "entry", d.deps.Name, "address", l.address, "lacking", lacking, "error", err)
-	lost := l.close(now)
+	klog.InfoS("CH1065 link to a registrar ended", "entry", d.deps.Name, "address", l.address, "lacking", lacking, "gone", gone, "error", err)
+	lost := l.close(now, gone)
 	if lacking {
 		h.directory.Lacking(l.address, now)
 		return
--- a/node/dispatcher/registrar_questions.go
+++ b/node/dispatcher/registrar_questions.go
@@ -47,6 +47,10 @@
 		switch {
 		case answered:
 			open--
+			if a.failed && !awaited[a.registrar] {
+				// Its silence has been counted.
+				continue
+			}
 			delete(awaited, a.registrar)
 			h.noteAnswer(c, a)
 		case len(awaited) == 0 || ctx.Err() != nil:
