Tell restarted registrars again though they are passed over

Cause: renew runs 250 ms after its registrar was passed over for a second, and chose among the others: the second registrar of a site of one zone was never told again. It was not among the missed ones either. Change: renew asks the directory whether an address that answers would be a registrar; missed holds both registrars of the only zone. Result: TestRestartedSecondRegistrarIsTold failed before and passes now.

--- a/node/dispatcher/holder_ends_test.go
+++ b/node/dispatcher/holder_ends_test.go
@@ -107,3 +107,17 @@
 		i.Equal(a.gone, gone)
 	}
 }
+
+// The second registrar of a job restarts.
+func TestRestartedSecondRegistrarIsTold(t *testing.T) {
+	i := is.New(t)
+	s := startHolding(t, 4)
+	holder := s.list[2]
+	job := s.jobOf(s.list[1].deps.Address, s.list[0].deps.Address)
+	s.hold(holder, job)
+	time.Sleep(noteTTL + notesArrive)
+	d := s.restart(0)
+	time.Sleep(2 * directory.SilenceTTL)
+	_, holders := d.holders.register.Claim(job, "other:1", holdBudget, time.Now())
+	i.Equal(holders, []string{holder.deps.Address})
+}
--- a/node/dispatcher/holders.go
+++ b/node/dispatcher/holders.go
@@ -275,15 +275,13 @@
 	h.mu.Unlock()
 	renewed := 0
 	for _, j := range canceled {
-		c := h.directory.Choose(j.job, now)
-		if now.Sub(j.at) <= register.CanceledTTL && (slices.Contains(c.Registrars, address) || slices.Contains(c.Missed, address)) {
+		if now.Sub(j.at) <= register.CanceledTTL && h.directory.IsRegistrar(j.job, address, now) {
 			h.tell([]string{address}, &wire.HolderNote{Job: j.job, State: register.Canceled.Wire()})
 			renewed++
 		}
 	}
 	for job, t := range jobs {
-		c := h.directory.Choose(job, now)
-		if slices.Contains(c.Registrars, address) || slices.Contains(c.Missed, address) {
+		if h.directory.IsRegistrar(job, address, now) {
 			h.tell([]string{address}, &wire.HolderNote{Job: job, State: register.Held.Wire(), HoldMs: milliseconds(t.until.Sub(now))})
 			renewed++
 		}
--- a/node/dispatcher/holders_test.go
+++ b/node/dispatcher/holders_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -208,8 +209,11 @@
 	l, err := net.Listen("tcp", registrar)
 	i.NoErr(err)
 	s.list = s.list[1:]
-	s.add("d0", l, 0)
+	restarted := s.add("d0", l, 0)
 	time.Sleep(2 * directory.SilenceTTL)
+	// The other registrar would answer for it.
+	_, holders := restarted.holders.register.Claim(job, "other:1", holdBudget, time.Now())
+	i.True(slices.Contains(holders, s.list[1].deps.Address))
 	i.Equal(s.awaitVerdict(s.list[2], job), claim.Held)
 }
 
--- a/sharing/holder/directory/directory.go
+++ b/sharing/holder/directory/directory.go
@@ -73,18 +73,26 @@
 	weight  uint64
 }
 
-// zoneChoice holds the candidates of one zone: the best ones, and the best one that is passed over.
+// zoneChoice holds the candidates of one zone: the best ones, and the best ones that are passed over.
 type zoneChoice struct {
-	zone         string
-	first, other candidate
-	passedOver   candidate
+	zone                        string
+	first, other                candidate
+	passedOver, otherPassedOver candidate
 }
 
 // Choose returns the registrars of a job.
-func (d *Directory) Choose(job string, now time.Time) Choice {
+func (d *Directory) Choose(job string, now time.Time) Choice { return d.choose(job, now, "") }
+
+// IsRegistrar reports whether an address is a registrar of a job for those whom it answers.
+func (d *Directory) IsRegistrar(job, address string, now time.Time) bool {
+	return slices.Contains(d.choose(job, now, address).Registrars, address)
+}
+
+// choose returns the registrars of a job, as if the answering one were not passed over.
+func (d *Directory) choose(job string, now time.Time, answering string) Choice {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	zones := d.choices(hash(job), now)
+	zones := d.choices(hash(job), now, answering)
 	slices.SortFunc(zones, d.compare)
 	var c Choice
 	for _, z := range zones {
@@ -94,6 +102,16 @@
 		if z.passedOver.address != "" && z.passedOver.weight > z.first.weight {
 			c.Missed = append(c.Missed, z.passedOver.address)
 		}
+		if len(zones) > 1 {
+			continue
+		}
+		// The only zone has two registrars.
+		switch {
+		case z.passedOver.weight > z.first.weight && z.otherPassedOver.weight > z.first.weight:
+			c.Missed = append(c.Missed, z.otherPassedOver.address)
+		case z.passedOver.weight < z.first.weight && z.passedOver.weight > z.other.weight:
+			c.Missed = append(c.Missed, z.passedOver.address)
+		}
 	}
 	for _, z := range zones {
 		if z.other.address != "" && len(c.Registrars) < minRegistrars {
@@ -109,7 +127,7 @@
 }
 
 // choices returns the candidates of each zone.
-func (d *Directory) choices(key uint64, now time.Time) []zoneChoice {
+func (d *Directory) choices(key uint64, now time.Time, answering string) []zoneChoice {
 	zones := make([]zoneChoice, 0, maxRegistrars)
 	for a, m := range d.members {
 		at := slices.IndexFunc(zones, func(z zoneChoice) bool { return z.zone == m.zone })
@@ -119,9 +137,14 @@
 		}
 		z, c := &zones[at], candidate{address: a, weight: mix(key ^ m.hash)}
 		until, passed := d.passedOver[a]
+		passed = passed && a != answering
 		switch {
 		case passed && now.Before(until):
-			z.passedOver = heavier(z.passedOver, c)
+			if c.weight > z.passedOver.weight {
+				z.passedOver, z.otherPassedOver = c, z.passedOver
+			} else {
+				z.otherPassedOver = heavier(z.otherPassedOver, c)
+			}
 		case c.weight > z.first.weight:
 			z.first, z.other = c, z.first
 		default:
--- a/sharing/holder/directory/directory_test.go
+++ b/sharing/holder/directory/directory_test.go
@@ -172,3 +172,20 @@
 		})
 	}
 }
+
+// Both registrars of a job in a site of one zone may be out of reach here, and answer others.
+func TestPassedOverRegistrarsOfOneZoneAreMissed(t *testing.T) {
+	i := is.New(t)
+	d, _ := site(6, 1)
+	for n := range 200 {
+		before := d.Choose(job(n), start).Registrars
+		d.Silent(before[1], start)
+		i.Equal(d.Choose(job(n), start).Missed, before[1:])
+		d.Silent(before[0], start)
+		i.Equal(d.Choose(job(n), start).Missed, before)
+		i.True(d.IsRegistrar(job(n), before[0], start))
+		i.True(d.IsRegistrar(job(n), before[1], start))
+		d.Answered(before[0])
+		d.Answered(before[1])
+	}
+}
