Don't take an own standstill or a full queue for a registrar's silence

Cause: a process that stood still beyond the 75 ms of the wait had answers on its sockets that it had not read, passed sound registrars over, and could refuse new jobs as unsure. A full queue of claims counted as silence without passing its registrar over: an overload refused new jobs, which come again. Change: a wait whose timer was late is waited for once more; a full queue passes its registrar over, and the next one is asked.

--- a/node/dispatcher/holder_link.go
+++ b/node/dispatcher/holder_link.go
@@ -86,8 +86,12 @@
 func (l *holderLink) claim(p pendingClaim) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.closed || len(l.claims) >= maxQueuedClaims {
-		p.answers <- registrarAnswer{registrar: l.address, failed: true, gone: l.gone}
+	if full := len(l.claims) >= maxQueuedClaims; l.closed || full {
+		if full {
+			// New jobs are not refused for a queue of this process: the next registrar is asked.
+			l.dispatcher.holders.directory.Silent(l.address, l.dispatcher.deps.Clock.Now())
+		}
+		p.answers <- registrarAnswer{registrar: l.address, failed: true, gone: l.gone || full}
 		return
 	}
 	l.claims = append(l.claims, p)
--- a/node/dispatcher/registrar_questions.go
+++ b/node/dispatcher/registrar_questions.go
@@ -17,6 +17,8 @@
 const (
 	// registrarTimeout limits the wait for the answer of one registrar.
 	registrarTimeout = 75 * time.Millisecond
+	// timerLag is by how much timers may be late while this process runs.
+	timerLag = 25 * time.Millisecond
 	// refusalTimeout limits the wait for a machine to refuse a connection to a process that is gone.
 	refusalTimeout = 75 * time.Millisecond
 )
@@ -75,8 +77,18 @@
 }
 
 // awaitAnswer waits for an answer for registrarTimeout. One that has come meanwhile goes before the
-// end of this time, as this process may have stood still.
+// end of this time, as this process may have stood still. If it has, the answer may not have been read
+// yet, and there is a second wait.
 func (h *holders) awaitAnswer(ctx context.Context, answers <-chan registrarAnswer) (a registrarAnswer, answered bool) {
+	began := h.dispatcher.deps.Clock.Now()
+	a, answered = h.awaitAnswerOnce(ctx, answers)
+	if !answered && ctx.Err() == nil && h.dispatcher.deps.Clock.Since(began) > registrarTimeout+timerLag {
+		return h.awaitAnswerOnce(ctx, answers)
+	}
+	return a, answered
+}
+
+func (h *holders) awaitAnswerOnce(ctx context.Context, answers <-chan registrarAnswer) (a registrarAnswer, answered bool) {
 	timer := h.dispatcher.deps.Clock.NewTimer(registrarTimeout)
 	defer timer.Stop()
 	select {
