Remember the last holders of a job, not the first

Cause: a register remembers four dispatchers for a job and dropped the fifth, which may be the one that has it. Change: the one whose runs end soonest is dropped. Comments said that a job has two registrars. Releasing the holders that have denied a job was weighed and left out: such a note could arrive after a later claim of the same dispatcher. Result: TestLastOfManyHoldersIsRemembered failed before and passes now.

--- a/sharing/holder/claim/claim.go
+++ b/sharing/holder/claim/claim.go
@@ -15,7 +15,7 @@
 	// notice the start and tell their jobs again.
 	youngTime = 5 * time.Second
 	// unsureSilences is the number of registrars without an answer from which a job may be held
-	// though nobody says so: each job has two, and one of them may be gone.
+	// though nobody says so: each job has at least two, and one of them may be gone.
 	unsureSilences = 2
 )
 
--- a/sharing/holder/register/register.go
+++ b/sharing/holder/register/register.go
@@ -1,5 +1,5 @@
 // Package register is the memory of a registrar: which dispatchers may have a job, and which jobs
-// have been completed or canceled recently. Each job has two registrars, so that a dispatcher that
+// have been completed or canceled recently. Each job has several registrars, so that a dispatcher that
 // gets a job again learns of it whichever dispatcher got it before. The package does no I/O.
 package register
 
@@ -138,9 +138,12 @@
 		}
 		return
 	}
-	if len(known.holdings) < maxHolders {
-		known.holdings = append(known.holdings, holding{address: address, until: until})
+	if len(known.holdings) == maxHolders {
+		// The one that ends soonest is the likeliest to have ended.
+		soonest := slices.MinFunc(known.holdings, func(a, b holding) int { return a.until.Compare(b.until) })
+		known.holdings = slices.DeleteFunc(known.holdings, func(h holding) bool { return h == soonest })
 	}
+	known.holdings = append(known.holdings, holding{address: address, until: until})
 }
 
 // record returns the record of a job that is to be remembered until a time.
--- a/sharing/holder/register/register_test.go
+++ b/sharing/holder/register/register_test.go
@@ -115,3 +115,14 @@
 	_, holders := r.Claim("job", "b:1", 3*time.Second, start)
 	i.Equal(len(holders), maxHolders)
 }
+
+// A job has passed through many dispatchers, the last of which has it.
+func TestLastOfManyHoldersIsRemembered(t *testing.T) {
+	i := is.New(t)
+	r := New(start)
+	for n := range 2 * maxHolders {
+		r.Claim("job", fmt.Sprintf("d%d:1", n), 3*time.Second, start.Add(time.Duration(n)*time.Millisecond))
+	}
+	_, holders := r.Claim("job", "x:1", 3*time.Second, start.Add(time.Second))
+	i.Equal(holders, []string{"d4:1", "d5:1", "d6:1", "d7:1"})
+}
