Inquire about idle requests while a dispatcher takes no part

Cause: with registrars on here and off, or an older build, elsewhere, requests on idle connections were not asked about any more, and jobs held there not found. Change: registrars are relied on only while all known dispatchers take part; one that lacks the part is a candidate no longer, until it has answered.

--- a/node/dispatcher/holder_ends_test.go
+++ b/node/dispatcher/holder_ends_test.go
@@ -121,3 +121,20 @@
 	_, holders := d.holders.register.Claim(job, "other:1", holdBudget, time.Now())
 	i.Equal(holders, []string{holder.deps.Address})
 }
+
+// Builds run side by side in an upgrade: a job that one of the older build has is found by inquiries only,
+// also if it took part before.
+func TestRegistrarsAreNotReliedOnWhileADispatcherTakesNoPart(t *testing.T) {
+	i := is.New(t)
+	s := startHolding(t, 2)
+	i.True(s.list[0].AsksRegistrars())
+	s.list[0].holders.directory.Lacking(s.list[1].deps.Address, time.Now())
+	i.True(!s.list[0].AsksRegistrars())
+
+	l := listen(t)
+	serve(t, l, earlierBuild{})
+	s.list[1].Learn([]string{l.Addr().String()})
+	awaitPeers(t, s.list[1], 3)
+	time.Sleep(2 * lookInterval)
+	i.True(!s.list[1].AsksRegistrars())
+}
--- a/node/dispatcher/inquiries.go
+++ b/node/dispatcher/inquiries.go
@@ -51,8 +51,11 @@
 // OtherDispatchers returns the number of dispatchers that HeldElsewhere asks.
 func (d *Dispatcher) OtherDispatchers() int { return len(d.peers.others()) }
 
-// AsksRegistrars reports whether Submit asks the registrars of each job.
-func (d *Dispatcher) AsksRegistrars() bool { return d.holders != nil }
+// AsksRegistrars reports whether Submit asks the registrars of each job, which know of the jobs of
+// all known dispatchers. Builds and settings without the part tell them nothing.
+func (d *Dispatcher) AsksRegistrars() bool {
+	return d.holders != nil && d.holders.directory.IsComplete(d.peers.addresses())
+}
 
 // HeldElsewhere asks all other dispatchers whether a job, whose request may be old, is held there.
 // The request reached this machine at arrivedAt, as far as that is known. The arrival has to be
--- a/sharing/holder/directory/directory.go
+++ b/sharing/holder/directory/directory.go
@@ -193,7 +193,22 @@
 func (d *Directory) Silent(address string, now time.Time) { d.passOver(address, now.Add(SilenceTTL)) }
 
 // Lacking notes that a dispatcher takes no part: its build is older, or its settings say so.
-func (d *Directory) Lacking(address string, now time.Time) { d.passOver(address, now.Add(lackTTL)) }
+func (d *Directory) Lacking(address string, now time.Time) {
+	d.passOver(address, now.Add(lackTTL))
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.members, address)
+}
+
+// IsComplete reports whether all of the known addresses take part.
+func (d *Directory) IsComplete(addresses []string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !slices.ContainsFunc(addresses, func(a string) bool {
+		_, known := d.members[a]
+		return !known
+	})
+}
 
 func (d *Directory) passOver(address string, until time.Time) {
 	d.mu.Lock()
