Keep notes for the next link of their registrar

Cause: notes over the bound of a queue, or made while their link was closed, vanished without a word. Change: a note for a closed link goes to the next one; if a queue is full, its oldest note makes room, and CH1065 tells how many.

--- a/node/dispatcher/holder_ends_test.go
+++ b/node/dispatcher/holder_ends_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -138,3 +139,25 @@
 	time.Sleep(2 * lookInterval)
 	i.True(!s.list[1].AsksRegistrars())
 }
+
+// A note is made while its link ends, or while its stream is stuck.
+func TestNotesAreKeptForTheNextLink(t *testing.T) {
+	i := is.New(t)
+	s := startHolding(t, 2)
+	holder, registrar := s.list[0], s.list[1]
+	closed := newHolderLink(holder, registrar.deps.Address)
+	closed.close(time.Now(), false)
+	closed.note(&wire.HolderNote{Job: canceledJob, State: register.Canceled.Wire()})
+	for until := time.Now().Add(5 * time.Second); registrar.holders.register.EndOf(canceledJob, time.Now()) == register.Free; time.Sleep(5 * time.Millisecond) {
+		i.True(time.Now().Before(until))
+	}
+
+	stuck := newHolderLink(holder, registrar.deps.Address)
+	for range maxQueuedNotes {
+		stuck.note(&wire.HolderNote{Job: canceledJob, State: register.Held.Wire()})
+	}
+	stuck.note(&wire.HolderNote{Job: canceledJob, State: register.Completed.Wire()})
+	lost, excess := stuck.close(time.Now(), false)
+	i.Equal(excess, 1)
+	i.True(slices.ContainsFunc(lost, func(n queuedNote) bool { return n.note.GetState() == register.Completed.Wire() }))
+}
--- a/node/dispatcher/holder_link.go
+++ b/node/dispatcher/holder_link.go
@@ -74,6 +74,8 @@
 	sent       map[uint64][]pendingClaim
 	lastNumber uint64
 	closed     bool
+	// excess counts the notes that were dropped for want of room.
+	excess int
 	// gone means that nobody can be reached at the address, or that it takes no part.
 	gone bool
 }
@@ -105,10 +107,17 @@
 
 func (l *holderLink) queue(n queuedNote) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.closed || len(l.notes) >= maxQueuedNotes {
+	if l.closed {
+		l.mu.Unlock()
+		l.dispatcher.holders.link(l.address).queue(n)
 		return
 	}
+	defer l.mu.Unlock()
+	if len(l.notes) >= maxQueuedNotes {
+		// The stream is stuck. The oldest notes are the likeliest to be of ended jobs.
+		l.excess++
+		l.notes = l.notes[1:]
+	}
 	l.notes = append(l.notes, n)
 	lag := noteLag
 	switch n.note.GetState() {
@@ -246,7 +255,7 @@
 
 // close fails the claims without an answer, and returns the notes that may have been lost. Nothing
 // can be sent afterwards.
-func (l *holderLink) close(now time.Time, gone bool) (lost []queuedNote) {
+func (l *holderLink) close(now time.Time, gone bool) (lost []queuedNote, excess int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.closed, l.gone = true, gone
@@ -259,7 +268,7 @@
 	l.keepRecent(now)
 	lost = slices.DeleteFunc(l.recent, func(n queuedNote) bool { return now.Sub(n.at) > noteTTL })
 	l.claims, l.sent, l.recent = nil, nil, nil
-	return lost
+	return lost, l.excess
 }
 
 // Holders serves the claims and notes of another dispatcher on a stream.
--- a/node/dispatcher/holders.go
+++ b/node/dispatcher/holders.go
@@ -317,8 +317,8 @@
 		return
 	}
 	now := d.deps.Clock.Now()
-	klog.InfoS("CH1065 link to a registrar ended", "entry", d.deps.Name, "address", l.address, "lacking", lacking, "gone", gone, "error", err)
-	lost := l.close(now, gone)
+	lost, excess := l.close(now, gone)
+	klog.InfoS("CH1065 link to a registrar ended", "entry", d.deps.Name, "address", l.address, "lacking", lacking, "gone", gone, "excess", excess, "error", err)
 	if lacking {
 		h.directory.Lacking(l.address, now)
 		return
