Release claims at all registrars that were asked

Cause: a claim that was refused was released only where it had been answered; a slow registrar kept it until its time. The release of a refused copy also took away the hold of another request of the job that had been granted here. Change: release goes to all that were asked, unless the job is taken here.

--- a/node/dispatcher/holder_ends_test.go
+++ b/node/dispatcher/holder_ends_test.go
@@ -161,3 +161,16 @@
 	i.Equal(excess, 1)
 	i.True(slices.ContainsFunc(lost, func(n queuedNote) bool { return n.note.GetState() == register.Completed.Wire() }))
 }
+
+// A second request of a job that has been granted here is refused, as the first one was not known yet.
+func TestClaimOfARefusedCopyDoesNotReleaseTheJob(t *testing.T) {
+	i := is.New(t)
+	s := startHolding(t, 2)
+	registrar := s.list[0].deps.Address
+	job := s.jobOf(registrar, "")
+	s.hold(s.list[1], job)
+	s.list[1].holders.release(job, []string{registrar})
+	time.Sleep(notesArrive)
+	state, _ := s.list[0].holders.register.Claim(job, "other:1", holdBudget, time.Now())
+	i.Equal(state, register.Held)
+}
--- a/node/dispatcher/holders.go
+++ b/node/dispatcher/holders.go
@@ -96,7 +96,7 @@
 	if v == claim.Granted {
 		h.keep(job, &takenJob{until: began.Add(hold), choice: choice, claimed: c.Claimed()}, len(c.Holders()) > 0)
 	} else {
-		h.tell(c.Claimed(), &wire.HolderNote{Job: job, State: register.Free.Wire()})
+		h.release(job, c.Sent())
 	}
 	if v != claim.Granted || len(c.Holders()) > 0 || len(c.Claimed()) == 0 && len(choice.Asked) > 0 {
 		klog.InfoS("CH1060 registrars asked for a job", "entry", h.dispatcher.deps.Name, "job", job, "verdict", v, "registrars", choice.Asked, "answered", c.Claimed(),
@@ -209,6 +209,17 @@
 	h.relay(t.choice, n)
 }
 
+// release withdraws a claim that was not granted, unless another request of the job has been. A
+// registrar whose answer is missing may have noted the claim.
+func (h *holders) release(job string, registrars []string) {
+	h.mu.Lock()
+	_, taken := h.taken[job]
+	h.mu.Unlock()
+	if !taken {
+		h.tell(registrars, &wire.HolderNote{Job: job, State: register.Free.Wire()})
+	}
+}
+
 // cancel remembers that a job of this dispatcher has been canceled.
 func (h *holders) cancel(job string) {
 	now := h.dispatcher.deps.Clock.Now()
--- a/sharing/holder/claim/claim.go
+++ b/sharing/holder/claim/claim.go
@@ -23,6 +23,8 @@
 type Claim struct {
 	// asked holds the registrars that have not been asked yet.
 	asked []string
+	// sent holds those that have been asked.
+	sent []string
 	// needed is the number of registrars whose words are enough.
 	needed  int
 	claimed []string
@@ -45,6 +47,7 @@
 		return "", false
 	}
 	registrar, c.asked = c.asked[0], c.asked[1:]
+	c.sent = append(c.sent, registrar)
 	return registrar, true
 }
 
@@ -75,6 +78,9 @@
 // Settled reports whether no other registrar needs to be asked.
 func (c *Claim) Settled() bool { return c.settled }
 
+// Sent returns the registrars that have been asked. Those without an answer may know of this claim.
+func (c *Claim) Sent() []string { return c.sent }
+
 // Claimed returns the registrars that know of this claim.
 func (c *Claim) Claimed() []string { return c.claimed }
 
--- a/sharing/holder/claim/claim_test.go
+++ b/sharing/holder/claim/claim_test.go
@@ -126,3 +126,15 @@
 		i.Equal(c.Conclude(inquiry.NotHeld), expected)
 	}
 }
+
+// A registrar that is slow may have noted a claim that is refused: a holder is known elsewhere.
+func TestClaimWithoutAnAnswerIsReleased(t *testing.T) {
+	i := is.New(t)
+	c := New([]string{"a:1", "b:1"}, 1)
+	_, _ = c.Next(0)
+	c.NotAnswered(false)
+	_, _ = c.Next(0)
+	c.Answered("b:1", register.Held, []string{"c:1"}, time.Hour)
+	i.Equal(c.Conclude(inquiry.Held), Held)
+	i.Equal(c.Sent(), []string{"a:1", "b:1"})
+}
--- a/sharing/holder/register/register.go
+++ b/sharing/holder/register/register.go
@@ -13,10 +13,12 @@
 	// maxHold limits the time for which a dispatcher may say that it has a job: the longest budget
 	// of a caller, and some time for the ends of its runs.
 	maxHold = 6 * time.Minute
-	// completedTTL and CanceledTTL are how long the end of a job is remembered: copies of its request
-	// arrive some seconds after the answer; a caller may send a canceled job again as long as it waits.
+	// completedTTL is how long a completion is remembered: copies of the request arrive some seconds
+	// after the answer.
 	completedTTL = 10 * time.Second
-	CanceledTTL  = time.Minute
+	// CanceledTTL is how long a cancellation is remembered: a caller may send a canceled job again as
+	// long as it waits.
+	CanceledTTL = time.Minute
 	// MaxJobs limits the jobs that are remembered; the oldest are forgotten first.
 	MaxJobs = 1 << 16
 	// maxHolders limits the dispatchers that are remembered for one job.
