Log the end of a dead registrar's link once in 10 s

Cause: CH1065 came with each retry, every 250 ms for each dead registrar. Change: repetitions within 10 s are logged at level 1 only.

--- a/node/dispatcher/holder_ends_test.go
+++ b/node/dispatcher/holder_ends_test.go
@@ -174,3 +174,17 @@
 	state, _ := s.list[0].holders.register.Claim(job, "other:1", holdBudget, time.Now())
 	i.Equal(state, register.Held)
 }
+
+// A registrar stays dead while there are jobs to tell it of.
+func TestDeadRegistrarIsNotReportedWithEachRetry(t *testing.T) {
+	i := is.New(t)
+	h := startHolding(t, 1).list[0].holders
+	now, reports := time.Now(), 0
+	for range int(time.Minute / retryTime) {
+		now = now.Add(retryTime)
+		if h.isReported("a:1", now) {
+			reports++
+		}
+	}
+	i.Equal(reports, int(time.Minute/reportInterval))
+}
--- a/node/dispatcher/holders.go
+++ b/node/dispatcher/holders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -23,6 +24,8 @@
 	retryTime = 250 * time.Millisecond
 	// maxRelays is the number of registrars that pass on a note: one of them may be cut off as well.
 	maxRelays = 2
+	// reportInterval is the time between two log entries on the same registrar.
+	reportInterval = 10 * time.Second
 	// lookInterval is the time between two looks for dispatchers that have become known.
 	lookInterval = 100 * time.Millisecond
 )
@@ -38,6 +41,8 @@
 	// taken holds the jobs of this dispatcher, canceled those that were canceled here.
 	taken    map[string]*takenJob
 	canceled []endedJob
+	// reported holds when the end of the link to an address was logged.
+	reported map[string]time.Time
 }
 
 // endedJob is a job that was canceled while this dispatcher had it.
@@ -58,7 +63,7 @@
 func newHolders(d *Dispatcher) *holders {
 	h := &holders{
 		dispatcher: d, register: register.New(d.deps.Clock.Now()), directory: directory.New(d.deps.Address, d.deps.Zone),
-		links: map[string]*holderLink{}, taken: map[string]*takenJob{},
+		links: map[string]*holderLink{}, taken: map[string]*takenJob{}, reported: map[string]time.Time{},
 	}
 	d.metrics.RegisterGauge("corianderhook_registered_jobs", "Jobs that this process remembers as a registrar.", func() float64 { return float64(h.register.Jobs()) })
 	return h
@@ -329,7 +334,11 @@
 	}
 	now := d.deps.Clock.Now()
 	lost, excess := l.close(now, gone)
-	klog.InfoS("CH1065 link to a registrar ended", "entry", d.deps.Name, "address", l.address, "lacking", lacking, "gone", gone, "excess", excess, "error", err)
+	var level klog.Level
+	if !h.isReported(l.address, now) {
+		level = 1
+	}
+	klog.V(level).InfoS("CH1065 link to a registrar ended", "entry", d.deps.Name, "address", l.address, "lacking", lacking, "gone", gone, "excess", excess, "error", err)
 	if lacking {
 		h.directory.Lacking(l.address, now)
 		return
@@ -343,6 +352,19 @@
 	})
 }
 
+// isReported reports whether the end of a link is to be logged: one to a registrar that is dead ends
+// with each retry.
+func (h *holders) isReported(address string, now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if now.Sub(h.reported[address]) < reportInterval {
+		return false
+	}
+	maps.DeleteFunc(h.reported, func(_ string, at time.Time) bool { return now.Sub(at) >= reportInterval })
+	h.reported[address] = now
+	return true
+}
+
 // milliseconds returns a time for a message, rounded up.
 func milliseconds(t time.Duration) uint32 {
 	return uint32(max(0, (t + time.Millisecond - 1).Milliseconds()))
