--- a/node/dispatcher/holder_link.go
+++ b/node/dispatcher/holder_link.go
@@ -74,6 +74,10 @@
 	sent       map[uint64][]pendingClaim
 	lastNumber uint64
 	closed     bool
+	// excess counts the notes that were dropped for want of room.
+	excess int
+	// gone means that nobody can be reached at the address, or that it takes no part.
+	gone bool
 }
 
 func newHolderLink(d *Dispatcher, address string) *holderLink {
@@ -84,8 +88,12 @@
 func (l *holderLink) claim(p pendingClaim) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.closed || len(l.claims) >= maxQueuedClaims {
-		p.answers <- registrarAnswer{registrar: l.address, failed: true, gone: l.closed}
+	if full := len(l.claims) >= maxQueuedClaims; l.closed || full {
+		if full {
+			// New jobs are not refused for a queue of this process: the next registrar is asked.
+			l.dispatcher.holders.directory.Silent(l.address, l.dispatcher.deps.Clock.Now())
+		}
+		p.answers <- registrarAnswer{registrar: l.address, failed: true, gone: l.gone || full}
 		return
 	}
 	l.claims = append(l.claims, p)
@@ -99,14 +107,27 @@
 
 func (l *holderLink) queue(n queuedNote) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.closed || len(l.notes) >= maxQueuedNotes {
+	if l.closed {
+		l.mu.Unlock()
+		l.dispatcher.holders.link(l.address).queue(n)
 		return
 	}
+	defer l.mu.Unlock()
+	if len(l.notes) >= maxQueuedNotes {
+		// The stream is stuck. The oldest notes are the likeliest to be of ended jobs.
+		l.excess++
+		l.notes = l.notes[1:]
+	}
 	l.notes = append(l.notes, n)
 	lag := noteLag
-	if n.note.GetState() == wire.HolderState_HOLDER_STATE_HELD {
+	switch n.note.GetState() {
+	case wire.HolderState_HOLDER_STATE_HELD:
 		lag = heldNoteLag
+	case wire.HolderState_HOLDER_STATE_CANCELED:
+		// Its caller is told at once that the job is canceled.
+		l.signal()
+		return
+	default:
 	}
 	if l.timers[lag] {
 		return
@@ -234,20 +255,20 @@
 
 // close fails the claims without an answer, and returns the notes that may have been lost. Nothing
 // can be sent afterwards.
-func (l *holderLink) close(now time.Time) (lost []queuedNote) {
+func (l *holderLink) close(now time.Time, gone bool) (lost []queuedNote, excess int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.closed = true
+	l.closed, l.gone = true, gone
 	for _, claims := range l.sent {
 		l.claims = append(l.claims, claims...)
 	}
 	for _, c := range l.claims {
-		c.answers <- registrarAnswer{registrar: l.address, failed: true, gone: true}
+		c.answers <- registrarAnswer{registrar: l.address, failed: true, gone: gone}
 	}
 	l.keepRecent(now)
 	lost = slices.DeleteFunc(l.recent, func(n queuedNote) bool { return now.Sub(n.at) > noteTTL })
 	l.claims, l.sent, l.recent = nil, nil, nil
-	return lost
+	return lost, l.excess
 }
 
 // Holders serves the claims and notes of another dispatcher on a stream.
--- a/node/dispatcher/holders.go
+++ b/node/dispatcher/holders.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"net"
+	"maps"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
-	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/corianderhook/corianderhook/common/pause"
@@ -22,14 +20,12 @@
 )
 
 const (
-	// registrarTimeout limits the wait for the answer of one registrar.
-	registrarTimeout = 75 * time.Millisecond
-	// refusalTimeout limits the wait for a machine to refuse a connection to a process that is gone.
-	refusalTimeout = 75 * time.Millisecond
 	// retryTime is the time from the end of a link to its next opening, if it has lost anything.
 	retryTime = 250 * time.Millisecond
 	// maxRelays is the number of registrars that pass on a note: one of them may be cut off as well.
 	maxRelays = 2
+	// reportInterval is the time between two log entries on the same registrar.
+	reportInterval = 10 * time.Second
 	// lookInterval is the time between two looks for dispatchers that have become known.
 	lookInterval = 100 * time.Millisecond
 )
@@ -42,8 +38,17 @@
 	directory  *directory.Directory
 	mu         sync.Mutex
 	links      map[string]*holderLink
-	// taken holds the jobs of this dispatcher.
-	taken map[string]*takenJob
+	// taken holds the jobs of this dispatcher, canceled those that were canceled here.
+	taken    map[string]*takenJob
+	canceled []endedJob
+	// reported holds when the end of the link to an address was logged.
+	reported map[string]time.Time
+}
+
+// endedJob is a job that was canceled while this dispatcher had it.
+type endedJob struct {
+	job string
+	at  time.Time
 }
 
 // takenJob is a job that this dispatcher has been granted.
@@ -58,7 +63,7 @@
 func newHolders(d *Dispatcher) *holders {
 	h := &holders{
 		dispatcher: d, register: register.New(d.deps.Clock.Now()), directory: directory.New(d.deps.Address, d.deps.Zone),
-		links: map[string]*holderLink{}, taken: map[string]*takenJob{},
+		links: map[string]*holderLink{}, taken: map[string]*takenJob{}, reported: map[string]time.Time{},
 	}
 	d.metrics.RegisterGauge("corianderhook_registered_jobs", "Jobs that this process remembers as a registrar.", func() float64 { return float64(h.register.Jobs()) })
 	return h
@@ -96,7 +101,7 @@
 	if v == claim.Granted {
 		h.keep(job, &takenJob{until: began.Add(hold), choice: choice, claimed: c.Claimed()}, len(c.Holders()) > 0)
 	} else {
-		h.tell(c.Claimed(), &wire.HolderNote{Job: job, State: register.Free.Wire()})
+		h.release(job, c.Sent())
 	}
 	if v != claim.Granted || len(c.Holders()) > 0 || len(c.Claimed()) == 0 && len(choice.Asked) > 0 {
 		klog.InfoS("CH1060 registrars asked for a job", "entry", h.dispatcher.deps.Name, "job", job, "verdict", v, "registrars", choice.Asked, "answered", c.Claimed(),
@@ -145,98 +150,6 @@
 	}
 }
 
-// ask asks the registrars of a job until enough of them have answered. An answer that is late counts
-// too.
-func (h *holders) ask(ctx context.Context, c *claim.Claim, job string, hold time.Duration) {
-	clock := h.dispatcher.deps.Clock
-	answers := make(chan registrarAnswer, len(c.Unasked()))
-	// awaited holds the registrars whose answers are not late, open counts all without an answer.
-	awaited, open := map[string]bool{}, 0
-	for {
-		for r, more := c.Next(len(awaited)); more; r, more = c.Next(len(awaited)) {
-			if r == h.dispatcher.deps.Address {
-				now := clock.Now()
-				s, others := h.register.Claim(job, r, hold, now)
-				c.Answered(r, s, others, h.register.Knows(now))
-				continue
-			}
-			h.link(r).claim(pendingClaim{job: job, hold: hold, answers: answers})
-			awaited[r] = true
-			open++
-		}
-		if c.Settled() || open == 0 {
-			return
-		}
-		a, answered := h.awaitAnswer(ctx, answers)
-		switch {
-		case answered:
-			open--
-			delete(awaited, a.registrar)
-			h.noteAnswer(c, a)
-		case len(awaited) == 0 || ctx.Err() != nil:
-			return
-		default:
-			for r := range awaited {
-				klog.InfoS("CH1062 registrar does not answer", "entry", h.dispatcher.deps.Name, "address", r, "job", job)
-				h.directory.Silent(r, clock.Now())
-				c.NotAnswered(false)
-			}
-			clear(awaited)
-		}
-	}
-}
-
-func (h *holders) noteAnswer(c *claim.Claim, a registrarAnswer) {
-	if a.failed {
-		c.NotAnswered(a.gone)
-		return
-	}
-	c.Answered(a.registrar, a.state, slices.DeleteFunc(a.holders, func(o string) bool { return o == h.dispatcher.deps.Address }), a.knows)
-}
-
-// awaitAnswer waits for an answer for registrarTimeout. One that has come meanwhile goes before the
-// end of this time, as this process may have stood still.
-func (h *holders) awaitAnswer(ctx context.Context, answers <-chan registrarAnswer) (a registrarAnswer, answered bool) {
-	timer := h.dispatcher.deps.Clock.NewTimer(registrarTimeout)
-	defer timer.Stop()
-	select {
-	case a := <-answers:
-		return a, true
-	case <-timer.Chan():
-	case <-ctx.Done():
-	}
-	select {
-	case a := <-answers:
-		return a, true
-	default:
-		return registrarAnswer{}, false
-	}
-}
-
-// askHolder asks a dispatcher whether it still has a job. The runs of one that is gone end before
-// its callers send their jobs again.
-func (h *holders) askHolder(ctx context.Context, job, address string, arrivedAt time.Time) inquiry.Holding {
-	d := h.dispatcher
-	holding := d.inquire(ctx, &question{job: job, arrivedAt: arrivedAt}, []string{address})
-	if holding == inquiry.Unknown && refusesConnections(ctx, address) {
-		klog.InfoS("CH1063 dispatcher that had a job is gone", "entry", d.deps.Name, "job", job, "address", address)
-		return inquiry.NotHeld
-	}
-	return holding
-}
-
-// refusesConnections reports whether no process listens at an address of a machine that answers.
-func refusesConnections(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
-	defer cancel()
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", address)
-	if err == nil {
-		conn.Close()
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
-
 // keep notes a granted job, and tells the registrars that have not been asked. All are told of a
 // job that others have had.
 func (h *holders) keep(job string, t *takenJob, takenOver bool) {
@@ -285,26 +198,60 @@
 	}
 	delete(h.taken, job)
 	h.mu.Unlock()
+	end := register.Free
 	switch o {
 	case outcome.NotRun:
-		h.tell(t.choice.Registrars, &wire.HolderNote{Job: job, State: register.Free.Wire()})
+		if h.mayRun(job) {
+			return
+		}
 	case outcome.Complete:
-		h.tell(t.choice.Registrars, &wire.HolderNote{Job: job, State: register.Completed.Wire()})
+		end = register.Completed
+		// Others may ask this dispatcher before the registrars have heard of it.
+		h.register.End(job, end, h.dispatcher.deps.Clock.Now())
 	default:
 		// The runs may take some time to end, and this dispatcher knows.
+		return
+	}
+	n := &wire.HolderNote{Job: job, State: end.Wire()}
+	h.tell(t.choice.Registrars, n)
+	h.relay(t.choice, n)
+}
+
+// release withdraws a claim that was not granted, unless another request of the job has been. A
+// registrar whose answer is missing may have noted the claim.
+func (h *holders) release(job string, registrars []string) {
+	h.mu.Lock()
+	_, taken := h.taken[job]
+	h.mu.Unlock()
+	if !taken && !h.mayRun(job) {
+		h.tell(registrars, &wire.HolderNote{Job: job, State: register.Free.Wire()})
 	}
 }
 
+// mayRun reports whether runs of an earlier request of a job here may not have ended yet: its
+// registrars have to know of them still.
+func (h *holders) mayRun(job string) bool {
+	return h.dispatcher.inquiries.MayRun(job, h.dispatcher.deps.Clock.Now())
+}
+
 // cancel remembers that a job of this dispatcher has been canceled.
 func (h *holders) cancel(job string) {
 	now := h.dispatcher.deps.Clock.Now()
-	h.register.End(job, register.Canceled, now)
+	h.mu.Lock()
+	h.canceled = slices.DeleteFunc(h.canceled, func(c endedJob) bool { return c.job == job || now.Sub(c.at) > register.CanceledTTL })
+	h.canceled = append(h.canceled[max(0, len(h.canceled)-maxQueuedNotes+1):], endedJob{job: job, at: now})
+	h.mu.Unlock()
 	choice := h.directory.Choose(job, now)
 	n := &wire.HolderNote{Job: job, State: register.Canceled.Wire()}
 	h.tell(choice.Registrars, n)
 	h.relay(choice, n)
 }
 
+// knowsEnd reports whether a job is not to be run again. Its registrars may not have heard of it yet.
+func (h *holders) knowsEnd(job string, now time.Time) bool {
+	return h.register.EndOf(job, now) != register.Free || h.dispatcher.cancellations.Find(job, now) != nil
+}
+
 // tell sends a note to registrars. It does not wait for them.
 func (h *holders) tell(registrars []string, n *wire.HolderNote) {
 	for _, r := range registrars {
@@ -349,11 +296,17 @@
 	for job, t := range h.taken {
 		jobs[job] = t
 	}
+	canceled := slices.Clone(h.canceled)
 	h.mu.Unlock()
 	renewed := 0
+	for _, j := range canceled {
+		if now.Sub(j.at) <= register.CanceledTTL && h.directory.IsRegistrar(j.job, address, now) {
+			h.tell([]string{address}, &wire.HolderNote{Job: j.job, State: register.Canceled.Wire()})
+			renewed++
+		}
+	}
 	for job, t := range jobs {
-		c := h.directory.Choose(job, now)
-		if slices.Contains(c.Registrars, address) || slices.Contains(c.Missed, address) {
+		if h.directory.IsRegistrar(job, address, now) {
 			h.tell([]string{address}, &wire.HolderNote{Job: job, State: register.Held.Wire(), HoldMs: milliseconds(t.until.Sub(now))})
 			renewed++
 		}
@@ -380,6 +333,8 @@
 func (h *holders) serve(l *holderLink) {
 	d := h.dispatcher
 	lacking, err := l.run(d.inquirer.ctx)
+	// Connections to a silent registrar are closed here as well, which proves nothing.
+	gone := lacking || refusesConnections(d.inquirer.ctx, l.address)
 	h.mu.Lock()
 	delete(h.links, l.address)
 	h.mu.Unlock()
@@ -387,8 +342,12 @@
 		return
 	}
 	now := d.deps.Clock.Now()
-	klog.InfoS("CH1065 link to a registrar ended", "entry", d.deps.Name, "address", l.address, "lacking", lacking, "error", err)
-	lost := l.close(now)
+	lost, excess := l.close(now, gone)
+	var level klog.Level
+	if !h.isReported(l.address, now) {
+		level = 1
+	}
+	klog.V(level).InfoS("CH1065 link to a registrar ended", "entry", d.deps.Name, "address", l.address, "lacking", lacking, "gone", gone, "excess", excess, "error", err)
 	if lacking {
 		h.directory.Lacking(l.address, now)
 		return
@@ -402,6 +361,19 @@
 	})
 }
 
+// isReported reports whether the end of a link is to be logged: one to a registrar that is dead ends
+// with each retry.
+func (h *holders) isReported(address string, now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if now.Sub(h.reported[address]) < reportInterval {
+		return false
+	}
+	maps.DeleteFunc(h.reported, func(_ string, at time.Time) bool { return now.Sub(at) >= reportInterval })
+	h.reported[address] = now
+	return true
+}
+
 // milliseconds returns a time for a message, rounded up.
 func milliseconds(t time.Duration) uint32 {
 	return uint32(max(0, (t + time.Millisecond - 1).Milliseconds()))
--- a/node/dispatcher/inquiries.go
+++ b/node/dispatcher/inquiries.go
@@ -51,8 +51,11 @@
 // OtherDispatchers returns the number of dispatchers that HeldElsewhere asks.
 func (d *Dispatcher) OtherDispatchers() int { return len(d.peers.others()) }
 
-// AsksRegistrars reports whether Submit asks the registrars of each job.
-func (d *Dispatcher) AsksRegistrars() bool { return d.holders != nil }
+// AsksRegistrars reports whether Submit asks the registrars of each job, which know of the jobs of
+// all known dispatchers. Builds and settings without the part tell them nothing.
+func (d *Dispatcher) AsksRegistrars() bool {
+	return d.holders != nil && d.holders.directory.IsComplete(d.peers.addresses())
+}
 
 // HeldElsewhere asks all other dispatchers whether a job, whose request may be old, is held there.
 // The request reached this machine at arrivedAt, as far as that is known. The arrival has to be
@@ -302,6 +305,9 @@
 			Job: j.GetJob(), Address: r.GetAddress(), Incarnation: r.GetIncarnation(),
 			Age: time.Duration(j.GetAgeMs()) * time.Millisecond,
 		}, now)
+		if d.holders != nil && d.holders.knowsEnd(j.GetJob(), now) {
+			h = inquiry.Held
+		}
 		if h != inquiry.NotHeld {
 			klog.InfoS("CH1019 another dispatcher has asked for a job", "job", j.GetJob(), "address", r.GetAddress(), "answer", h)
 		}
--- a/process/inquiry/inquiry.go
+++ b/process/inquiry/inquiry.go
@@ -171,6 +171,14 @@
 	}
 }
 
+// MayRun reports whether runs of an ended job may not have ended yet.
+func (l *Log) MayRun(job string, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, known := l.jobs[job]
+	return known && now.Before(r.heldUntil)
+}
+
 // Answer answers the inquiry of another dispatcher. NotHeld lets it go ahead of all requests that
 // are in hand here or will be in the next seconds.
 func (l *Log) Answer(c Claim, now time.Time) Holding {
--- a/sharing/holder/register/register.go
+++ b/sharing/holder/register/register.go
@@ -1,5 +1,5 @@
 // Package register is the memory of a registrar: which dispatchers may have a job, and which jobs
-// have been completed or canceled recently. Each job has two registrars, so that a dispatcher that
+// have been completed or canceled recently. Each job has several registrars, so that a dispatcher that
 // gets a job again learns of it whichever dispatcher got it before. The package does no I/O.
 package register
 
@@ -13,10 +13,12 @@
 	// maxHold limits the time for which a dispatcher may say that it has a job: the longest budget
 	// of a caller, and some time for the ends of its runs.
 	maxHold = 6 * time.Minute
-	// completedTTL and canceledTTL are how long the end of a job is remembered: copies of its request
-	// arrive some seconds after the answer; a caller may send a canceled job again as long as it waits.
+	// completedTTL is how long a completion is remembered: copies of the request arrive some seconds
+	// after the answer.
 	completedTTL = 10 * time.Second
-	canceledTTL  = time.Minute
+	// CanceledTTL is how long a cancellation is remembered: a caller may send a canceled job again as
+	// long as it waits.
+	CanceledTTL = time.Minute
 	// MaxJobs limits the jobs that are remembered; the oldest are forgotten first.
 	MaxJobs = 1 << 16
 	// maxHolders limits the dispatchers that are remembered for one job.
@@ -107,7 +109,7 @@
 	ttl := completedTTL
 	// A job that was canceled just before it was completed is not to be started either way.
 	if s = max(s, r.endOf(job, now)); s == Canceled {
-		ttl = canceledTTL
+		ttl = CanceledTTL
 	}
 	known := r.record(job, now.Add(ttl), now)
 	known.end, known.endUntil, known.holdings = s, now.Add(ttl), nil
@@ -138,9 +140,12 @@
 		}
 		return
 	}
-	if len(known.holdings) < maxHolders {
-		known.holdings = append(known.holdings, holding{address: address, until: until})
+	if len(known.holdings) == maxHolders {
+		// The one that ends soonest is the likeliest to have ended.
+		soonest := slices.MinFunc(known.holdings, func(a, b holding) int { return a.until.Compare(b.until) })
+		known.holdings = slices.DeleteFunc(known.holdings, func(h holding) bool { return h == soonest })
 	}
+	known.holdings = append(known.holdings, holding{address: address, until: until})
 }
 
 // record returns the record of a job that is to be remembered until a time.
