--- a/connection/doorway/connection.go
+++ b/connection/doorway/connection.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -19,6 +20,10 @@
 	doorway *Doorway
 	visitor *intake.Visitor
 	leave   sync.Once
+	// unread is what messages hold that have not been delivered, counted how much of it the intake
+	// knows, and delivered whether there has been a whole message. They are for messages of gRPC.
+	unread, counted atomic.Int64
+	delivered       atomic.Bool
 }
 
 var errNoSocket = errors.New("the connection has no socket")
--- a/connection/doorway/messages.go
+++ b/connection/doorway/messages.go
@@ -19,6 +19,9 @@
 	// DefaultAcknowledgement is the time that gRPC servers leave clients to acknowledge what is
 	// sent to them.
 	DefaultAcknowledgement = 20 * time.Second
+	// uncountedBytes is what a connection that has carried a message may hold without being
+	// counted: most messages are smaller.
+	uncountedBytes = 4 << 10
 	// handshakeTime is how long a client may take until its first call can be received.
 	handshakeTime = 10 * time.Second
 )
@@ -36,10 +39,15 @@
 	frames frameCounter
 }
 
-// Read reads from the connection, and closes it if what it holds has to give way.
+// Read reads from the connection, and closes it if what it holds has to give way. A connection that
+// has carried a message is counted once it holds more than uncountedBytes.
 func (c *messageConnection) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if d := c.doorway; !d.intake.Buffer(c.visitor, c.frames.count(p[:n]), d.clock.Now()) {
+	held := c.unread.Add(c.frames.count(p[:n]))
+	if c.delivered.Load() && held <= uncountedBytes {
+		return n, err
+	}
+	if d := c.doorway; !d.intake.Buffer(c.visitor, held-c.counted.Swap(held), d.clock.Now()) {
 		_ = c.Close()
 		return 0, net.ErrClosed
 	}
@@ -82,10 +90,19 @@
 		return
 	}
 	if a, ok := client.Addr.(messageAddress); ok {
-		d := a.connection.doorway
-		d.intake.Serve(a.connection.visitor, d.clock.Now())
-		d.intake.Keep(a.connection.visitor, 0)
+		a.connection.messageDelivered()
+	}
+}
+
+// messageDelivered notes that a message has been received completely.
+func (c *connection) messageDelivered() {
+	c.unread.Store(0)
+	if counted := c.counted.Swap(0); counted == 0 && c.delivered.Load() {
+		return
 	}
+	c.delivered.Store(true)
+	c.doorway.intake.Serve(c.visitor, c.doorway.clock.Now())
+	c.doorway.intake.Keep(c.visitor, 0)
 }
 
 type countedStream struct{ grpc.ServerStream }
