--- a/lab/soak/upgrade.go
+++ b/lab/soak/upgrade.go
@@ -36,7 +36,7 @@
 	}
 }
 
-// sharing returns the settings of the sharing parts: those of the deploy file, unless the previous build
+// sharing returns the settings of the sharing parts: registrars are played, unless the previous build
 // may not know them.
 func (c *cluster) sharing() string {
 	if c.settings.PreviousBinary != "" {
