Pass the switches of the sharing parts to the nodes as one value

Cause: each part had added a field of its own to both Dependencies. Change: Dependencies.Sharing is config.Sharing.

--- a/node/dispatcher/actor.go
+++ b/node/dispatcher/actor.go
@@ -75,14 +75,14 @@
 func newSchedulerActor(d *Dispatcher) *schedulerActor {
 	a := &schedulerActor{dispatcher: d, sessions: map[string]*session{}, attachments: attachment.New(), suspensions: suspension.New()}
 	options := []scheduler.Option{scheduler.WithCrashLog(d.crashes)}
-	if d.deps.Neighbors {
+	if d.deps.Sharing.Neighbors {
 		a.neighbors = separation.New()
 		options = append(options, scheduler.WithNeighbors(a.neighbors))
 	}
-	if d.deps.Slowness {
+	if d.deps.Sharing.Slowness {
 		options = append(options, scheduler.WithSlowdowns())
 	}
-	if d.deps.SharesRoom {
+	if d.deps.Sharing.Room {
 		options = append(options, scheduler.WithSharedRoom())
 	}
 	a.scheduler = scheduler.New(a, fleet.New(d.deps.Zone), d.firstRun, options...)
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -29,6 +29,7 @@
 	"github.com/corianderhook/corianderhook/process/zonegate"
 	"github.com/corianderhook/corianderhook/sharing/startup"
 	"github.com/corianderhook/corianderhook/version/catalog"
+	"github.com/corianderhook/corianderhook/version/config"
 	"github.com/corianderhook/corianderhook/version/evacuation"
 	"github.com/corianderhook/corianderhook/wire"
 )
@@ -67,14 +68,8 @@
 	// Decode parses a configuration received from another dispatcher.
 	Decode  func(text []byte) (*catalog.Catalog, error)
 	Metrics *metrics.Metrics
-	// Neighbors keeps queues apart whose tasks slow each other down.
-	Neighbors bool
-	// Slowness takes back what waits at an endpoint that turns slow.
-	Slowness bool
-	// Holders has the registrars of a job asked before it is submitted.
-	Holders bool
-	// SharesRoom makes admission use what the sidecars report of the work of all dispatchers.
-	SharesRoom bool
+	// Sharing switches the parts that dispatchers and sidecars share.
+	Sharing config.Sharing
 }
 
 // Dispatcher is a dispatcher process. It is safe for concurrent use.
@@ -146,7 +141,7 @@
 	}
 	d.inquiries = inquiry.New(d.incarnation, runner.OrphanTime())
 	d.inquirer = newInquirer(d)
-	if deps.Holders {
+	if deps.Sharing.Holders {
 		d.holders = newHolders(d)
 	}
 	d.metrics.RegisterGauge("corianderhook_jobs_under_way", "Jobs that have been taken and not answered.", func() float64 { return float64(d.jobCount.Load()) })
--- a/node/dispatcher/holders_test.go
+++ b/node/dispatcher/holders_test.go
@@ -70,7 +70,7 @@
 func (s *holdingSite) add(name string, l net.Listener, knows time.Duration) *Dispatcher {
 	s.t.Helper()
 	deps := dependencies(name, l, s.addresses())
-	deps.Holders = true
+	deps.Sharing.Holders = true
 	if len(s.zones) > 0 {
 		deps.Zone = s.zones[len(s.list)%len(s.zones)]
 	}
--- a/node/dispatcher/neighbors_test.go
+++ b/node/dispatcher/neighbors_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/corianderhook/corianderhook/process/metrics"
 	"github.com/corianderhook/corianderhook/sharing/interference"
+	"github.com/corianderhook/corianderhook/version/config"
 	"github.com/corianderhook/corianderhook/wire"
 )
 
@@ -20,7 +21,7 @@
 		t.Run(fmt.Sprint(on), func(t *testing.T) {
 			i := is.New(t)
 			clock := clockwork.NewFakeClock()
-			d := New(Dependencies{Name: "d", Clock: clock, System: actor.NewActorSystem(), Metrics: metrics.New(), Neighbors: on})
+			d := New(Dependencies{Name: "d", Clock: clock, System: actor.NewActorSystem(), Metrics: metrics.New(), Sharing: config.Sharing{Neighbors: on}})
 			a := newSchedulerActor(d)
 			i.Equal(a.neighbors != nil, on)
 			slowing := &wire.Slowing{Queue: interference.Hash("short"), Neighbor: interference.Hash("long"), LogPermille: 700, ErrorPermille: 50, Pairs: 40}
--- a/node/sidecar/actor.go
+++ b/node/sidecar/actor.go
@@ -132,11 +132,11 @@
 		crashes: crash.NewLog(), cancellations: cancellation.New(), unavailableReason: "the endpoint has not answered yet", endpointState: &wire.EndpointState{},
 		suspensions: suspension.New(),
 	}
-	options := a.neighbors.options(s.deps.Neighbors)
-	if s.deps.Slowness {
+	options := a.neighbors.options(s.deps.Sharing.Neighbors)
+	if s.deps.Sharing.Slowness {
 		options = append(options, runner.WithSlowdowns(slowdown.New()))
 	}
-	if s.deps.SharesRoom {
+	if s.deps.Sharing.Room {
 		options = append(options, runner.WithSharedRoom())
 	}
 	a.runner = runner.New(a, options...)
--- a/node/sidecar/neighbors_test.go
+++ b/node/sidecar/neighbors_test.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/corianderhook/corianderhook/process/metrics"
+	"github.com/corianderhook/corianderhook/version/config"
 	"github.com/corianderhook/corianderhook/wire"
 )
 
@@ -18,7 +19,7 @@
 func TestEstimatesAreSentOnceASession(t *testing.T) {
 	i := is.New(t)
 	clock := clockwork.NewFakeClock()
-	a := newRunnerActor(New(Dependencies{Name: "s", Clock: clock, System: actor.NewActorSystem(), Metrics: metrics.New(), Neighbors: true}))
+	a := newRunnerActor(New(Dependencies{Name: "s", Clock: clock, System: actor.NewActorSystem(), Metrics: metrics.New(), Sharing: config.Sharing{Neighbors: true}}))
 	var first, second uint64
 	i.True(a.neighbors.newSince(&first) == nil)
 	a.compareNeighbors()
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -26,6 +26,7 @@
 	"github.com/corianderhook/corianderhook/process/usage"
 	"github.com/corianderhook/corianderhook/process/zonegate"
 	"github.com/corianderhook/corianderhook/sharing/startup"
+	"github.com/corianderhook/corianderhook/version/config"
 )
 
 const (
@@ -95,14 +96,10 @@
 	Evacuations       EvacuationReader
 	// EvacuationTime is the time within which an evacuation must be in force.
 	EvacuationTime time.Duration
-	// Neighbors makes the sidecar tell dispatchers which queues' tasks slow each other down.
-	Neighbors bool
-	// Slowness makes the sidecar report its endpoint as slow by the runs that are under way too.
-	Slowness bool
-	// SharesRoom makes capacity reports tell the work of all dispatchers by urgency.
-	SharesRoom bool
-	Clock      clockwork.Clock
-	System     *actor.ActorSystem
+	// Sharing switches the parts that dispatchers and sidecars share.
+	Sharing config.Sharing
+	Clock   clockwork.Clock
+	System  *actor.ActorSystem
 }
 
 // Sidecar is a sidecar process. It is safe for concurrent use.
