--- a/connection/doorway/body.go
+++ b/connection/doorway/body.go
@@ -14,21 +14,30 @@
 // retryAfter is the Retry-After of a refusal for want of room.
 const retryAfter = time.Second
 
-// Refusal is the error of reading a body that has to give way. Nothing of the request has run.
+// Refusal is the error of a request that is not received to its end, or not served, for want of
+// room or time. Nothing of it has run.
 type Refusal struct{ reason intake.Reason }
 
 // Error returns the reason.
 func (r *Refusal) Error() string { return r.reason.String() }
 
-// Status returns the HTTP status of the refusal, and sets its headers: the rest of the body is not
-// read.
+// Status returns the HTTP status of the refusal, and sets its headers. Where the rest of the body is
+// not read, the connection ends.
 func (r *Refusal) Status(h http.Header) int {
-	h.Set("Connection", "close")
-	if r.reason == intake.Stalled || r.reason == intake.Slow {
+	switch r.reason {
+	case intake.TooLarge:
+		return http.StatusRequestEntityTooLarge
+	case intake.NoRoom:
+		h.Set("Retry-After", strconv.Itoa(int(retryAfter.Seconds())))
+		return http.StatusServiceUnavailable
+	case intake.Stalled, intake.Slow:
+		h.Set("Connection", "close")
 		return http.StatusRequestTimeout
+	default:
+		h.Set("Connection", "close")
+		h.Set("Retry-After", strconv.Itoa(int(retryAfter.Seconds())))
+		return http.StatusServiceUnavailable
 	}
-	h.Set("Retry-After", strconv.Itoa(int(retryAfter.Seconds())))
-	return http.StatusServiceUnavailable
 }
 
 // RefusalOf returns the refusal that an error of reading a body stands for, nil if it is another.
@@ -98,7 +107,7 @@
 		d.intake.Wait(b.connection.visitor, d.clock.Now())
 		return
 	}
-	d.intake.Keep(b.connection.visitor, 0)
+	d.intake.Release(b.connection.visitor)
 }
 
 func (d *Doorway) serve(c *connection, next http.Handler, w http.ResponseWriter, r *http.Request) {
@@ -111,12 +120,22 @@
 	http.Error(w, refusal.Error(), refusal.Status(w.Header()))
 }
 
-// Keep notes how many bytes are kept while the request is served.
-func (b *body) Keep(bytes int) { b.connection.doorway.intake.Keep(b.connection.visitor, int64(bytes)) }
+// Keep notes how many bytes the request takes while it is served. The error is a Refusal if there is
+// no room for them.
+func (b *body) Keep(bytes int64) error {
+	d := b.connection.doorway
+	if reason := d.intake.Keep(b.connection.visitor, bytes); reason != intake.None {
+		d.note(reason.String())
+		return &Refusal{reason}
+	}
+	return nil
+}
 
-// Keep notes how many bytes of the body of a request are kept while it is served.
-func Keep(r *http.Request, bytes int) {
+// Keep notes how many bytes a request whose body has been read takes while it is served. The error
+// is a Refusal if there is no room for them.
+func Keep(r *http.Request, bytes int64) error {
 	if b, ok := r.Body.(*body); ok {
-		b.Keep(bytes)
+		return b.Keep(bytes)
 	}
+	return nil
 }
--- a/connection/doorway/doorway_test.go
+++ b/connection/doorway/doorway_test.go
@@ -45,7 +45,10 @@
 		case err != nil:
 			w.WriteHeader(http.StatusBadRequest)
 		default:
-			Keep(r, len(text))
+			if refusal := RefusalOf(Keep(r, int64(len(text)))); refusal != nil {
+				w.WriteHeader(refusal.Status(w.Header()))
+				return
+			}
 			fmt.Fprint(w, len(text))
 		}
 	}))}
--- a/connection/doorway/messages.go
+++ b/connection/doorway/messages.go
@@ -102,7 +102,7 @@
 	}
 	c.delivered.Store(true)
 	c.doorway.intake.Serve(c.visitor, c.doorway.clock.Now())
-	c.doorway.intake.Keep(c.visitor, 0)
+	c.doorway.intake.Release(c.visitor)
 }
 
 type countedStream struct{ grpc.ServerStream }
--- a/connection/intake/intake.go
+++ b/connection/intake/intake.go
@@ -6,6 +6,10 @@
 // none left, the request that began first and has not been received yet gives way, as those
 // that stop short are always among the oldest. A request that has been received completely
 // never gives way.
+//
+// A second load: clients send whole requests that take far more memory once they are read. Each
+// states what it takes before it is decoded, and is refused if that does not fit. Large requests
+// share one half of the room, so that ordinary ones find some beside them.
 package intake
 
 import (
@@ -25,6 +29,8 @@
 	waiting   *list.List
 	receiving *list.List
 	bytes     int64
+	// kept is what the requests that are served keep, largeKept the part of the large ones.
+	kept, largeKept int64
 }
 
 // phase is what a connection does.
@@ -37,17 +43,22 @@
 	phaseLeft
 )
 
-// smallMessageBytes is the size of messages that are no reason to end a connection.
-const smallMessageBytes = 64 << 10
+const (
+	// smallMessageBytes is the size of messages that are no reason to end a connection.
+	smallMessageBytes = 64 << 10
+	// largeRequestBytes is what a request keeps at least that counts as large.
+	largeRequestBytes = 128 << 10
+)
 
 // Visitor is a connection.
 type Visitor struct {
 	// dismiss ends the connection, or has its request refused.
-	dismiss    func(r Reason)
-	phase      phase
-	dismissed  Reason
-	place      *list.Element
-	held       int64
+	dismiss   func(r Reason)
+	phase     phase
+	dismissed Reason
+	place     *list.Element
+	// held are the bytes of the request that have arrived, kept what it keeps while it is served.
+	held, kept int64
 	since      time.Time
 	progressAt time.Time
 }
@@ -116,6 +127,21 @@
 func (i *Intake) release(v *Visitor) {
 	i.bytes -= v.held
 	v.held = 0
+	i.setKept(v, 0)
+}
+
+func (i *Intake) setKept(v *Visitor, bytes int64) {
+	i.kept += bytes - v.kept
+	i.largeKept += largePart(bytes) - largePart(v.kept)
+	v.kept = bytes
+}
+
+// largePart returns the bytes that a request counts among the large ones.
+func largePart(bytes int64) int64 {
+	if bytes < largeRequestBytes {
+		return 0
+	}
+	return bytes
 }
 
 func (i *Intake) leaveList(v *Visitor) {
@@ -219,13 +245,47 @@
 	return i.move(v, phaseServing, now)
 }
 
-// Keep notes how many bytes of a request are kept while it is served; the others are released.
-func (i *Intake) Keep(v *Visitor, bytes int64) {
+// Keep notes how many bytes a request keeps while it is served, in place of those that have
+// arrived. If there is no room for them, it changes nothing and returns why.
+func (i *Intake) Keep(v *Visitor, bytes int64) Reason {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if v.dismissed != None || v.phase == phaseLeft {
+		return v.dismissed
+	}
+	if bytes > v.kept {
+		if r := i.roomFor(v, bytes); r != None {
+			return r
+		}
+	}
+	i.bytes -= v.held
+	v.held = 0
+	i.setKept(v, bytes)
+	return None
+}
+
+// roomFor returns why a request cannot keep a number of bytes, or None.
+func (i *Intake) roomFor(v *Visitor, bytes int64) Reason {
+	others, otherLarge := i.kept-v.kept, i.largeKept-largePart(v.kept)
+	large := largePart(bytes)
+	switch {
+	case bytes > i.limits.served():
+		return TooLarge
+	case others+bytes > i.limits.served():
+		return NoRoom
+	case large > 0 && otherLarge > 0 && otherLarge+large > i.limits.served()/2:
+		return NoRoom
+	default:
+		return None
+	}
+}
+
+// Release notes that what has arrived on a connection is not held any more.
+func (i *Intake) Release(v *Visitor) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if v.dismissed == None && v.phase != phaseLeft {
-		i.bytes += bytes - v.held
-		v.held = bytes
+		i.release(v)
 	}
 }
 
@@ -271,9 +331,10 @@
 	return v.dismissed
 }
 
-// Held returns the number of connections and the bytes that their requests hold.
+// Held returns the number of connections and the bytes that their requests hold, whether they are
+// still being received or served.
 func (i *Intake) Held() (connections int, bytes int64) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.visitors, i.bytes
+	return i.visitors, i.bytes + i.kept
 }
--- a/connection/intake/intake_test.go
+++ b/connection/intake/intake_test.go
@@ -56,7 +56,7 @@
 	for _, v := range all {
 		i.True(c.intake.Receive(v, 2500, start))
 		i.True(c.intake.Serve(v, start))
-		c.intake.Keep(v, 4000)
+		i.Equal(c.intake.Keep(v, 4000), None)
 	}
 	i.Equal(len(c.ended), 0)
 	for _, v := range all {
@@ -136,7 +136,7 @@
 		now := start.Add(time.Duration(n) * time.Second)
 		i.True(c.intake.Buffer(known, 2000, now))
 		i.True(c.intake.Serve(known, now))
-		c.intake.Keep(known, 0)
+		c.intake.Release(known)
 		// Frames that belong to no message.
 		i.True(c.intake.Buffer(known, 13, now))
 		c.intake.Buffer(c.enter(now), 300<<10, now)
@@ -147,6 +147,58 @@
 	i.True(bytes <= 1<<20)
 }
 
+// The load: clients send whole bodies of legal size that take many times as much when they are
+// decoded. What they keep stays within the limit, and ordinary requests find room beside them.
+func TestLargeRequestsLeaveRoomForOrdinaryOnes(t *testing.T) {
+	i := is.New(t)
+	const limit = 8 << 20
+	c := newCrowd(NewLimits(10_000, limit, time.Minute, time.Hour))
+	request := func(bytes int64) (*Visitor, Reason) {
+		v := c.enter(start)
+		i.True(c.intake.Serve(v, start))
+		return v, c.intake.Keep(v, bytes)
+	}
+	granted, refused := []*Visitor{}, 0
+	for range 600 {
+		if v, reason := request(1 << 20); reason == None {
+			granted = append(granted, v)
+		} else {
+			i.Equal(reason, NoRoom)
+			refused++
+		}
+	}
+	i.True(len(granted) >= 1 && refused > 0)
+	for range 200 {
+		_, reason := request(16 << 10)
+		i.Equal(reason, None)
+	}
+	_, bytes := c.intake.Held()
+	i.True(bytes > servedShare*limit/4)
+	// Ordinary ones are refused only when there is no room left.
+	for reason := None; reason == None; {
+		_, reason = request(16 << 10)
+	}
+	_, bytes = c.intake.Held()
+	i.True(bytes <= servedShare*limit && bytes > servedShare*limit-(16<<10))
+	// One that has been granted may take less, and its end makes room for another.
+	i.Equal(c.intake.Keep(granted[0], 1000), None)
+	_, reason := request(512 << 10)
+	i.Equal(reason, None)
+}
+
+// A single large request is served, and one that never fits is told so.
+func TestRequestThatNeverFits(t *testing.T) {
+	i := is.New(t)
+	c := newCrowd(NewLimits(10, 1<<20, time.Minute, time.Hour))
+	v := c.enter(start)
+	i.True(c.intake.Serve(v, start))
+	i.Equal(c.intake.Keep(v, servedShare<<20+1), TooLarge)
+	i.Equal(c.intake.Keep(v, servedShare<<20), None)
+	c.intake.Wait(v, start)
+	_, bytes := c.intake.Held()
+	i.Equal(bytes, int64(0))
+}
+
 // A request on a kept connection beside many others.
 func BenchmarkRequest(b *testing.B) {
 	c := newCrowd(NewLimits(3000, 1<<30, time.Minute, time.Hour))
--- a/connection/intake/limits.go
+++ b/connection/intake/limits.go
@@ -2,9 +2,14 @@
 
 import "time"
 
-// growth is how many bytes of memory a byte of a body takes while the body is received: a buffer
-// that grows is copied into a larger one.
-const growth = 2
+const (
+	// growth is how many bytes of memory a byte of a body takes while the body is received: a
+	// buffer that grows is copied into a larger one.
+	growth = 2
+	// servedShare times the bytes of requests that are being received is what those that are being
+	// served may keep.
+	servedShare = 2
+)
 
 // Limits bound what an intake holds.
 type Limits struct {
@@ -22,3 +27,6 @@
 
 // Connections returns the number of connections.
 func (l Limits) Connections() int { return l.connections }
+
+// served returns how many bytes the requests that are being served may keep.
+func (l Limits) served() int64 { return servedShare * l.bytes }
--- a/connection/intake/reason.go
+++ b/connection/intake/reason.go
@@ -17,4 +17,8 @@
 	// it takes too long.
 	Stalled // the request has stalled
 	Slow    // the request takes too long
+	// NoRoom means that the requests that are being served leave no room for the request, TooLarge
+	// that it needs more than all of them may take.
+	NoRoom   // too many bytes of requests that are being served
+	TooLarge // the request takes too much memory
 )
--- a/connection/intake/reason_string.go
+++ b/connection/intake/reason_string.go
@@ -13,11 +13,13 @@
 	_ = x[Full-2]
 	_ = x[Stalled-3]
 	_ = x[Slow-4]
+	_ = x[NoRoom-5]
+	_ = x[TooLarge-6]
 }
 
-const _Reason_name = "nonetoo many connectionstoo many bytes of incomplete requeststhe request has stalledthe request takes too long"
+const _Reason_name = "nonetoo many connectionstoo many bytes of incomplete requeststhe request has stalledthe request takes too longtoo many bytes of requests that are being servedthe request takes too much memory"
 
-var _Reason_index = [...]uint8{0, 4, 24, 61, 84, 110}
+var _Reason_index = [...]uint8{0, 4, 24, 61, 84, 110, 158, 191}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- /dev/null
+++ b/lab/hostile/whole_test.go
@@ -0,0 +1,41 @@
+package hostile
+
+import (
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/corianderhook/corianderhook/platform/standin/caller"
+	"github.com/corianderhook/corianderhook/platform/standin/operator"
+)
+
+// hostileBudget is how long the clients of the crowd say that they wait for an answer.
+const hostileBudget = time.Minute
+
+// sentJobs counts the jobs of the crowd.
+var sentJobs atomic.Uint64
+
+// jobTarget returns where a further job goes.
+func jobTarget() target {
+	return target{http.MethodPost, fmt.Sprintf("%sff%014x", operator.Prefix, sentJobs.Add(1)), caller.BudgetHeader(hostileBudget)}
+}
+
+// wholeBody returns the request with a whole body.
+func wholeBody(g target, body string) []byte {
+	return append(g.header(fmt.Sprintf("Content-Length: %d", len(body))), body...)
+}
+
+// wholeJobs returns clients that each send a job of their own.
+func wholeJobs(body string) client {
+	return func(write func([]byte) bool) { write(wholeBody(jobTarget(), body)) }
+}
+
+func TestDispatcherOutlivesLargeJobs(t *testing.T) {
+	for name, body := range caller.LargeBodies(bodyBytes) {
+		t.Run(name, func(t *testing.T) {
+			startPlatform(t, descriptors).play(t, "callers", wholeJobs(body), probe{})
+		})
+	}
+}
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -50,8 +50,9 @@
 	AuthorizeCaller(team, token string) error
 }
 
-// countedBody is a body whose bytes the server counts while the job is held.
-type countedBody interface{ Keep(bytes int) }
+// countedBody is a body for which the server counts what its job takes. Keep returns an error if
+// there is no room.
+type countedBody interface{ Keep(bytes int64) error }
 
 // bodyRefusal is the error of reading a body that the server does not receive to its end.
 type bodyRefusal interface {
@@ -115,7 +116,10 @@
 		return
 	}
 	if body, ok := r.Body.(countedBody); ok {
-		body.Keep(s.PayloadBytes())
+		if err := body.Keep(int64(s.PayloadBytes())); err != nil {
+			writeUnread(w, err)
+			return
+		}
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), wait+ownerLookupTime)
 	defer cancel()
