Bound the start and stop orders that a sidecar has under way

What was seen: 600 clients that each send a job of 4,096 tasks of 1 millicore (60 bytes) took the sidecar of 96 MiB to 237 MiB, and an ordinary job beside them had no answer within 20 s.

Cause: each task that fits at the endpoint is ordered at once, by a goroutine with an HTTP request of its own, some 50 KiB; only 64 of them have a connection, the others wait, time out and are sent again. The runs of a job whose caller leaves are stopped in the same way.

Change: the runner holds back further starts while 512 start orders have no answer, and goes on as they are answered; the largest ordinary job (350 tasks) still starts at once. The keeper of the lease stops 256 runs at a time.

TestSidecarOutlivesJobsOfManyTasks fails on the code before with the figures above; the decision has a test without I/O (4,000 tasks, at most 512 unanswered, all started in the end).

--- a/lab/hostile/whole_test.go
+++ b/lab/hostile/whole_test.go
@@ -39,3 +39,14 @@
 		})
 	}
 }
+
+// manyTasks is the largest number of tasks that a job may have.
+const manyTasks = 4096
+
+func TestSidecarOutlivesJobsOfManyTasks(t *testing.T) {
+	for name, payload := range map[string]int{"without a payload": 0} {
+		t.Run(name, func(t *testing.T) {
+			startPlatform(t, descriptors).play(t, "callers", wholeJobs(caller.ManyTasks(manyTasks, payload)), probe{})
+		})
+	}
+}
--- a/node/sidecar/lease_keeper.go
+++ b/node/sidecar/lease_keeper.go
@@ -34,6 +34,9 @@
 	// maxPendingStopOrders that of the orders without an answer at a time.
 	maxStopOrders        = 8
 	maxPendingStopOrders = 4
+	// maxStoppedAtOnce is the number of runs that are being stopped at a time. Each takes requests to
+	// the endpoint, some 50 KiB.
+	maxStoppedAtOnce = 256
 	// listRetryInterval is the time between polls of an endpoint that does not answer.
 	listRetryInterval = 40 * time.Millisecond
 	// initialFenceStep is added to the fence when the endpoint rejects it as too low. The
@@ -66,10 +69,12 @@
 	endpointEmpty     chan struct{}
 	endpointEmptyOnce sync.Once
 	lastSeq           uint64
+	// stops has an entry for each run that is being stopped.
+	stops chan struct{}
 }
 
 func newLeaseKeeper(s *Sidecar) *leaseKeeper {
-	k := &leaseKeeper{sidecar: s, announcedBorn: make(chan time.Time, 1), takeoverRequested: make(chan struct{}, 1), endpointEmpty: make(chan struct{})}
+	k := &leaseKeeper{sidecar: s, announcedBorn: make(chan time.Time, 1), takeoverRequested: make(chan struct{}, 1), endpointEmpty: make(chan struct{}), stops: make(chan struct{}, maxStoppedAtOnce)}
 	k.fence.Store(uint64(s.deps.Clock.Now().UnixMicro()))
 	none := ""
 	k.instance.Store(&none)
@@ -132,6 +137,8 @@
 
 // stop has a task's run stopped and notifies the runner of the result.
 func (k *leaseKeeper) stop(name string, run runner.RunName) {
+	k.stops <- struct{}{}
+	defer func() { <-k.stops }()
 	k.notifyRunner(stopResult{name: name, acknowledged: k.sendStopOrders(run)})
 }
 
--- a/process/runner/limit_test.go
+++ b/process/runner/limit_test.go
@@ -42,3 +42,27 @@
 	i.Equal(h.events[len(h.events)-1].GetRef(), uint64(2))
 	i.Equal(r.Room().GetWaiting(), uint32(0))
 }
+
+// The load: a job of thousands of tasks that take next to nothing of the endpoint. Only some start
+// orders are without an answer at a time, and all tasks start in the end.
+func TestStartOrdersWithoutAnAnswerAreBounded(t *testing.T) {
+	const tasks = 4000
+	i := is.New(t)
+	r, h := newRunner()
+	o := offer(1, tasks, 1)
+	for _, t := range o.GetTasks() {
+		t.Size.Memory = 0
+	}
+	r.Offer(dispatcher, o)
+	i.Equal(len(h.starts), maxUnansweredStarts)
+	r.Cancel(dispatcher, 1)
+	i.Equal(len(h.starts), maxUnansweredStarts+1)
+	for n := 1; n < len(h.names); n++ {
+		r.Started(h.names[n], Running, "")
+		i.True(r.unanswered <= maxUnansweredStarts)
+	}
+	i.Equal(len(h.starts), tasks)
+	i.Equal(r.unanswered, 0)
+	r.HandleReport(Report{RequestedAt: h.now, Ended: []End{{RunName: run(h.starts[1])}}})
+	i.Equal(r.unanswered, 0)
+}
--- a/process/runner/runner.go
+++ b/process/runner/runner.go
@@ -43,6 +43,9 @@
 	maxOrphanTime = SilenceTimeout + StopGrace + lease.Duration
 	// maxStartTries is how often a start order without an answer is sent in all.
 	maxStartTries = 4
+	// maxUnansweredStarts is how many start orders may be without an answer at once. Each takes a
+	// request to the endpoint, some 50 KiB; the tasks of the largest ordinary job fit.
+	maxUnansweredStarts = 512
 )
 
 // OrphanTime returns the time from the last word of a dispatcher to the end of its last run,
@@ -92,12 +95,14 @@
 
 // Runner holds the tasks of one endpoint. It is not safe for concurrent use.
 type Runner struct {
-	host          Host
-	ledger        *ledger.Ledger
-	backlog       *backlog.Backlog
-	evidence      *endpointhealth.Tracker
-	tasks         map[string]*task
-	byRun         map[string]*task
+	host     Host
+	ledger   *ledger.Ledger
+	backlog  *backlog.Backlog
+	evidence *endpointhealth.Tracker
+	tasks    map[string]*task
+	byRun    map[string]*task
+	// unanswered is the number of tasks whose start order has no answer yet.
+	unanswered    int
 	sessions      map[uint64]*session
 	accepting     bool
 	refusalReason string
@@ -258,7 +263,7 @@
 
 // startWaiting starts waiting tasks as long as there is room.
 func (r *Runner) startWaiting() {
-	for r.accepting {
+	for r.accepting && r.unanswered < maxUnansweredStarts {
 		item, found := r.backlog.Pop(r.ledger.Free(), r.host.Now())
 		if !found {
 			return
@@ -270,6 +275,13 @@
 	}
 }
 
+// startHeldBack starts tasks that only waited for the answer to a start order.
+func (r *Runner) startHeldBack() {
+	if r.unanswered == maxUnansweredStarts-1 {
+		r.startWaiting()
+	}
+}
+
 // start sends the start order of a task, or returns the task if it must not start.
 func (r *Runner) start(t *task) {
 	now := r.host.Now()
@@ -286,7 +298,7 @@
 		return
 	}
 	r.byRun[runKey(t.order)] = t
-	t.phase = starting
+	r.enter(t, starting)
 	t.orderedAt = now
 	t.tries = 1
 	r.beginBeside(t)
@@ -319,7 +331,8 @@
 		r.end(t, wire.TaskEventKind_TASK_EVENT_KIND_LOST, "start refused: "+reason)
 	case t.phase != starting:
 	case result == Running:
-		t.phase = running
+		r.enter(t, running)
+		r.startHeldBack()
 	case result == Doubtful && r.mayRepeatStart(t):
 		// The endpoint starts the same run only once, so that a delayed copy of the first
 		// order has no effect.
@@ -345,9 +358,13 @@
 	case waiting:
 		r.returnTask(t, reason)
 	case starting, running:
-		t.phase = stopping
+		wasStarting := t.phase == starting
+		r.enter(t, stopping)
 		r.host.LogDecision("CH1123 stop ordered", t.order, "reason", reason)
 		r.host.Stop(t.name, t.order)
+		if wasStarting {
+			r.startHeldBack()
+		}
 	case stopping, stopped:
 	}
 }
@@ -363,10 +380,21 @@
 		r.host.Stop(t.name, t.order)
 		return
 	}
-	t.phase = stopped
+	r.enter(t, stopped)
 	t.answeredAt = r.host.Now()
 }
 
+// enter changes the phase of a started task.
+func (r *Runner) enter(t *task, to phase) {
+	if t.phase == starting {
+		r.unanswered--
+	}
+	if to == starting {
+		r.unanswered++
+	}
+	t.phase = to
+}
+
 // returnTask removes a task that has not started and returns it to its dispatcher.
 func (r *Runner) returnTask(t *task, reason string) {
 	r.backlog.Remove(t.name)
@@ -381,6 +409,7 @@
 // end removes a task that has no run left and reports its end to the dispatcher.
 func (r *Runner) end(t *task, kind wire.TaskEventKind, reason string) {
 	now := r.host.Now()
+	r.enter(t, stopped)
 	r.ledger.Release(t.name)
 	r.endBeside(t)
 	delete(r.tasks, t.name)
