--- a/lab/hostile/whole_test.go
+++ b/lab/hostile/whole_test.go
@@ -44,7 +44,7 @@
 const manyTasks = 4096
 
 func TestSidecarOutlivesJobsOfManyTasks(t *testing.T) {
-	for name, payload := range map[string]int{"without a payload": 0} {
+	for name, payload := range map[string]int{"without a payload": 0, "with a long payload": bodyBytes / 2} {
 		t.Run(name, func(t *testing.T) {
 			startPlatform(t, descriptors).play(t, "callers", wholeJobs(caller.ManyTasks(manyTasks, payload)), probe{})
 		})
