--- a/common/outline/outline.go
+++ b/common/outline/outline.go
@@ -47,6 +47,10 @@
 // Objects returns the number of objects.
 func (o Outline) Objects() int { return o.objects }
 
+// Values returns the number of values that are not objects: those in lists, the fields of objects, and
+// the lists themselves.
+func (o Outline) Values() int { return o.values }
+
 // Memory returns how many bytes the decoded text takes at most, together with the text itself, if an
 // object takes the given number of bytes.
 func (o Outline) Memory(objectBytes int) int64 {
--- a/lab/hostile/whole_test.go
+++ b/lab/hostile/whole_test.go
@@ -50,3 +50,16 @@
 		})
 	}
 }
+
+// announcementBytes is the largest legal size of an announcement.
+const announcementBytes = 4 << 20
+
+func TestSidecarOutlivesLargeAnnouncements(t *testing.T) {
+	const path = "/instances/i-9"
+	for name, body := range caller.LargeAnnouncements(announcementBytes) {
+		t.Run(name, func(t *testing.T) {
+			c := func(write func([]byte) bool) { write(wholeBody(target{http.MethodPut, path, ""}, body)) }
+			startPlatform(t, descriptors).play(t, "announcements", c, probe{http.MethodDelete, path})
+		})
+	}
+}
