--- a/connection/guard/guard.go
+++ b/connection/guard/guard.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/corianderhook/corianderhook/common/bearer"
+	"github.com/corianderhook/corianderhook/common/excerpt"
 	"github.com/corianderhook/corianderhook/common/loopback"
 	"github.com/corianderhook/corianderhook/version/access"
 )
@@ -66,7 +67,7 @@
 }
 
 func refuse(w http.ResponseWriter, r *http.Request, name string, code int, reason string) {
-	klog.InfoS("CH0601 administration call refused", "from", r.RemoteAddr, "operator", name, "method", r.Method, "path", r.URL.Path, "reason", reason)
+	klog.InfoS("CH0601 administration call refused", "from", r.RemoteAddr, "operator", name, "method", r.Method, "path", excerpt.Of(r.URL.Path), "reason", reason)
 	if code == http.StatusUnauthorized {
 		w.Header().Set("WWW-Authenticate", "Bearer")
 	}
