Take the product's jobs apart without copying them

What was seen: 600 clients that each send an entry of 96 MiB one whole body of legal size (8 MiB) took it to 184 MiB (tasks without fields), 130 and 109 MiB (a long kind, an unknown field) and 98 MiB (a payload of 8 MiB).

Cause: the decoder reads the text into a buffer of its own, which doubles, copies each payload, decodes lists before their length is checked and repeats unknown names in its error. None of that was counted, and after the body only the payloads were.

Change: package common/jsonpart takes a text apart into parts of itself. A list is read up to the first task too many, names and numbers have at most 1 KiB. A job counts three times its text until its answer, and is refused (503 or 413) if there is no room. A change of the configuration is counted before it is decoded.

TestEntryOutlivesLargeJobs fails in all four cases on the code before; TestEntryOutlivesLargeChanges and TestLargestJobOfTheProductIsServed passed there too.

--- a/common/outline/outline.go
+++ b/common/outline/outline.go
@@ -3,6 +3,8 @@
 // than a hundred.
 package outline
 
+import "github.com/corianderhook/corianderhook/common/jsonpart"
+
 // valueBytes is what a value takes that is not an object: a number or the header of a string or list,
 // in a list that is copied as it grows.
 const valueBytes = 40
@@ -20,7 +22,7 @@
 	for i := 0; i < len(text); i++ {
 		switch text[i] {
 		case '"':
-			i = endOfString(text, i)
+			i = jsonpart.EndOfString(text, i)
 		case '{':
 			o.objects++
 		case '[', ',', ':':
@@ -30,20 +32,6 @@
 	return o
 }
 
-// endOfString returns the index of the quote that ends the string that begins at an index, or that
-// of the last byte.
-func endOfString(text []byte, i int) int {
-	for i++; i < len(text); i++ {
-		switch text[i] {
-		case '\\':
-			i++
-		case '"':
-			return i
-		}
-	}
-	return len(text) - 1
-}
-
 // Objects returns the number of objects.
 func (o Outline) Objects() int { return o.objects }
 
--- a/lab/hostile/whole_test.go
+++ b/lab/hostile/whole_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -63,3 +64,50 @@
 		})
 	}
 }
+
+const (
+	// productJobBytes and changeBytes are the largest legal sizes of a job and of a change of the
+	// configuration at the product's own interface.
+	productJobBytes = 8 << 20
+	changeBytes     = 1 << 20
+)
+
+// filled returns a text of a given size: a beginning, a part over and over, and an end.
+func filled(size int, begin, part, end string) string {
+	return begin + strings.Repeat(part, (size-len(begin)-len(end))/len(part)) + end
+}
+
+func TestEntryOutlivesLargeJobs(t *testing.T) {
+	for name, body := range map[string]string{
+		"tasks without fields": filled(productJobBytes, `{"kind":"check","tasks":[{}`, `,{}`, `]}`),
+		"an unknown field":     filled(productJobBytes, `{"`, `x`, `":1}`),
+		"a long kind":          filled(productJobBytes, `{"kind":"`, "\xff", `"}`),
+		"a long payload":       filled(productJobBytes, `{"kind":"check","tasks":[{"payload":"`, `x`, `"}]}`),
+	} {
+		t.Run(name, func(t *testing.T) {
+			startProduct(t, descriptors).play(t, "callers", func(write func([]byte) bool) {
+				key := fmt.Sprintf("Corianderhook-Team: anyone\r\nIdempotency-Key: hostile%d\r\n", sentJobs.Add(1))
+				write(wholeBody(target{http.MethodPost, "/v1/jobs", key}, body))
+			}, probe{})
+		})
+	}
+}
+
+func TestEntryOutlivesLargeChanges(t *testing.T) {
+	body := filled(changeBytes, `{"text":"`, `\u0000`, `"}`)
+	startProduct(t, descriptors).play(t, "administration", func(write func([]byte) bool) {
+		write(wholeBody(target{http.MethodPost, "/v1/config", ""}, body))
+	}, probe{http.MethodGet, "/healthz"})
+}
+
+// A single job of the largest legal size is served in calm.
+func TestLargestJobOfTheProductIsServed(t *testing.T) {
+	s := startProduct(t, descriptors)
+	body := filled(productJobBytes, `{"kind":"check","tasks":[{"payload":"`, `x`, `"}]}`)
+	checkAnswered(t, "the largest job", func() (int, error) {
+		return send(http.MethodPost, "http://"+s.addresses["callers"]+"/v1/jobs", body, http.Header{"Corianderhook-Team": {"anyone"}, "Idempotency-Key": {"largest"}})
+	})
+	for _, p := range s.processes {
+		p.check(t, s.fds)
+	}
+}
--- a/node/entry/publish.go
+++ b/node/entry/publish.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -8,6 +9,8 @@
 
 	"github.com/google/uuid"
 
+	"github.com/corianderhook/corianderhook/common/excerpt"
+	"github.com/corianderhook/corianderhook/common/segment"
 	"github.com/corianderhook/corianderhook/connection/doorway"
 	"github.com/corianderhook/corianderhook/connection/guard"
 	"github.com/corianderhook/corianderhook/process/audit"
@@ -17,6 +20,9 @@
 const (
 	// maxConfigBytes bounds the body of a publish request.
 	maxConfigBytes = 1 << 20
+	// changeCopies is how many times its length a change takes while it is decoded, put into the log
+	// and merged.
+	changeCopies = 8
 	// applyResultTimeout is how long a publish request waits for the result of its change.
 	applyResultTimeout = 4 * time.Second
 )
@@ -49,16 +55,13 @@
 
 // publish appends an operator's change to the log and responds with the result.
 func (e *Entry) publish(w http.ResponseWriter, r *http.Request) {
-	var request PublishRequest
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxConfigBytes))
-	decoder.DisallowUnknownFields()
-	err := decoder.Decode(&request)
+	request, err := readChange(w, r)
 	if refusal := doorway.RefusalOf(err); refusal != nil {
 		writeJSON(w, refusal.Status(w.Header()), PublishAnswer{Reason: refusal.Error()})
 		return
 	}
 	if err != nil {
-		writeJSON(w, http.StatusBadRequest, PublishAnswer{Reason: "the body is not a change: " + err.Error()})
+		writeJSON(w, http.StatusBadRequest, PublishAnswer{Reason: "the body is not a change: " + excerpt.Of(err.Error())})
 		return
 	}
 	base := e.published.Load().Files[request.File].Version
@@ -74,6 +77,20 @@
 	writeJSON(w, code, answer)
 }
 
+// readChange reads an operator's change, for which there has to be room.
+func readChange(w http.ResponseWriter, r *http.Request) (request PublishRequest, err error) {
+	text, err := segment.ReadAll(http.MaxBytesReader(w, r.Body, maxConfigBytes))
+	if err != nil {
+		return request, err
+	}
+	if err := doorway.Keep(r, changeCopies*int64(len(text))); err != nil {
+		return request, err
+	}
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	decoder.DisallowUnknownFields()
+	return request, decoder.Decode(&request)
+}
+
 // publishChange appends a change and waits until it is read back and applied.
 func (e *Entry) publishChange(ctx context.Context, c publication.Change) (int, PublishAnswer) {
 	ctx, cancel := context.WithTimeout(ctx, applyResultTimeout)
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -116,7 +116,7 @@
 		return
 	}
 	if body, ok := r.Body.(countedBody); ok {
-		if err := body.Keep(int64(s.PayloadBytes())); err != nil {
+		if err := body.Keep(s.HeldBytes()); err != nil {
 			writeUnread(w, err)
 			return
 		}
@@ -145,10 +145,12 @@
 func writeUnread(w http.ResponseWriter, err error) {
 	var refusal bodyRefusal
 	switch {
-	case errors.As(err, &refusal) && refusal.Status(w.Header()) == http.StatusRequestTimeout:
-		writeAnswer(w, "", answer.New(outcome.NotRun, "incomplete", refusal.Error()))
 	case errors.As(err, &refusal):
-		writeAnswer(w, "", answer.New(outcome.NotRun, "no-room", refusal.Error()))
+		reason, found := reasonByStatus[refusal.Status(w.Header())]
+		if !found {
+			reason = "no-room"
+		}
+		writeAnswer(w, "", answer.New(outcome.NotRun, reason, refusal.Error()))
 	case errors.Is(err, submission.ErrTooLarge):
 		w.Header().Set("Connection", "close")
 		writeAnswer(w, "", answer.New(outcome.NotRun, "too-large", err.Error()))
@@ -248,6 +250,12 @@
 	"not-found":        http.StatusNotFound,
 }
 
+// reasonByStatus holds the reasons of bodies that the server refuses; that of others is "no-room".
+var reasonByStatus = map[int]string{
+	http.StatusRequestTimeout:        "incomplete",
+	http.StatusRequestEntityTooLarge: "too-large",
+}
+
 func writeAnswer(w http.ResponseWriter, key string, a answer.Answer) {
 	code, found := statusByReason[a.Reason()]
 	if !found {
--- a/request/submission/submission.go
+++ b/request/submission/submission.go
@@ -2,7 +2,6 @@
 package submission
 
 import (
-	"bytes"
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
@@ -13,6 +12,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"github.com/corianderhook/corianderhook/common/excerpt"
+	"github.com/corianderhook/corianderhook/common/jsonpart"
 	"github.com/corianderhook/corianderhook/common/segment"
 )
 
@@ -25,6 +26,12 @@
 	MaxKeyBytes = 200
 	// MaxDeadline is the longest deadline that a caller may set for a job.
 	MaxDeadline = 10 * time.Minute
+	// maxScalarBytes is the largest text of a field that is a name or a number, and of the name of a
+	// field.
+	maxScalarBytes = 1 << 10
+	// jobCopies is how often the text of a job is in memory while it is held: as the caller sent it,
+	// in the messages to agents or to the owner, and in the record of the job.
+	jobCopies = 3
 )
 
 // ErrTooLarge means that a body is larger than MaxBodyBytes.
@@ -38,16 +45,15 @@
 	deadline time.Duration
 	payloads [][]byte
 	digest   uint64
+	// textBytes is the size of the caller's text, of which the payloads are parts.
+	textBytes int
 }
 
+// document is the text of a job, taken apart.
 type document struct {
-	Kind       string `json:"kind"`
-	DeadlineMS *int64 `json:"deadline_ms"`
-	Tasks      []task `json:"tasks"`
-}
-
-type task struct {
-	Payload json.RawMessage `json:"payload"`
+	kind       string
+	deadlineMS *int64
+	payloads   [][]byte
 }
 
 // Read decodes and validates a job of at most MaxBodyBytes. A submission without
@@ -67,47 +73,127 @@
 	if err != nil {
 		return nil, err
 	}
-	return build(doc, team, key)
+	return build(doc, team, key, len(raw))
 }
 
+// decode takes the text of a job apart. The payloads are parts of the text, which is not copied.
 func decode(raw []byte) (*document, error) {
-	var doc document
-	decoder := json.NewDecoder(bytes.NewReader(raw))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&doc); err != nil {
-		return nil, errors.Wrap(err, "body is not a job")
+	if err := checkSyntax(raw); err != nil {
+		return nil, err
 	}
-	if _, err := decoder.Token(); err != io.EOF {
-		return nil, errors.New("body has text after the job")
+	var doc document
+	for name, value := range jsonpart.Part(raw).Members() {
+		key, err := fieldName(name)
+		if err != nil {
+			return nil, err
+		}
+		switch strings.ToLower(key) {
+		case "kind":
+			err = decodeValue(value, &doc.kind)
+		case "deadline_ms":
+			err = decodeValue(value, &doc.deadlineMS)
+		case "tasks":
+			doc.payloads, err = decodeTasks(value)
+		default:
+			err = unknownField(key)
+		}
+		if err != nil {
+			return nil, errors.Wrap(err, "body is not a job")
+		}
 	}
 	return &doc, nil
 }
 
-func build(doc *document, team, key string) (*Submission, error) {
-	if doc.Kind == "" {
+func checkSyntax(raw []byte) error {
+	var ignored struct{}
+	err := json.Unmarshal(raw, &ignored)
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) && strings.Contains(syntax.Error(), "after top-level value") {
+		return errors.New("body has text after the job")
+	}
+	return errors.Wrap(err, "body is not a job")
+}
+
+func unknownField(name string) error { return errors.Errorf("unknown field %q", excerpt.Of(name)) }
+
+// fieldName returns the name of a field. A long one is not decoded.
+func fieldName(name jsonpart.Part) (string, error) {
+	if len(name) > maxScalarBytes {
+		return "", errors.Wrap(unknownField(string(name[:maxScalarBytes])), "body is not a job")
+	}
+	var text string
+	err := json.Unmarshal(name, &text)
+	return text, err
+}
+
+// decodeValue decodes a name or a number.
+func decodeValue(value jsonpart.Part, into any) error {
+	if len(value) > maxScalarBytes {
+		return errors.Errorf("a field has %d bytes, the maximum is %d", len(value), maxScalarBytes)
+	}
+	return json.Unmarshal(value, into)
+}
+
+// decodeTasks returns the payloads of a list of tasks, nil for those without one. It returns one more
+// than a job may have at most.
+func decodeTasks(list jsonpart.Part) (payloads [][]byte, err error) {
+	if !list.IsList() && !list.IsNull() {
+		return nil, errors.New(`field "tasks" is not a list`)
+	}
+	for task := range list.Elements() {
+		if !task.IsObject() && !task.IsNull() {
+			return nil, errors.Errorf("task %d is not an object", len(payloads))
+		}
+		var payload []byte
+		for name, value := range task.Members() {
+			key, err := fieldName(name)
+			if err != nil {
+				return nil, err
+			}
+			if !strings.EqualFold(key, "payload") {
+				return nil, unknownField(key)
+			}
+			payload = value
+		}
+		if payloads = append(payloads, payload); len(payloads) > MaxTasks {
+			break
+		}
+	}
+	return payloads, nil
+}
+
+func build(doc *document, team, key string, size int) (*Submission, error) {
+	if doc.kind == "" {
 		return nil, errors.New(`field "kind" is missing`)
 	}
-	if len(doc.Tasks) == 0 || len(doc.Tasks) > MaxTasks {
-		return nil, fmt.Errorf(`field "tasks" has %d tasks; a job has 1 to %d`, len(doc.Tasks), MaxTasks)
+	if len(doc.payloads) == 0 || len(doc.payloads) > MaxTasks {
+		return nil, fmt.Errorf(`field "tasks" has %s; a job has 1 to %d`, countTasks(len(doc.payloads)), MaxTasks)
 	}
-	s := &Submission{team: team, key: key, kind: doc.Kind}
-	if doc.DeadlineMS != nil {
-		ms := *doc.DeadlineMS
+	s := &Submission{team: team, key: key, kind: doc.kind, payloads: doc.payloads, textBytes: size}
+	if doc.deadlineMS != nil {
+		ms := *doc.deadlineMS
 		if ms <= 0 || ms > MaxDeadline.Milliseconds() {
 			return nil, fmt.Errorf(`field "deadline_ms" is %d; it must be 1 to %d`, ms, MaxDeadline.Milliseconds())
 		}
 		s.deadline = time.Duration(ms) * time.Millisecond
 	}
-	for i := range doc.Tasks {
-		if doc.Tasks[i].Payload == nil {
+	for i, p := range doc.payloads {
+		if p == nil {
 			return nil, fmt.Errorf(`task %d has no field "payload"`, i)
 		}
-		s.payloads = append(s.payloads, doc.Tasks[i].Payload)
 	}
 	s.digest = digest(s.kind, s.payloads)
 	return s, nil
 }
 
+// countTasks tells the number of tasks, of which no more than one too many are counted.
+func countTasks(count int) string {
+	if count > MaxTasks {
+		return fmt.Sprintf("%d tasks or more", count)
+	}
+	return fmt.Sprintf("%d tasks", count)
+}
+
 // CheckNames validates the team and the key, which make up the name of a job.
 func CheckNames(team, key string) error {
 	if err := checkName("Idempotency-Key", key); err != nil {
@@ -179,13 +265,8 @@
 // Payloads returns the JSON text of each task.
 func (s *Submission) Payloads() [][]byte { return s.payloads }
 
-// PayloadBytes returns the size of all payloads.
-func (s *Submission) PayloadBytes() (bytes int) {
-	for _, p := range s.payloads {
-		bytes += len(p)
-	}
-	return bytes
-}
+// HeldBytes returns how much memory the job takes until its answer.
+func (s *Submission) HeldBytes() int64 { return int64(s.textBytes) * jobCopies }
 
 // TaskCount returns the number of tasks.
 func (s *Submission) TaskCount() int { return len(s.payloads) }
--- a/request/submission/submission_test.go
+++ b/request/submission/submission_test.go
@@ -1,6 +1,7 @@
 package submission_test
 
 import (
+	"encoding/json"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -40,6 +41,8 @@
 		"no kind":       {`{"tasks":[{"payload":1}]}`, "t", "k", `field "kind" is missing`},
 		"no tasks":      {`{"kind":"k","tasks":[]}`, "t", "k", "has 0 tasks"},
 		"too many":      {tooMany, "t", "k", "has 351 tasks"},
+		"long kind":     {`{"kind":"` + strings.Repeat("k", 2000) + `"}`, "t", "k", "a field has 2002 bytes"},
+		"long field":    {`{"` + strings.Repeat("x", 100_000) + `":1}`, "t", "k", "unknown field"},
 		"no payload":    {`{"kind":"k","tasks":[{}]}`, "t", "k", "task 0 has no field"},
 		"zero deadline": {`{"kind":"k","deadline_ms":0,"tasks":[{"payload":1}]}`, "t", "k", "it must be 1 to 600000"},
 		"oversized":     {`{"kind":"` + strings.Repeat("k", submission.MaxBodyBytes) + `"}`, "t", "k", "larger than"},
@@ -53,6 +56,36 @@
 	}
 }
 
+// Odd texts mean the same as to the strict decoder of the standard library.
+func TestOddTextsAreReadAsByAStrictDecoder(t *testing.T) {
+	for _, text := range []string{
+		`{"KIND":"k","Tasks":[{"Payload":1}]}`, `{"kind":"a","kind":"b","tasks":[{"payload":1,"payload":[2, 3]}]}`,
+		`{"k\u0069nd":"k","tasks":[{"p\u0061yload":"\"]}"}]}`, `{"kind":"k","tasks":[null]}`, `{"kind":"k","tasks":null}`,
+		`{"kind":null,"tasks":[{"payload":null}]}`, `{"kind":"k","tasks":{}}`, `{"kind":"k","tasks":[1]}`, `{"kind":"k","tasks":[{"payload":1}],"deadline_ms":null}`,
+		`{"kind":"k","tasks":[{"payload":1}],"deadline_ms":1.5}`, `[]`, `null`, `{"kind":"k","tasks":[{"payload":1,"x":2}]}`, ` {"kind" : "k" , "tasks" : [ { "payload" : { } } ] } `,
+	} {
+		var want struct {
+			Kind       string `json:"kind"`
+			DeadlineMS *int64 `json:"deadline_ms"`
+			Tasks      []struct {
+				Payload json.RawMessage `json:"payload"`
+			} `json:"tasks"`
+		}
+		decoder := json.NewDecoder(strings.NewReader(text))
+		decoder.DisallowUnknownFields()
+		err := decoder.Decode(&want)
+		valid := err == nil && want.Kind != "" && len(want.Tasks) > 0 && want.Tasks[0].Payload != nil
+		got, err := submission.Read(strings.NewReader(text), "team", "key")
+		if (err == nil) != valid {
+			t.Errorf("%s: error %v, valid %t", text, err, valid)
+			continue
+		}
+		if valid && (got.Kind() != want.Kind || string(got.Payloads()[0]) != string(want.Tasks[0].Payload)) {
+			t.Errorf("%s: kind %q, payload %s", text, got.Kind(), got.Payloads()[0])
+		}
+	}
+}
+
 func TestReadReportsTruncatedBody(t *testing.T) {
 	is := is.New(t)
 	_, err := submission.Read(iotest.TimeoutReader(iotest.OneByteReader(strings.NewReader(`{"kind":`))), "t", "k")
