Count the headers of requests

What was seen: 600 clients that each send headers of legal size (16 KiB) and stop short, or send no body after them, took a dispatcher of 96 MiB to 194 MiB and an entry to 213 MiB.

Cause: nothing counted headers. One of 16 KiB with lines of a few bytes has 3,000 fields, which take 270 KiB in their table, for up to 5 s, or until the answer of its request.

Change: what arrives of a header is counted, twice and 128 bytes for each line, twenty times where TLS hides the lines, and the request that began first gives way as for bodies. When the header is complete, what its fields take replaces that, and is counted until the answer.

--- a/connection/doorway/body.go
+++ b/connection/doorway/body.go
@@ -53,6 +53,8 @@
 type body struct {
 	io.ReadCloser
 	connection *connection
+	// header is what the header of the request takes.
+	header int64
 	// complete is set at the end of the body.
 	complete bool
 }
@@ -78,10 +80,14 @@
 	return n, err
 }
 
-// Handler returns a handler that counts the bodies of requests while they are received.
+// Handler returns a handler that counts the headers and bodies of requests.
 func (d *Doorway) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, _ := r.Context().Value(connectionKey{}).(*connection)
+		if c != nil {
+			c.inRequest.Store(true)
+			defer c.inRequest.Store(false)
+		}
 		switch {
 		case r.ContentLength != 0 && !d.bodies:
 			w.Header().Set("Connection", "close")
@@ -91,9 +97,10 @@
 		case r.ContentLength == 0:
 			d.serve(c, next, w, r)
 		default:
-			counted, b := *r, &body{ReadCloser: r.Body, connection: c}
+			counted, b := *r, &body{ReadCloser: r.Body, connection: c, header: requestMemory(r)}
 			counted.Body = b
-			d.intake.Receive(c.visitor, 0, d.clock.Now())
+			// One that has given way is refused when its body is read.
+			d.intake.Begin(c.visitor, b.header, d.clock.Now())
 			defer d.finish(b)
 			next.ServeHTTP(w, &counted)
 		}
@@ -110,13 +117,17 @@
 	d.intake.Release(b.connection.visitor)
 }
 
+// serve serves a request without a body.
 func (d *Doorway) serve(c *connection, next http.Handler, w http.ResponseWriter, r *http.Request) {
 	defer func() { d.intake.Wait(c.visitor, d.clock.Now()) }()
+	reason := d.intake.Dismissed(c.visitor)
 	if d.intake.Serve(c.visitor, d.clock.Now()) {
-		next.ServeHTTP(w, r)
-		return
+		if reason = d.intake.Keep(c.visitor, requestMemory(r)); reason == intake.None {
+			next.ServeHTTP(w, r)
+			return
+		}
 	}
-	refusal := &Refusal{d.intake.Dismissed(c.visitor)}
+	refusal := &Refusal{reason}
 	http.Error(w, refusal.Error(), refusal.Status(w.Header()))
 }
 
@@ -124,7 +135,7 @@
 // no room for them.
 func (b *body) Keep(bytes int64) error {
 	d := b.connection.doorway
-	if reason := d.intake.Keep(b.connection.visitor, bytes); reason != intake.None {
+	if reason := d.intake.Keep(b.connection.visitor, b.header+bytes); reason != intake.None {
 		d.note(reason.String())
 		return &Refusal{reason}
 	}
--- a/connection/doorway/connection.go
+++ b/connection/doorway/connection.go
@@ -20,6 +20,8 @@
 	doorway *Doorway
 	visitor *intake.Visitor
 	leave   sync.Once
+	// inRequest is set from the end of the header of a request until it has been answered.
+	inRequest atomic.Bool
 	// unread is what messages hold that have not been delivered, counted how much of it the intake
 	// knows, and delivered whether there has been a whole message. They are for messages of gRPC.
 	unread, counted atomic.Int64
--- a/connection/doorway/doorway.go
+++ b/connection/doorway/doorway.go
@@ -40,6 +40,8 @@
 	clock  clockwork.Clock
 	counts Counter
 	bodies bool
+	// encrypted is whether the lines of headers cannot be seen.
+	encrypted bool
 	// messages is whether the connections carry messages of gRPC.
 	messages        bool
 	acknowledgement time.Duration
--- a/connection/doorway/doorway_test.go
+++ b/connection/doorway/doorway_test.go
@@ -117,6 +117,31 @@
 	i.Equal(counts.all.Load(), int64(1))
 }
 
+// Of two headers of many lines that do not fit, the first one ends, and the second one is served.
+func TestHeaderGivesWay(t *testing.T) {
+	i := is.New(t)
+	var counts counter
+	address := startServer(t, intake.NewLimits(10, 3000, time.Minute, time.Minute), &counts)
+	var header strings.Builder
+	for n := range 16 {
+		fmt.Fprintf(&header, "x%d:\r\n", n)
+	}
+	const line = "GET /unread HTTP/1.1\r\nHost: x\r\n"
+	first := open(t, address, line+header.String())
+	// The first one has to have been counted.
+	time.Sleep(200 * time.Millisecond)
+	second := open(t, address, line+header.String())
+	_, err := first.Read(make([]byte, 1))
+	i.True(err != nil)
+	_, err = io.WriteString(second, "\r\n")
+	i.NoErr(err)
+	i.Equal(status(t, second), http.StatusOK)
+	i.Equal(counts.all.Load(), int64(1))
+	// What it held is given back: another one has room.
+	i.Equal(status(t, open(t, address, line+header.String()+"\r\n")), http.StatusOK)
+	i.Equal(counts.all.Load(), int64(1))
+}
+
 func TestStalledBodyIsRefusedAndASteadyOneServed(t *testing.T) {
 	i := is.New(t)
 	address := startServer(t, intake.NewLimits(10, 1<<20, time.Second, time.Minute), &counter{})
--- a/connection/intake/intake.go
+++ b/connection/intake/intake.go
@@ -182,9 +182,27 @@
 	return true
 }
 
-// Receive notes that bytes of a request have arrived, and returns whether the rest may follow.
-// Others give way if there is no room for the bytes.
+// Receive notes that bytes of a body have arrived, and returns whether the rest may follow. Others give
+// way if there is no room for the bytes.
 func (i *Intake) Receive(v *Visitor, bytes int64, now time.Time) bool {
+	return i.hold(v, bytes*growth, now)
+}
+
+// ReceiveHeader does the same for a part of a header that takes a number of bytes of memory.
+func (i *Intake) ReceiveHeader(v *Visitor, bytes int64, now time.Time) bool {
+	return i.hold(v, bytes, now)
+}
+
+// Begin notes that the header of a request has been received and takes a number of bytes of memory, in
+// place of those counted so far. It returns whether the body may follow.
+func (i *Intake) Begin(v *Visitor, bytes int64, now time.Time) bool {
+	i.mu.Lock()
+	i.release(v)
+	i.mu.Unlock()
+	return i.hold(v, bytes, now)
+}
+
+func (i *Intake) hold(v *Visitor, bytes int64, now time.Time) bool {
 	i.mu.Lock()
 	if !i.move(v, phaseReceiving, now) {
 		i.mu.Unlock()
@@ -193,8 +211,8 @@
 	if bytes > 0 {
 		v.progressAt = now
 	}
-	v.held += bytes * growth
-	i.bytes += bytes * growth
+	v.held += bytes
+	i.bytes += bytes
 	// A single request has its size as its limit: it could never be received otherwise.
 	gone := i.makeRoom(1)
 	stays := v.dismissed == None
--- a/connection/intake/intake_test.go
+++ b/connection/intake/intake_test.go
@@ -108,6 +108,30 @@
 	i.True(c.intake.Serve(second, start))
 }
 
+// The load: clients send headers that take many times their length, and stay. What they hold stays
+// within the limit, and so does what headers take that have been received.
+func TestHeadersThatStopShortGiveWay(t *testing.T) {
+	i := is.New(t)
+	const limit, header = 1 << 20, 300 << 10
+	c := newCrowd(NewLimits(10_000, limit, time.Minute, time.Hour))
+	for n := range 600 {
+		v := c.enter(start)
+		i.True(c.intake.ReceiveHeader(v, header, start))
+		if n%2 == 0 {
+			i.True(c.intake.Begin(v, header/2, start))
+		}
+		_, bytes := c.intake.Held()
+		i.True(bytes <= limit)
+	}
+	i.True(c.ended[Full] >= 590)
+	ordinary := c.enter(start)
+	i.True(c.intake.ReceiveHeader(ordinary, 2000, start))
+	i.True(c.intake.Begin(ordinary, 1500, start))
+	i.True(c.intake.Serve(ordinary, start))
+	i.Equal(c.intake.Keep(ordinary, 1500), None)
+	c.intake.Wait(ordinary, start)
+}
+
 func TestStalledAndSlowRequestsEnd(t *testing.T) {
 	i := is.New(t)
 	c := newCrowd(NewLimits(10, 1<<20, 10*time.Second, time.Minute))
--- a/connection/security/security.go
+++ b/connection/security/security.go
@@ -21,6 +21,9 @@
 // New returns a Security that uses TLS everywhere, and mutual TLS between processes.
 func New(c *certificate.Certificate) Security { return Security{certificate: c} }
 
+// Encrypted reports whether connections are secured by TLS.
+func (s Security) Encrypted() bool { return s.certificate != nil }
+
 // WrapListener adds TLS to a listener for callers or operators.
 func (s Security) WrapListener(l net.Listener) net.Listener {
 	if s.certificate == nil {
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -129,7 +129,7 @@
 	defer a.cancelTasks()
 	defer cancel()
 	defer a.deps.System.Root.Stop(a.executor)
-	door := doorway.New("administration", doorway.Allot(a.deps.Config).Probes(), a.deps.Clock, a.metrics)
+	door := doorway.New("administration", doorway.Allot(a.deps.Config).Probes(), a.deps.Clock, a.metrics, doorway.WithEncryption(a.deps.Security.Encrypted()))
 	go door.Run(ctx)
 	server := &http.Server{
 		Handler: door.Handler(a.adminHandler()), ConnContext: doorway.ConnContext,
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -139,8 +139,8 @@
 	emptyTable := ownership.New().Snapshot()
 	e.table.Store(&emptyTable)
 	allotment := doorway.Allot(c)
-	e.callerDoor = doorway.New("callers", allotment.Callers(), deps.Clock, e.metrics)
-	e.adminDoor = doorway.New("administration", allotment.Probes(), deps.Clock, e.metrics)
+	e.callerDoor = doorway.New("callers", allotment.Callers(), deps.Clock, e.metrics, doorway.WithEncryption(deps.Security.Encrypted()))
+	e.adminDoor = doorway.New("administration", allotment.Probes(), deps.Clock, e.metrics, doorway.WithEncryption(deps.Security.Encrypted()))
 	e.processDoor = doorway.New("processes", allotment.Processes(), deps.Clock, e.metrics, doorway.ForMessages(c.SilenceTimeout()))
 	var pass func()
 	if deps.Gate != nil {
