End connections whose client does not read the answers

Cause: a connection that serves a request never gives way, and there is no limit to how long an answer may take to be written.

Change: answers are written in parts of 16 KiB. A connection whose part has waited for 10 ms makes room for another if all others are serving, the one that has waited for the longest first, and one that has waited for [intake] stall is ended. The kernel holds 16 KiB of an answer, doubled.

Result: TestUnreadAnswer fails on the code before (the second client gets an EOF) and passes: a client that takes 16 MiB slowly gets all of it beside one that is ended.

--- a/connection/doorway/connection.go
+++ b/connection/doorway/connection.go
@@ -14,6 +14,9 @@
 	"github.com/corianderhook/corianderhook/connection/intake"
 )
 
+// maxWriteBytes is the size of the parts in which answers are sent.
+const maxWriteBytes = 16 << 10
+
 // connection is a connection that has entered.
 type connection struct {
 	net.Conn
@@ -47,6 +50,20 @@
 	return nil
 }
 
+// Write sends a part of an answer. It waits as long as the client takes some of it from time to time,
+// unless its connection has to give way.
+func (c *connection) Write(p []byte) (sent int, err error) {
+	for sent < len(p) && err == nil {
+		part := p[sent:min(len(p), sent+maxWriteBytes)]
+		c.doorway.intake.Answer(c.visitor, c.doorway.clock.Now())
+		var n int
+		n, err = c.Conn.Write(part)
+		c.doorway.intake.Answered(c.visitor)
+		sent += n
+	}
+	return sent, err
+}
+
 // Close closes the connection and makes room for another.
 func (c *connection) Close() error {
 	err := c.Conn.Close()
@@ -57,7 +74,7 @@
 // dismiss closes the connection or, if its request is being received, lets its handler refuse it.
 func (c *connection) dismiss(r intake.Reason) {
 	c.doorway.note(r.String())
-	if r != intake.Crowded && !c.doorway.messages && c.SetReadDeadline(time.Unix(1, 0)) == nil {
+	if r != intake.Crowded && r != intake.Unread && !c.doorway.messages && c.SetReadDeadline(time.Unix(1, 0)) == nil {
 		return
 	}
 	// Its server closes it too, and may have done so.
--- a/connection/doorway/doorway.go
+++ b/connection/doorway/doorway.go
@@ -21,9 +21,10 @@
 	tickInterval = time.Second
 	// maxTickGap is the time between two looks after which the process has stood still.
 	maxTickGap = 3 * tickInterval / 2
-	// receiveBufferBytes is what the kernel holds of a connection that is not being read. The
-	// kernel doubles it.
+	// receiveBufferBytes is what the kernel holds of a connection that is not being read, and
+	// sendBufferBytes what it holds of answers that the client does not read. The kernel doubles both.
 	receiveBufferBytes = 16 << 10
+	sendBufferBytes    = 16 << 10
 	// turnedAway counts connections for which no other could give way.
 	turnedAway = "turned away"
 )
@@ -109,14 +110,14 @@
 	if d.messages {
 		return &listener{Listener: l, doorway: d}
 	}
-	if err := limitReceiveBuffer(l); err != nil {
-		klog.ErrorS(err, "CH1231 receive buffers cannot be limited", "listener", d.name)
+	if err := limitBuffers(l); err != nil {
+		klog.ErrorS(err, "CH1231 buffers of connections cannot be limited", "listener", d.name)
 	}
 	return &listener{Listener: l, doorway: d}
 }
 
-// limitReceiveBuffer sets the receive buffer of the connections that a listener accepts.
-func limitReceiveBuffer(l net.Listener) error {
+// limitBuffers sets the kernel's buffers of the connections that a listener accepts.
+func limitBuffers(l net.Listener) error {
 	tcp, ok := l.(*net.TCPListener)
 	if !ok {
 		return nil
@@ -127,11 +128,13 @@
 	}
 	var optionErr error
 	if err := raw.Control(func(fd uintptr) {
-		optionErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes)
+		if optionErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes); optionErr == nil {
+			optionErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, sendBufferBytes)
+		}
 	}); err != nil {
 		return errors.Wrap(err, "listener")
 	}
-	return errors.Wrap(optionErr, "receive buffer")
+	return errors.Wrap(optionErr, "buffers")
 }
 
 type listener struct {
--- a/connection/doorway/doorway_test.go
+++ b/connection/doorway/doorway_test.go
@@ -19,6 +19,9 @@
 	"github.com/corianderhook/corianderhook/connection/intake"
 )
 
+// largeAnswerBytes is more than the kernel holds of an answer.
+const largeAnswerBytes = 16 << 20
+
 // counter counts what was turned away.
 type counter struct{ all atomic.Int64 }
 
@@ -35,7 +38,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go door.Run(ctx)
 	server := &http.Server{ConnContext: ConnContext, Handler: door.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/unread" {
+		switch r.URL.Path {
+		case "/unread":
+			return
+		case "/large":
+			_, _ = w.Write(make([]byte, largeAnswerBytes))
 			return
 		}
 		text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 1024))
@@ -166,6 +173,35 @@
 	i.True(!errors.As(err, &timeout) || !timeout.Timeout())
 }
 
+const getLarge = "GET /large HTTP/1.1\r\nHost: x\r\n\r\n"
+
+// A client that does not read its answer makes room for another, and is ended after a time if there is
+// none. One that reads slowly gets all of it.
+func TestUnreadAnswer(t *testing.T) {
+	i := is.New(t)
+	var counts counter
+	address := startServer(t, intake.NewLimits(1, 1<<20, time.Minute, time.Minute), &counts)
+	open(t, address, getLarge)
+	time.Sleep(300 * time.Millisecond)
+	i.Equal(status(t, open(t, address, "GET /unread HTTP/1.1\r\nHost: x\r\n\r\n")), http.StatusOK)
+	i.Equal(counts.all.Load(), int64(1))
+
+	address = startServer(t, intake.NewLimits(10, 1<<20, time.Second, time.Minute), &counts)
+	stuck, slow := open(t, address, getLarge), open(t, address, getLarge)
+	response, err := http.ReadResponse(bufio.NewReaderSize(slow, 64<<10), nil)
+	i.NoErr(err)
+	defer response.Body.Close()
+	read := int64(0)
+	for n := int64(1); n > 0; time.Sleep(20 * time.Millisecond) {
+		n, err = io.CopyN(io.Discard, response.Body, 128<<10)
+		read += n
+	}
+	i.Equal(read, int64(largeAnswerBytes))
+	read, err = io.Copy(io.Discard, stuck)
+	i.NoErr(err)
+	i.True(read < largeAnswerBytes)
+}
+
 // A connection serves several requests, and an idle one makes room for another.
 func TestIdleConnectionMakesRoom(t *testing.T) {
 	i := is.New(t)
--- a/connection/intake/intake.go
+++ b/connection/intake/intake.go
@@ -5,7 +5,7 @@
 // Nothing is reserved for what a client announces, and nobody waits for room: when there is
 // none left, the request that began first and has not been received yet gives way, as those
 // that stop short are always among the oldest. A request that has been received completely
-// never gives way.
+// does not give way, unless its client leaves the answer unread.
 //
 // A second load: clients send whole requests that take far more memory once they are read. Each
 // states what it takes before it is decoded, and is refused if that does not fit. Large requests
@@ -15,6 +15,7 @@
 import (
 	"container/list"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -24,10 +25,12 @@
 
 	mu sync.Mutex
 	// visitors are all connections. waiting holds those without a request, by the time since
-	// when they have none, and receiving those with an incomplete one, by its beginning.
+	// when they have none, receiving those with an incomplete one, by its beginning, and serving
+	// those whose request is served.
 	visitors  int
 	waiting   *list.List
 	receiving *list.List
+	serving   *list.List
 	bytes     int64
 	// kept is what the requests that are served keep, largeKept the part of the large ones.
 	kept, largeKept int64
@@ -46,6 +49,9 @@
 const (
 	// smallMessageBytes is the size of messages that are no reason to end a connection.
 	smallMessageBytes = 64 << 10
+	// minAnswering is how long a part of an answer has to have waited before its connection may give
+	// way to another: that of a client that reads is taken at once.
+	minAnswering = 10 * time.Millisecond
 	// largeRequestBytes is what a request keeps at least that counts as large.
 	largeRequestBytes = 128 << 10
 )
@@ -61,6 +67,9 @@
 	held, kept int64
 	since      time.Time
 	progressAt time.Time
+	// answeringSince is since when a part of an answer has been waiting to be taken by the client, in
+	// nanoseconds since 1970, or 0.
+	answeringSince atomic.Int64
 }
 
 // dismissal is a connection that has given way.
@@ -71,21 +80,24 @@
 
 // New returns an intake without connections.
 func New(l Limits) *Intake {
-	return &Intake{limits: l, waiting: list.New(), receiving: list.New()}
+	return &Intake{limits: l, waiting: list.New(), receiving: list.New(), serving: list.New()}
 }
 
 // Enter adds a connection. Dismiss is called, without a lock, if it has to give way. Enter
-// returns nil if every connection that could give way serves a request.
+// returns nil if every other connection serves a request, and no client leaves its answer unread.
 func (i *Intake) Enter(now time.Time, dismiss func(r Reason)) *Visitor {
 	i.mu.Lock()
 	var gone []dismissal
 	if i.visitors >= i.limits.connections {
-		oldest := older(i.waiting.Front(), i.receiving.Front())
+		oldest, reason := older(i.waiting.Front(), i.receiving.Front()), Crowded
+		if oldest == nil {
+			oldest, reason = i.longestAnswering(now), Unread
+		}
 		if oldest == nil {
 			i.mu.Unlock()
 			return nil
 		}
-		gone = append(gone, i.dismiss(oldest, Crowded))
+		gone = append(gone, i.dismiss(oldest, reason))
 		i.forget(oldest)
 	}
 	v := &Visitor{dismiss: dismiss, phase: phaseWaiting, since: now}
@@ -110,6 +122,24 @@
 	}
 }
 
+// longestAnswering returns the connection whose answer has been waiting for the longest, or nil.
+func (i *Intake) longestAnswering(now time.Time) (longest *Visitor) {
+	since := now.Add(-minAnswering).UnixNano()
+	for next := i.serving.Front(); next != nil; next = next.Next() {
+		v := next.Value.(*Visitor)
+		if at := v.answeringSince.Load(); at != 0 && at <= since {
+			longest, since = v, at
+		}
+	}
+	return longest
+}
+
+// Answer notes that a part of an answer is about to be sent.
+func (i *Intake) Answer(v *Visitor, now time.Time) { v.answeringSince.Store(now.UnixNano()) }
+
+// Answered notes that the client has taken that part.
+func (i *Intake) Answered(v *Visitor) { v.answeringSince.Store(0) }
+
 // dismiss makes a connection give way. The caller holds the lock.
 func (i *Intake) dismiss(v *Visitor, r Reason) dismissal {
 	v.dismissed = r
@@ -149,6 +179,8 @@
 	case v.place == nil:
 	case v.phase == phaseWaiting:
 		i.waiting.Remove(v.place)
+	case v.phase == phaseServing:
+		i.serving.Remove(v.place)
 	default:
 		i.receiving.Remove(v.place)
 	}
@@ -177,6 +209,8 @@
 		v.place = i.waiting.PushBack(v)
 	case phaseReceiving:
 		v.place = i.receiving.PushBack(v)
+	case phaseServing:
+		v.place = i.serving.PushBack(v)
 	default:
 	}
 	return true
@@ -324,11 +358,15 @@
 	i.forget(v)
 }
 
-// Sweep makes requests give way that have stalled or take too long.
+// Sweep makes requests give way that have stalled or take too long, and connections whose client does
+// not read the answer.
 func (i *Intake) Sweep(now time.Time) {
+	if i.limits.stall <= 0 {
+		return
+	}
 	i.mu.Lock()
 	var gone []dismissal
-	for next := i.receiving.Front(); i.limits.stall > 0 && next != nil; {
+	for next := i.receiving.Front(); next != nil; {
 		v := next.Value.(*Visitor)
 		next = next.Next()
 		switch {
@@ -338,6 +376,14 @@
 			gone = append(gone, i.dismiss(v, Slow))
 		}
 	}
+	unread := now.Add(-i.limits.stall).UnixNano()
+	for next := i.serving.Front(); next != nil; {
+		v := next.Value.(*Visitor)
+		next = next.Next()
+		if at := v.answeringSince.Load(); at != 0 && at <= unread {
+			gone = append(gone, i.dismiss(v, Unread))
+		}
+	}
 	i.mu.Unlock()
 	carryOut(gone)
 }
--- a/connection/intake/intake_test.go
+++ b/connection/intake/intake_test.go
@@ -132,6 +132,43 @@
 	c.intake.Wait(ordinary, start)
 }
 
+// The load: clients read no answers, so that all connections are serving for good. The one whose answer
+// has waited for the longest makes room; what is served without an answer under way stays.
+func TestUnreadAnswersMakeRoom(t *testing.T) {
+	i := is.New(t)
+	c := newCrowd(NewLimits(3, 1<<20, time.Minute, time.Hour))
+	busy, older, newer := c.enter(start), c.enter(start), c.enter(start)
+	for _, v := range []*Visitor{busy, older, newer} {
+		i.True(c.intake.Serve(v, start))
+	}
+	c.intake.Answer(older, start.Add(time.Second))
+	c.intake.Answer(newer, start.Add(2*time.Second))
+	now := start.Add(2 * time.Second)
+	entered := c.enter(now)
+	i.True(entered != nil)
+	i.Equal(c.intake.Dismissed(older), Unread)
+	i.True(c.intake.Serve(entered, now))
+	c.intake.Answered(newer)
+	i.True(c.enter(now.Add(time.Minute)) == nil)
+	i.Equal(c.ended[Unread], 1)
+	i.Equal(c.intake.Dismissed(newer), None)
+	i.Equal(c.intake.Dismissed(busy), None)
+}
+
+func TestUnreadAnswersEnd(t *testing.T) {
+	i := is.New(t)
+	c := newCrowd(NewLimits(10, 1<<20, 10*time.Second, time.Hour))
+	v := c.enter(start)
+	i.True(c.intake.Serve(v, start))
+	for s := range 30 {
+		c.intake.Answer(v, start.Add(time.Duration(s)*time.Second))
+		c.intake.Sweep(start.Add(time.Duration(s+9) * time.Second))
+	}
+	i.Equal(c.intake.Dismissed(v), None)
+	c.intake.Sweep(start.Add(39 * time.Second))
+	i.Equal(c.intake.Dismissed(v), Unread)
+}
+
 func TestStalledAndSlowRequestsEnd(t *testing.T) {
 	i := is.New(t)
 	c := newCrowd(NewLimits(10, 1<<20, 10*time.Second, time.Minute))
--- a/connection/intake/reason.go
+++ b/connection/intake/reason.go
@@ -21,4 +21,6 @@
 	// that it needs more than all of them may take.
 	NoRoom   // too many bytes of requests that are being served
 	TooLarge // the request takes too much memory
+	// Unread means that the client does not read the answer.
+	Unread // the answer is not read
 )
