Receive requests that are larger than the room one by one

And a single job of that size was refused with 413 there since headers are counted: it counted three times, all that there is.

Cause: one request may be larger than all of the room, as it could never be received otherwise. When it has been received it no longer counts as that one, so that the next one arrives while the first is being read.

Change: while received requests that have not been read yet hold half of the room, none beyond the room arrives. A job of the product counts twice, so that a single one is served.

Result: the single job of 8 MiB is served, and the decision has a test (100 largest requests beside one that is being read).

--- a/connection/intake/intake.go
+++ b/connection/intake/intake.go
@@ -31,7 +31,9 @@
 	waiting   *list.List
 	receiving *list.List
 	serving   *list.List
-	bytes     int64
+	// bytes have arrived of requests, unkept is the part of those that have been received and not
+	// stated yet what they keep.
+	bytes, unkept int64
 	// kept is what the requests that are served keep, largeKept the part of the large ones.
 	kept, largeKept int64
 }
@@ -155,11 +157,18 @@
 }
 
 func (i *Intake) release(v *Visitor) {
-	i.bytes -= v.held
-	v.held = 0
+	i.setHeld(v, 0)
 	i.setKept(v, 0)
 }
 
+func (i *Intake) setHeld(v *Visitor, bytes int64) {
+	i.bytes += bytes - v.held
+	if v.phase == phaseServing {
+		i.unkept += bytes - v.held
+	}
+	v.held = bytes
+}
+
 func (i *Intake) setKept(v *Visitor, bytes int64) {
 	i.kept += bytes - v.kept
 	i.largeKept += largePart(bytes) - largePart(v.kept)
@@ -203,7 +212,10 @@
 		return true
 	}
 	i.leaveList(v)
+	held := v.held
+	i.setHeld(v, 0)
 	v.phase, v.since, v.progressAt = to, now, now
+	i.setHeld(v, held)
 	switch to {
 	case phaseWaiting:
 		v.place = i.waiting.PushBack(v)
@@ -245,10 +257,14 @@
 	if bytes > 0 {
 		v.progressAt = now
 	}
-	v.held += bytes
-	i.bytes += bytes
-	// A single request has its size as its limit: it could never be received otherwise.
-	gone := i.makeRoom(1)
+	i.setHeld(v, v.held+bytes)
+	// A single request has its size as its limit: it could never be received otherwise. Another one
+	// follows when it has been read.
+	left := 1
+	if i.unkept > i.limits.bytes/2 {
+		left = 0
+	}
+	gone := i.makeRoom(left)
 	stays := v.dismissed == None
 	i.mu.Unlock()
 	carryOut(gone)
@@ -264,8 +280,7 @@
 		i.mu.Unlock()
 		return false
 	}
-	v.held += bytes
-	i.bytes += bytes
+	i.setHeld(v, v.held+bytes)
 	if v.phase != phaseServing || v.held > smallMessageBytes {
 		i.move(v, phaseReceiving, now)
 	}
@@ -310,8 +325,7 @@
 			return r
 		}
 	}
-	i.bytes -= v.held
-	v.held = 0
+	i.setHeld(v, 0)
 	i.setKept(v, bytes)
 	return None
 }
--- a/connection/intake/intake_test.go
+++ b/connection/intake/intake_test.go
@@ -132,6 +132,27 @@
 	c.intake.Wait(ordinary, start)
 }
 
+// The load: clients send whole requests that are each larger than the limit. While one is being read, no
+// other one arrives.
+func TestLargestRequestsComeOneByOne(t *testing.T) {
+	i := is.New(t)
+	const limit = 1 << 20
+	c := newCrowd(NewLimits(10_000, limit, time.Minute, time.Hour))
+	received := func() (*Visitor, bool) {
+		v := c.enter(start)
+		return v, c.intake.Receive(v, limit, start) && c.intake.Serve(v, start)
+	}
+	first, stays := received()
+	i.True(stays)
+	for range 100 {
+		_, stays := received()
+		i.True(!stays)
+	}
+	i.Equal(c.intake.Keep(first, limit), None)
+	_, stays = received()
+	i.True(stays)
+}
+
 // The load: clients read no answers, so that all connections are serving for good. The one whose answer
 // has waited for the longest makes room; what is served without an answer under way stays.
 func TestUnreadAnswersMakeRoom(t *testing.T) {
--- a/request/submission/submission.go
+++ b/request/submission/submission.go
@@ -29,9 +29,9 @@
 	// maxScalarBytes is the largest text of a field that is a name or a number, and of the name of a
 	// field.
 	maxScalarBytes = 1 << 10
-	// jobCopies is how often the text of a job is in memory while it is held: as the caller sent it,
-	// in the messages to agents or to the owner, and in the record of the job.
-	jobCopies = 3
+	// jobCopies is how often the text of a job is in memory while it is held: as the caller sent it, and
+	// in messages to agents or to the owner.
+	jobCopies = 2
 )
 
 // ErrTooLarge means that a body is larger than MaxBodyBytes.
