Wait for the handlers of requests that gave way before more is read

Cause: the room of a request that gives way was given to others at once, while its buffers stay until its handler runs. With 600 handlers ready to run that takes some 10 ms, in which others read 10 MiB or more. The text of a body that is refused waits for the garbage collector, and what arrives was counted apart from what is kept by the requests that are served.

Change: what requests that gave way hold is counted until their handlers have ended; beyond an eighth of the room nobody reads on until then, 100 ms at most. It waits for no client: the reads of such a request fail at once. Less may arrive while much is kept, but always a quarter of the room. The buffers of long texts are used again. A job of the product counts three times its text again, and a request that is alone may take a quarter more than there is room.

--- a/connection/doorway/body.go
+++ b/connection/doorway/body.go
@@ -77,6 +77,7 @@
 			return 0, &Refusal{reason}
 		}
 	}
+	d.awaitDrained()
 	return n, err
 }
 
--- a/connection/doorway/doorway.go
+++ b/connection/doorway/doorway.go
@@ -23,8 +23,10 @@
 	maxTickGap = 3 * tickInterval / 2
 	// receiveBufferBytes is what the kernel holds of a connection that is not being read, and
 	// sendBufferBytes what it holds of answers that the client does not read. The kernel doubles both.
-	receiveBufferBytes = 8 << 10
+	receiveBufferBytes = 16 << 10
 	sendBufferBytes    = 16 << 10
+	// maxDrainTime bounds how long the handlers of requests that have given way are waited for.
+	maxDrainTime = 100 * time.Millisecond
 	// turnedAway counts connections for which no other could give way.
 	turnedAway = "turned away"
 )
@@ -105,6 +107,17 @@
 	}
 }
 
+// awaitDrained waits until the handlers of requests that have given way have ended. It waits for no
+// client, as their reads fail at once.
+func (d *Doorway) awaitDrained() {
+	if drained := d.intake.Drained(); drained != nil {
+		select {
+		case <-drained:
+		case <-d.clock.After(maxDrainTime):
+		}
+	}
+}
+
 // Guard returns a listener whose connections enter through the doorway.
 func (d *Doorway) Guard(l net.Listener) net.Listener {
 	if d.messages {
--- a/connection/doorway/header.go
+++ b/connection/doorway/header.go
@@ -44,7 +44,9 @@
 	if n > 0 && !c.inRequest.Load() {
 		d := c.doorway
 		// One that has given way is closed, or its handler refuses the request.
-		d.intake.ReceiveHeader(c.visitor, d.headerMemory(p[:n]), d.clock.Now())
+		if d.intake.ReceiveHeader(c.visitor, d.headerMemory(p[:n]), d.clock.Now()) {
+			d.awaitDrained()
+		}
 	}
 	return n, err
 }
--- a/connection/intake/intake.go
+++ b/connection/intake/intake.go
@@ -34,6 +34,10 @@
 	// bytes have arrived of requests, unkept is the part of those that have been received and not
 	// stated yet what they keep.
 	bytes, unkept int64
+	// ending is what requests that have given way hold until their handlers have ended. Drained is
+	// closed when it is little again, and nil while it is.
+	ending  int64
+	drained chan struct{}
 	// kept is what the requests that are served keep, largeKept the part of the large ones.
 	kept, largeKept int64
 }
@@ -54,6 +58,12 @@
 	// minAnswering is how long a part of an answer has to have waited before its connection may give
 	// way to another: that of a client that reads is taken at once.
 	minAnswering = 10 * time.Millisecond
+	// endingShare divides the room for bytes that arrive into what requests that have given way may
+	// still hold while others are read.
+	endingShare = 8
+	// minRoomShare divides the room for bytes that arrive while the requests that are being served keep
+	// all that they may.
+	minRoomShare = 4
 	// largeRequestBytes is what a request keeps at least that counts as large.
 	largeRequestBytes = 128 << 10
 )
@@ -66,9 +76,10 @@
 	dismissed Reason
 	place     *list.Element
 	// held are the bytes of the request that have arrived, kept what it keeps while it is served.
-	held, kept int64
-	since      time.Time
-	progressAt time.Time
+	// Ending is what it held when it gave way.
+	held, kept, ending int64
+	since              time.Time
+	progressAt         time.Time
 	// answeringSince is since when a part of an answer has been waiting to be taken by the client, in
 	// nanoseconds since 1970, or 0.
 	answeringSince atomic.Int64
@@ -145,6 +156,8 @@
 // dismiss makes a connection give way. The caller holds the lock.
 func (i *Intake) dismiss(v *Visitor, r Reason) dismissal {
 	v.dismissed = r
+	v.ending += v.held
+	i.ending += v.held
 	i.release(v)
 	i.leaveList(v)
 	return dismissal{visitor: v, reason: r}
@@ -259,9 +272,9 @@
 	}
 	i.setHeld(v, v.held+bytes)
 	// A single request has its size as its limit: it could never be received otherwise. Another one
-	// follows when it has been read.
+	// follows when it has been served.
 	left := 1
-	if i.unkept > i.limits.bytes/2 {
+	if i.unkept+i.kept > i.limits.bytes/2 {
 		left = 0
 	}
 	gone := i.makeRoom(left)
@@ -291,10 +304,43 @@
 	return stays
 }
 
+// room returns how many bytes of requests may have arrived. It is less while those that are being served
+// keep much, but leaves some room for ordinary requests.
+func (i *Intake) room() int64 {
+	return min(i.limits.bytes, max(i.limits.bytes/minRoomShare, i.limits.served()-i.kept))
+}
+
+// Drained returns a channel that is closed when the handlers of requests that have given way have
+// ended, as far as they hold much, or nil if they do not. Until then further bytes should not be read:
+// what has been promised to them is still in use.
+func (i *Intake) Drained() <-chan struct{} {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.ending <= i.maxEnding() {
+		return nil
+	}
+	if i.drained == nil {
+		i.drained = make(chan struct{})
+	}
+	return i.drained
+}
+
+func (i *Intake) maxEnding() int64 { return i.limits.bytes / endingShare }
+
+// end notes that the handler of a request that has given way has ended.
+func (i *Intake) end(v *Visitor) {
+	i.ending -= v.ending
+	v.ending = 0
+	if i.drained != nil && i.ending <= i.maxEnding() {
+		close(i.drained)
+		i.drained = nil
+	}
+}
+
 // makeRoom makes requests give way until the others fit, those that began first before others. It
 // leaves a number of requests in any case.
 func (i *Intake) makeRoom(left int) (gone []dismissal) {
-	for next := i.receiving.Front(); i.bytes > i.limits.bytes && i.receiving.Len() > left && next != nil; {
+	for next, room := i.receiving.Front(), i.room(); i.bytes > room && i.receiving.Len() > left && next != nil; {
 		oldest := next.Value.(*Visitor)
 		next = next.Next()
 		if oldest.held > 0 {
@@ -335,8 +381,11 @@
 	others, otherLarge := i.kept-v.kept, i.largeKept-largePart(v.kept)
 	large := largePart(bytes)
 	switch {
-	case bytes > i.limits.served():
+	case bytes > i.limits.served()+i.limits.served()/4:
 		return TooLarge
+	case others == 0:
+		// A single request of the largest size is served.
+		return None
 	case others+bytes > i.limits.served():
 		return NoRoom
 	case large > 0 && otherLarge > 0 && otherLarge+large > i.limits.served()/2:
@@ -350,15 +399,15 @@
 func (i *Intake) Release(v *Visitor) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if v.dismissed == None && v.phase != phaseLeft {
-		i.release(v)
-	}
+	i.end(v)
+	i.release(v)
 }
 
 // Wait notes that the connection has no request any more.
 func (i *Intake) Wait(v *Visitor, now time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	i.end(v)
 	i.release(v)
 	i.move(v, phaseWaiting, now)
 }
@@ -367,6 +416,7 @@
 func (i *Intake) Leave(v *Visitor) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	i.end(v)
 	i.release(v)
 	i.leaveList(v)
 	i.forget(v)
--- a/node/entry/publish.go
+++ b/node/entry/publish.go
@@ -83,10 +83,11 @@
 	if err != nil {
 		return request, err
 	}
-	if err := doorway.Keep(r, changeCopies*int64(len(text))); err != nil {
+	defer text.Release()
+	if err := doorway.Keep(r, changeCopies*int64(len(text.Bytes()))); err != nil {
 		return request, err
 	}
-	decoder := json.NewDecoder(bytes.NewReader(text))
+	decoder := json.NewDecoder(bytes.NewReader(text.Bytes()))
 	decoder.DisallowUnknownFields()
 	return request, decoder.Decode(&request)
 }
--- a/request/submission/submission.go
+++ b/request/submission/submission.go
@@ -30,8 +30,8 @@
 	// field.
 	maxScalarBytes = 1 << 10
 	// jobCopies is how often the text of a job is in memory while it is held: as the caller sent it, and
-	// in messages to agents or to the owner.
-	jobCopies = 2
+	// twice in messages to agents or to the owner.
+	jobCopies = 3
 )
 
 // ErrTooLarge means that a body is larger than MaxBodyBytes.
@@ -62,10 +62,19 @@
 	if err := CheckNames(team, key); err != nil {
 		return nil, err
 	}
-	raw, err := segment.ReadAll(io.LimitReader(body, MaxBodyBytes+1))
+	text, err := segment.ReadAll(io.LimitReader(body, MaxBodyBytes+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "body was cut off")
 	}
+	s, err := parse(text.Bytes(), team, key)
+	if err != nil {
+		text.Release()
+		return nil, err
+	}
+	return s, nil
+}
+
+func parse(raw []byte, team, key string) (*Submission, error) {
 	if len(raw) > MaxBodyBytes {
 		return nil, ErrTooLarge
 	}
