Refuse calls for which there is no room

What was seen: 600 clients that each begin 1,000 calls on a connection to the listener for processes, without a message or with a tiny one, took a dispatcher of 96 MiB to 173 to 1,582 MiB and an entry to 1,278 MiB; some 60 bytes a call.

Cause: a connection may carry 1,000 calls, each of which takes its stacks and buffers, some 16 KiB, until it ends. The intake counts the bytes of messages that have not been delivered; calls without one hold next to nothing, and a delivered message resets the count.

Change: each call counts 16 KiB from its beginning to the end of its context. All of a listener share a quarter of the memory; the first two of each connection have half of it for themselves. A call without room is refused with RESOURCE_EXHAUSTED before a goroutine is started for it. On the product's own path with TLS the frames were looked for in what is encrypted; the doorway now follows the messages after the handshake, and counts the handshake like a header.

Tried and dropped: to end the connection with the most calls.

The tests fail on the code before. That TLS clients are counted right was not measured with a crowd; the tests of node/entry pass.

--- a/connection/doorway/doorway.go
+++ b/connection/doorway/doorway.go
@@ -182,7 +182,9 @@
 		if err := setUserTimeout(c, d.acknowledgement); err != nil {
 			klog.V(1).InfoS("CH1233 connection may outlive its client", "listener", d.name, "error", err)
 		}
-		return &messageConnection{connection: c}
+		if !d.encrypted {
+			return &messageConnection{connection: c, plain: conn}
+		}
 	}
 	return c
 }
--- a/connection/doorway/messages.go
+++ b/connection/doorway/messages.go
@@ -8,7 +8,13 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/peer"
+	grpcstatus "google.golang.org/grpc/status"
+	"google.golang.org/grpc/tap"
+
+	"github.com/corianderhook/corianderhook/connection/intake"
 )
 
 const (
@@ -19,6 +25,8 @@
 	// DefaultAcknowledgement is the time that gRPC servers leave clients to acknowledge what is
 	// sent to them.
 	DefaultAcknowledgement = 20 * time.Second
+	// callBytes is what a call takes until it ends: its stacks, its buffers and its headers.
+	callBytes = 16 << 10
 	// uncountedBytes is what a connection that has carried a message may hold without being
 	// counted: most messages are smaller.
 	uncountedBytes = 4 << 10
@@ -33,16 +41,18 @@
 	return func(d *Doorway) { d.messages, d.acknowledgement = true, acknowledgement }
 }
 
-// messageConnection is a connection of gRPC.
+// messageConnection is a connection of gRPC. Its messages come and go over plain, which is the
+// connection itself or what TLS makes of it.
 type messageConnection struct {
 	*connection
+	plain  net.Conn
 	frames frameCounter
 }
 
 // Read reads from the connection, and closes it if what it holds has to give way. A connection that
 // has carried a message is counted once it holds more than uncountedBytes.
 func (c *messageConnection) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	n, err := c.plain.Read(p)
 	held := c.unread.Add(c.frames.count(p[:n]))
 	if c.delivered.Load() && held <= uncountedBytes {
 		return n, err
@@ -54,6 +64,66 @@
 	return n, err
 }
 
+// Write sends a part of a message.
+func (c *messageConnection) Write(p []byte) (int, error) { return c.plain.Write(p) }
+
+// handshakes counts the messages of connections that are secured by TLS. They are read after the
+// handshake, which is counted like a header.
+type handshakes struct {
+	credentials.TransportCredentials
+}
+
+// Credentials returns the credentials of a gRPC server behind the doorway.
+func (d *Doorway) Credentials(c credentials.TransportCredentials) credentials.TransportCredentials {
+	if !d.encrypted {
+		return c
+	}
+	return handshakes{c}
+}
+
+// Clone returns a copy.
+func (h handshakes) Clone() credentials.TransportCredentials {
+	return handshakes{h.TransportCredentials.Clone()}
+}
+
+// ServerHandshake does the handshake of a connection.
+func (h handshakes) ServerHandshake(raw net.Conn) (net.Conn, credentials.AuthInfo, error) {
+	secured, info, err := h.TransportCredentials.ServerHandshake(raw)
+	entered, known := raw.(*connection)
+	if err != nil || !known {
+		return secured, info, err
+	}
+	entered.inRequest.Store(true)
+	entered.doorway.intake.Wait(entered.visitor, entered.doorway.clock.Now())
+	return &messageConnection{connection: entered, plain: secured}, info, nil
+}
+
+// beginCall notes that a call begins, and refuses it if there is no room. It ends with its context.
+func beginCall(ctx context.Context, _ *tap.Info) (context.Context, error) {
+	c := connectionOf(ctx)
+	if c == nil {
+		return ctx, nil
+	}
+	if !c.doorway.intake.Call(c.visitor, callBytes) {
+		c.doorway.note(intake.Busy.String())
+		return ctx, grpcstatus.Error(codes.ResourceExhausted, intake.Busy.String())
+	}
+	context.AfterFunc(ctx, func() { c.doorway.intake.EndCall(c.visitor, callBytes) })
+	return ctx, nil
+}
+
+// connectionOf returns the connection of a call, or nil.
+func connectionOf(ctx context.Context) *connection {
+	client, _ := peer.FromContext(ctx)
+	if client == nil {
+		return nil
+	}
+	if a, ok := client.Addr.(messageAddress); ok {
+		return a.connection
+	}
+	return nil
+}
+
 // messageAddress is the address of a connection, by which its calls find it.
 type messageAddress struct {
 	net.Addr
@@ -85,12 +155,8 @@
 
 // delivered notes that a message of a call has been received completely.
 func delivered(ctx context.Context) {
-	client, _ := peer.FromContext(ctx)
-	if client == nil {
-		return
-	}
-	if a, ok := client.Addr.(messageAddress); ok {
-		a.connection.messageDelivered()
+	if c := connectionOf(ctx); c != nil {
+		c.messageDelivered()
 	}
 }
 
@@ -119,7 +185,7 @@
 // ServerOptions returns the options of a gRPC server behind a doorway for messages.
 func ServerOptions() []grpc.ServerOption {
 	return []grpc.ServerOption{
-		grpc.ConnectionTimeout(handshakeTime), grpc.MaxConcurrentStreams(maxStreams), grpc.MaxHeaderListSize(maxHeaderBytes),
+		grpc.ConnectionTimeout(handshakeTime), grpc.MaxConcurrentStreams(maxStreams), grpc.MaxHeaderListSize(maxHeaderBytes), grpc.InTapHandle(beginCall),
 		grpc.ChainUnaryInterceptor(func(ctx context.Context, r any, _ *grpc.UnaryServerInfo, handle grpc.UnaryHandler) (any, error) {
 			delivered(ctx)
 			return handle(ctx, r)
--- a/connection/intake/intake.go
+++ b/connection/intake/intake.go
@@ -40,6 +40,8 @@
 	drained chan struct{}
 	// kept is what the requests that are served keep, largeKept the part of the large ones.
 	kept, largeKept int64
+	// calls is what the calls take that have begun on connections which carry many.
+	calls int64
 }
 
 // phase is what a connection does.
@@ -58,6 +60,8 @@
 	// minAnswering is how long a part of an answer has to have waited before its connection may give
 	// way to another: that of a client that reads is taken at once.
 	minAnswering = 10 * time.Millisecond
+	// firstCalls is the number of calls that connections have room for beside others with many.
+	firstCalls = 2
 	// endingShare divides the room for bytes that arrive into what requests that have given way may
 	// still hold while others are read.
 	endingShare = 8
@@ -78,8 +82,10 @@
 	// held are the bytes of the request that have arrived, kept what it keeps while it is served.
 	// Ending is what it held when it gave way.
 	held, kept, ending int64
-	since              time.Time
-	progressAt         time.Time
+	// calls is what its calls take.
+	calls      int64
+	since      time.Time
+	progressAt time.Time
 	// answeringSince is since when a part of an answer has been waiting to be taken by the client, in
 	// nanoseconds since 1970, or 0.
 	answeringSince atomic.Int64
@@ -304,6 +310,32 @@
 	return stays
 }
 
+// Call notes that a call begins on a connection that carries many, by the memory that it takes, and
+// returns whether it may. The first few of each connection have one half of the room for themselves. Of
+// the other half a connection may not take more than is left.
+func (i *Intake) Call(v *Visitor, bytes int64) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	room := i.limits.served() - i.calls
+	if v.calls >= firstCalls*bytes {
+		room -= i.limits.served()/2 + v.calls
+	}
+	if bytes > room {
+		return false
+	}
+	v.calls += bytes
+	i.calls += bytes
+	return true
+}
+
+// EndCall notes that a call has ended, also after its connection has.
+func (i *Intake) EndCall(v *Visitor, bytes int64) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	v.calls -= bytes
+	i.calls -= bytes
+}
+
 // room returns how many bytes of requests may have arrived. It is less while those that are being served
 // keep much, but leaves some room for ordinary requests.
 func (i *Intake) room() int64 {
--- a/connection/intake/intake_test.go
+++ b/connection/intake/intake_test.go
@@ -340,6 +340,39 @@
 	i.Equal(bytes, int64(0))
 }
 
+// The load: clients begin a thousand calls each and end none. Together they stay within the limit, and a
+// process that comes then still has room for its first calls.
+func TestCallsLeaveRoomForTheFirstOfOthers(t *testing.T) {
+	i := is.New(t)
+	const limit, call = 8 << 20, 16 << 10
+	c := newCrowd(NewLimits(1000, limit, 0, 0))
+	var crowd []*Visitor
+	for range 200 {
+		v := c.enter(start)
+		crowd = append(crowd, v)
+		for range 1000 {
+			c.intake.Call(v, call)
+		}
+		i.True(v.calls >= firstCalls*call)
+	}
+	i.True(crowd[0].calls > 100*call)
+	ordinary := c.enter(start)
+	for range firstCalls {
+		i.True(c.intake.Call(ordinary, call))
+	}
+	for range 400 {
+		c.intake.Call(c.enter(start), call)
+		i.True(c.intake.calls <= servedShare*limit)
+	}
+	// What ends makes room, also after the connection has ended.
+	i.True(!c.intake.Call(ordinary, call))
+	held := crowd[0].calls
+	c.intake.Leave(crowd[0])
+	i.True(!c.intake.Call(ordinary, call))
+	c.intake.EndCall(crowd[0], held)
+	i.True(c.intake.Call(c.enter(start), call))
+}
+
 // A request on a kept connection beside many others.
 func BenchmarkRequest(b *testing.B) {
 	c := newCrowd(NewLimits(3000, 1<<30, time.Minute, time.Hour))
--- a/connection/intake/reason.go
+++ b/connection/intake/reason.go
@@ -23,4 +23,6 @@
 	TooLarge // the request takes too much memory
 	// Unread means that the client does not read the answer.
 	Unread // the answer is not read
+	// Busy means that too many calls are under way for another one of the same connection.
+	Busy // too many calls
 )
--- a/connection/intake/reason_string.go
+++ b/connection/intake/reason_string.go
@@ -16,11 +16,12 @@
 	_ = x[NoRoom-5]
 	_ = x[TooLarge-6]
 	_ = x[Unread-7]
+	_ = x[Busy-8]
 }
 
-const _Reason_name = "nonetoo many connectionstoo many bytes of incomplete requeststhe request has stalledthe request takes too longtoo many bytes of requests that are being servedthe request takes too much memorythe answer is not read"
+const _Reason_name = "nonetoo many connectionstoo many bytes of incomplete requeststhe request has stalledthe request takes too longtoo many bytes of requests that are being servedthe request takes too much memorythe answer is not readtoo many calls"
 
-var _Reason_index = [...]uint8{0, 4, 24, 61, 84, 110, 158, 191, 213}
+var _Reason_index = [...]uint8{0, 4, 24, 61, 84, 110, 158, 191, 213, 227}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -141,7 +141,7 @@
 	allotment := doorway.Allot(c)
 	e.callerDoor = doorway.New("callers", allotment.Callers(), deps.Clock, e.metrics, doorway.WithEncryption(deps.Security.Encrypted()))
 	e.adminDoor = doorway.New("administration", allotment.Probes(), deps.Clock, e.metrics, doorway.WithEncryption(deps.Security.Encrypted()))
-	e.processDoor = doorway.New("processes", allotment.Processes(), deps.Clock, e.metrics, doorway.ForMessages(c.SilenceTimeout()))
+	e.processDoor = doorway.New("processes", allotment.Processes(), deps.Clock, e.metrics, doorway.ForMessages(c.SilenceTimeout()), doorway.WithEncryption(deps.Security.Encrypted()))
 	var pass func()
 	if deps.Gate != nil {
 		pass = deps.Gate.Pass
@@ -214,7 +214,7 @@
 	defer cancel()
 	defer e.deps.System.Root.Stop(e.owner)
 	e.grpcServer = grpc.NewServer(append(doorway.ServerOptions(),
-		grpc.Creds(e.deps.Security.ServerCredentials()),
+		grpc.Creds(e.processDoor.Credentials(e.deps.Security.ServerCredentials())),
 		grpc.InitialWindowSize(peer.WindowBytes),
 		grpc.InitialConnWindowSize(peer.WindowBytes),
 		grpc.MaxRecvMsgSize(peer.MaxMessageBytes),
