Refuse sessions of an agent that follow one another at once

What was seen: 600 clients that attach to an entry of 96 MiB as one agent, 1,000 sessions each, took it to 131 MiB, and an ordinary job had no answer within 20 s.

Cause: each session replaces the one before and is work for the owner actor, whose messages wait without a bound.

--- a/node/entry/service.go
+++ b/node/entry/service.go
@@ -25,10 +25,15 @@
 	entry *Entry
 }
 
+// minSessionAge is how long a session of an agent stays at least before another one replaces it. Agents
+// wait longer before they connect again.
+const minSessionAge = 50 * time.Millisecond
+
 // session is a stream from an agent.
 type session struct {
-	agent string
-	out   *outbox.Outbox
+	agent    string
+	openedAt time.Time
+	out      *outbox.Outbox
 	// heard is signaled for every batch that arrives.
 	heard chan struct{}
 	// sentTable is the table whose entries were last sent to the agent, sentConfigVersion
@@ -45,15 +50,21 @@
 
 func newSessions() *sessions { return &sessions{byAgent: map[string]*session{}} }
 
-// put registers a session and closes an older one of the same agent.
-func (s *sessions) put(next *session) {
+// put registers a session and closes an older one of the same agent. It refuses a session that follows
+// the older one at once: each is work for the owner actor.
+func (s *sessions) put(next *session) (registered bool) {
 	s.mu.Lock()
 	old := s.byAgent[next.agent]
+	if old != nil && next.openedAt.Sub(old.openedAt) < minSessionAge {
+		s.mu.Unlock()
+		return false
+	}
 	s.byAgent[next.agent] = next
 	s.mu.Unlock()
 	if old != nil {
 		old.out.Close()
 	}
+	return true
 }
 
 func (s *sessions) remove(old *session) {
@@ -77,12 +88,14 @@
 	e := s.entry
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
-	sess := &session{agent: hello.GetAgent(), out: outbox.New(), heard: make(chan struct{}, 1)}
+	sess := &session{agent: hello.GetAgent(), openedAt: e.deps.Clock.Now(), out: outbox.New(), heard: make(chan struct{}, 1)}
 	sess.out.Put(&wire.EntryFrame{Body: &wire.EntryFrame_Welcome{Welcome: &wire.Welcome{
 		Entry:   e.self.Instance,
 		Entries: e.entryAddresses(),
 	}}})
-	e.sessions.put(sess)
+	if !e.sessions.put(sess) {
+		return status.Error(codes.ResourceExhausted, "the agent has just opened another session")
+	}
 	e.deps.System.Root.Send(e.owner, sessionOpened{session: sess, hello: hello})
 	klog.V(1).InfoS("CH0101 agent attached", "entry", e.self.Instance, "agent", sess.agent)
 	go s.receive(ctx, cancel, stream, sess)
