Test the reuse of long texts without counting allocations

With the race detector a sync.Pool drops what it is given at random, so that the bound on allocations failed (20). The test now holds the buffers and compares them: the text of a class takes over the one that was released, once, and one of another class does not. The slow answer of the doorway's test is read to its end.

--- a/common/segment/segment_test.go
+++ b/common/segment/segment_test.go
@@ -26,17 +26,21 @@
 	i.True(errors.Is(err, broken))
 }
 
-// A crowd of long texts that are read and released leaves next to nothing for the garbage collector.
+// A long text takes over the memory of one that was released and not collected, if that has its size.
 func TestReleasedTextsAreUsedAgain(t *testing.T) {
 	i := is.New(t)
-	long := make([]byte, 300_000)
-	allocated := testing.AllocsPerRun(100, func() {
-		text, err := ReadAll(bytes.NewReader(long))
+	read := func(size int) Text {
+		text, err := ReadAll(bytes.NewReader(make([]byte, size)))
 		i.NoErr(err)
-		i.Equal(len(text.Bytes()), len(long))
-		text.Release()
-	})
-	i.True(allocated < 20)
+		i.Equal(len(text.Bytes()), size)
+		return text
+	}
+	first, other := read(300_000), read(300_000)
+	i.True(first.buffer != other.buffer)
+	first.Release()
+	i.True(read(1_000_000).buffer != first.buffer)
+	i.Equal(read(270_000).buffer, first.buffer)
+	i.True(read(300_000).buffer != first.buffer)
 	Text{}.Release()
 	i.Equal(len(Text{}.Bytes()), 0)
 }
--- a/connection/doorway/doorway_test.go
+++ b/connection/doorway/doorway_test.go
@@ -192,9 +192,11 @@
 	i.NoErr(err)
 	defer response.Body.Close()
 	read := int64(0)
-	for n := int64(0); err == nil; time.Sleep(20 * time.Millisecond) {
+	for err == nil {
+		var n int64
 		n, err = io.CopyN(io.Discard, response.Body, 128<<10)
 		read += n
+		time.Sleep(20 * time.Millisecond)
 	}
 	i.Equal(err, io.EOF)
 	i.Equal(read, int64(largeAnswerBytes))
