--- a/connection/doorway/doorway.go
+++ b/connection/doorway/doorway.go
@@ -103,7 +103,7 @@
 	d.mu.Unlock()
 	if len(counts) > 0 {
 		connections, bytes := d.intake.Held()
-		klog.InfoS("CH1230 connections ended before their request was received", "listener", d.name, "reasons", counts, "connections", connections, "bytes", bytes)
+		klog.InfoS("CH1230 connections ended or requests refused", "listener", d.name, "reasons", counts, "connections", connections, "bytes", bytes)
 	}
 }
 
