Let the mutant of an acknowledged stop match the runner again

Between stopping and stopped nothing changes for the orders without an answer, so that it is set as before; the mutant is caught again. One line is formatted as the linter asks.

--- a/process/runner/runner.go
+++ b/process/runner/runner.go
@@ -380,7 +380,7 @@
 		r.host.Stop(t.name, t.order)
 		return
 	}
-	r.enter(t, stopped)
+	t.phase = stopped
 	t.answeredAt = r.host.Now()
 }
 
--- a/request/submission/submission.go
+++ b/request/submission/submission.go
@@ -123,7 +123,9 @@
 	return errors.Wrap(err, "body is not a job")
 }
 
-func unknownField(name string) error { return errors.Errorf("json: unknown field %q", excerpt.Of(name)) }
+func unknownField(name string) error {
+	return errors.Errorf("json: unknown field %q", excerpt.Of(name))
+}
 
 // fieldName returns the name of a field. A long one is not decoded.
 func fieldName(name jsonpart.Part) (string, error) {
