Review: a dispatcher cut off from all others acknowledges a cancelling

Cause: a dispatcher answers a DELETE with 200 when no other dispatcher answers it, as one of them may hold the job. While it is cut off nobody hears of the cancelling. Change: case 12, a script with forwarders between the machines.

--- a/review/site3/cancel.go
+++ b/review/site3/cancel.go
@@ -66,15 +66,15 @@
 	}
 	<-answered
 	<-others
-	return lateStart(s.record, id, acknowledgedAt), nil
+	return lateStart(s.record, id, acknowledgedAt, cancelTime), nil
 }
 
 // lateStart returns a start of a canceled job that came later than it may, or nothing.
-func lateStart(r *record, id string, acknowledgedAt time.Time) string {
+func lateStart(r *record, id string, acknowledgedAt time.Time, bound time.Duration) string {
 	for _, a := range r.startsOf(id) {
-		if late := a.at.Sub(acknowledgedAt) - cancelTime; late > 0 {
+		if late := a.at.Sub(acknowledgedAt) - bound; late > 0 {
 			return fmt.Sprintf("at %.3f s executor %s starts %s, %s later than %s after the ack of its job's cancelling",
-				r.since(a.at), a.executor, a.task, late.Round(time.Millisecond), cancelTime)
+				r.since(a.at), a.executor, a.task, late.Round(time.Millisecond), bound)
 		}
 	}
 	return ""
--- a/review/site3/executor.go
+++ b/review/site3/executor.go
@@ -23,8 +23,6 @@
 // work is what the spec of a task says.
 type work struct {
 	RunMS int64 `json:"runMs"`
-	// CrashMS, if it is not 0, is the time after its start at which a run crashes its executor.
-	CrashMS int64 `json:"crashMs,omitempty"`
 }
 
 // run is a run of a task at an executor.
@@ -230,24 +228,10 @@
 	e.runs[o.task], e.highest[o.task] = r, o.run
 	e.record.start(e.id, r)
 	life := e.life
-	if w.CrashMS > 0 {
-		time.AfterFunc(time.Duration(w.CrashMS)*time.Millisecond, func() { e.crashUnder(r, life) })
-		return ""
-	}
 	time.AfterFunc(time.Duration(w.RunMS)*time.Millisecond, func() { e.finishIn(r, life, "done") })
 	return ""
 }
 
-// crashUnder crashes the executor if the run is still there.
-func (e *executor) crashUnder(r *run, life int) {
-	e.mu.Lock()
-	there := e.isLive(life) && !r.ended
-	e.mu.Unlock()
-	if there {
-		e.crash("task " + r.task)
-	}
-}
-
 // stopRun carries out a stop order. The lock is held.
 func (e *executor) stopRun(o order) string {
 	e.highest[o.task] = max(e.highest[o.task], o.run)
--- a/review/site3/main.go
+++ b/review/site3/main.go
@@ -25,8 +25,8 @@
 var cases = map[string]func(s *site, trouble bool) (breach string, err error){
 	"spread": spread,
 	"cancel": cancel,
-	"series": series,
 	"storm":  storm,
+	"apart":  apart,
 }
 
 func main() {
--- a/review/site3/site.go
+++ b/review/site3/site.go
@@ -26,6 +26,8 @@
 	trialPrefix = "/trials/"
 	// allSessions is the number of dispatchers up to which each reaches all executors.
 	allSessions = 3
+	// maxSeeds is the number of dispatchers that a process's settings name.
+	maxSeeds = 3
 	// readyTime is the longest time until the site serves.
 	readyTime = 20 * time.Second
 )
@@ -51,6 +53,8 @@
 	sidecars    []*process
 	executors   []*executor
 	taken       map[string]bool
+	// links is nil if no machine is to be cut off.
+	links *links
 }
 
 func newSite() (*site, error) {
@@ -119,7 +123,11 @@
 		}
 	}
 	for _, p := range s.dispatchers {
-		if err := s.launch(p, s.dispatcherSettings(p)); err != nil {
+		storeAt, seeds, err := s.reach(p)
+		if err != nil {
+			return err
+		}
+		if err := s.launch(p, s.dispatcherSettings(p, storeAt, seeds)); err != nil {
 			return err
 		}
 	}
@@ -139,6 +147,9 @@
 			return err
 		}
 	}
+	if s.links != nil {
+		p.control = s.links.addDispatcher(name)
+	}
 	s.dispatchers = append(s.dispatchers, p)
 	return nil
 }
@@ -157,29 +168,47 @@
 	if err := e.start(); err != nil {
 		return err
 	}
-	return s.launch(p, s.sidecarSettings(p, app))
+	storeAt, seeds, err := s.reach(p)
+	if err != nil {
+		return err
+	}
+	return s.launch(p, s.sidecarSettings(p, app, storeAt, seeds))
 }
 
-func (s *site) seeds() string {
-	var seeds []string
-	for _, d := range s.dispatchers[:min(3, len(s.dispatchers))] {
-		seeds = append(seeds, d.control)
+// reach returns the addresses at which a process finds the store and its first dispatchers.
+func (s *site) reach(p *process) (storeAt, seeds string, err error) {
+	var addresses []string
+	for i, d := range s.dispatchers {
+		address := d.control
+		if s.links != nil {
+			// All have forwarders, also those that it learns of later.
+			if address, err = s.links.addressFor(p.name, d.name); err != nil {
+				return "", "", err
+			}
+		}
+		if i < maxSeeds {
+			addresses = append(addresses, address)
+		}
+	}
+	storeAt = s.storeAt
+	if s.links != nil {
+		storeAt, err = s.links.storeFor(p.name, s.storeAt)
 	}
-	return strings.Join(seeds, ",")
+	return storeAt, strings.Join(addresses, ","), err
 }
 
 // commonSettings ends the settings of both roles as the templates of the deploy file have them.
 const commonSettings = "[runtime]\nmemory = %d\nlink = 1000\ngrace = 6s\nresubmission = 1300ms\n[intake]\ndescriptors = %d\n" +
 	"[sharing]\nrecovery = on\nslowness = on\nroom = on\n"
 
-func (s *site) dispatcherSettings(p *process) string {
+func (s *site) dispatcherSettings(p *process, storeAt, seeds string) string {
 	return fmt.Sprintf("[process]\nname = %s\nzone = z1\n[store]\naddress = %s\n[dispatcher]\ncallers = %s\nready = %s\nlisten = %s\npeers = %s\n",
-		p.name, s.storeAt, p.front, p.ready, p.control, s.seeds()) + fmt.Sprintf(commonSettings, s.memory, 4100)
+		p.name, storeAt, p.front, p.ready, p.control, seeds) + fmt.Sprintf(commonSettings, s.memory, 4100)
 }
 
-func (s *site) sidecarSettings(p *process, app string) string {
+func (s *site) sidecarSettings(p *process, app, storeAt, seeds string) string {
 	return fmt.Sprintf("[process]\nname = %s\nzone = z1\n[store]\naddress = %s\n[sidecar]\nendpoint = %s\nannouncements = %s\ndispatchers = %s\n",
-		p.name, s.storeAt, app, p.control, s.seeds()) + fmt.Sprintf(commonSettings, 152, 4096)
+		p.name, storeAt, app, p.control, seeds) + fmt.Sprintf(commonSettings, 152, 4096)
 }
 
 // launch starts a process with the command of the deploy file.
