Review: a job sent again to its dispatcher runs twice

Cause: a job whose caller has left is aborted and forgotten at once. If it arrives again within some 60 ms, as after a cut between callers and their dispatcher, its tasks are started while their first runs are still being stopped (TWICE).

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,3 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 go build -o target/review-3/site3 ./review/site3
+go build -o target/review-3/rig3 ./review/rig3
--- a/review/rig4/executor.go
+++ b/review/rig3/executor.go
@@ -12,12 +12,10 @@
 
 // Figures of the users' pages for a small deployment.
 const (
-	holdMax      = time.Second
-	stopTime     = 30 * time.Millisecond
-	beatInterval = 1500 * time.Millisecond
-	executorCPU  = 32000
-	// taskCPU is what a task takes in the cases in which that matters.
-	taskCPU       = 1000
+	holdMax       = time.Second
+	stopTime      = 30 * time.Millisecond
+	beatInterval  = 1500 * time.Millisecond
+	executorCPU   = 32000
 	executorMemMB = 131072
 	leaseCheck    = 5 * time.Millisecond
 	endsPerList   = 500
@@ -55,11 +53,6 @@
 	lastEnd                         int
 	changed                         chan struct{}
 	seq                             int
-	// cpu is the capacity, shrunkAt when it was last lowered. beaten is signalled after each report that
-	// was acknowledged.
-	cpu      int
-	shrunkAt time.Time
-	beaten   chan struct{}
 }
 
 // order is a call of the sidecar.
@@ -70,6 +63,9 @@
 	LastSeen         int
 }
 
+// key names the run that a call is about.
+func (o order) key() string { return fmt.Sprint(o.Task, "/", o.Run) }
+
 // readOrder reads a call. It returns false if the call has been answered.
 func (e *executor) readOrder(w http.ResponseWriter, r *http.Request) (o order, valid bool) {
 	var m map[string]json.RawMessage
@@ -109,26 +105,6 @@
 	return nil
 }
 
-// crash ends the life of the executor with all that runs there; another one begins after a time.
-func (e *executor) crash(back time.Duration) {
-	e.mu.Lock()
-	e.down = true
-	for _, r := range e.runs {
-		e.end(r, "crashed")
-	}
-	server := e.server
-	e.mu.Unlock()
-	server.Close()
-	e.log.add("%s crashes", e.id)
-	time.AfterFunc(back, func() {
-		if err := e.start(); err != nil {
-			e.log.add("%s cannot start again: %v", e.id, err)
-			return
-		}
-		e.log.add("%s is back", e.id)
-	})
-}
-
 func (e *executor) alive(born time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -158,7 +134,7 @@
 		e.seq++
 		body, _ := json.Marshal(map[string]any{
 			"service": e.service, "address": e.app, "zone": e.zone, "version": "v1", "slots": 8, "state": "ready", wire("$cold"): 0,
-			"capacity": map[string]int{"cpu": e.cpu, wire("$mem"): executorMemMB, "gpu": 0}, "labels": e.labels, wire("$clock"): e.clock(),
+			"capacity": map[string]int{"cpu": executorCPU, wire("$mem"): executorMemMB, "gpu": 0}, "labels": e.labels, wire("$clock"): e.clock(),
 			"seq": e.seq, "born": e.born.UnixMilli(),
 		})
 		e.mu.Unlock()
@@ -170,47 +146,18 @@
 			wait = 200 * time.Millisecond
 		} else {
 			response.Body.Close()
-			select {
-			case e.beaten <- struct{}{}:
-			default:
-			}
 		}
 		time.Sleep(wait)
 	}
 }
 
-// shrink lowers the capacity, which the next report shows.
-func (e *executor) shrink(cpu int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.cpu, e.shrunkAt = cpu, time.Now()
-	e.log.add("%s shrinks to %d", e.id, cpu)
-}
-
-// grow gives the executor its whole capacity again.
-func (e *executor) grow() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.cpu = executorCPU
-	e.log.add("%s grows to %d", e.id, e.cpu)
-}
-
-// checkRoom records a start that brings the executor over its capacity; e.mu is held. A room that has
-// shrunk counts contactTime and one beat later.
-func (e *executor) checkRoom(r *run) {
-	used := len(e.runs) * taskCPU
-	if used > e.cpu && !e.shrunkAt.IsZero() && time.Since(e.shrunkAt) > contactTime+beatInterval {
-		e.log.over("BROKEN: the start of %s brings %s to %d of %d, %.3f s after it shrank", r.task, e.id, used, e.cpu, time.Since(e.shrunkAt).Seconds())
-	}
-}
-
 // end ends a run; e.mu is held.
 func (e *executor) end(r *run, how string) bool {
 	if r.ended {
 		return false
 	}
 	r.ended = true
-	delete(e.runs, r.task)
+	delete(e.runs, order{Task: r.task, Run: r.number}.key())
 	e.log.ran(e.id, r, how)
 	return true
 }
@@ -263,7 +210,7 @@
 	if !e.accepts(o) {
 		return http.StatusConflict, "fence"
 	}
-	if r := e.runs[o.Task]; r != nil && r.number == o.Run {
+	if e.runs[o.key()] != nil {
 		return http.StatusOK, ""
 	}
 	if o.Run <= e.highest[o.Task] {
@@ -277,9 +224,8 @@
 		return http.StatusBadRequest, ""
 	}
 	r := &run{task: o.Task, number: o.Run, started: time.Now()}
-	e.highest[o.Task], e.runs[o.Task] = o.Run, r
+	e.highest[o.Task], e.runs[o.key()] = o.Run, r
 	e.log.started(e.id, r)
-	e.checkRoom(r)
 	time.AfterFunc(time.Duration(work)*time.Millisecond, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
@@ -293,12 +239,14 @@
 		return http.StatusConflict, "fence"
 	}
 	e.highest[o.Task] = max(e.highest[o.Task], o.Run)
-	if r := e.runs[o.Task]; r != nil && r.number <= o.Run {
-		time.AfterFunc(stopTime, func() {
-			e.mu.Lock()
-			defer e.mu.Unlock()
-			e.finish(r, "stopped")
-		})
+	for _, r := range e.runs {
+		if r.task == o.Task && r.number <= o.Run {
+			time.AfterFunc(stopTime, func() {
+				e.mu.Lock()
+				defer e.mu.Unlock()
+				e.finish(r, "stopped")
+			})
+		}
 	}
 	return http.StatusOK, ""
 }
--- a/review/rig4/main.go
+++ b/review/rig3/main.go
@@ -1,4 +1,4 @@
-// Command rig4 plays the cases of the fourth review that are scripts: it starts a small deployment of
+// Command rig3 plays two cases of the third review: it starts a small deployment of
 // the real programs on loopback addresses, with stand-ins for the platform, executors and clients.
 // It exits with 1 if a rule was broken, 0 if all held and 2 if the case could not run.
 package main
@@ -21,10 +21,8 @@
 
 func plays() map[string]play {
 	return map[string]play{
-		"spread": {3, 4, spread},
-		"cancel": {3, 3, cancel},
-		"wide":   {3, 4, wide},
-		"shrunk": {3, 3, shrunk},
+		"again": {3, 4, again},
+		"wide":  {3, 4, wide},
 	}
 }
 
@@ -32,7 +30,7 @@
 
 func playCase() int {
 	if len(os.Args) != 3 {
-		fmt.Println("usage: rig4 CASE RECORD")
+		fmt.Println("usage: rig3 CASE RECORD")
 		return 2
 	}
 	p, known := plays()[os.Args[1]]
--- a/review/rig4/record.go
+++ b/review/rig3/record.go
@@ -21,8 +21,6 @@
 	file  *os.File
 	quiet bool
 	runs  map[*run]*entry
-	// overs counts the starts beyond a capacity.
-	overs int
 }
 
 func newRecord(path string) (*record, error) {
@@ -41,14 +39,6 @@
 	fmt.Fprintf(r.file, "%8.3f  %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, details...))
 }
 
-// over records a start beyond a capacity.
-func (r *record) over(format string, details ...any) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.overs++
-	r.write(format, details...)
-}
-
 func (r *record) started(executor string, s *run) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/review/rig4/rig.go
+++ b/review/rig3/rig.go
@@ -13,7 +13,6 @@
 	"path/filepath"
 	"regexp"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -32,8 +31,6 @@
 	graceS   = 6
 	ctMillis = 3000
 	binary   = "target/corianderhook"
-	// firstLabel is the kind of the first executor only.
-	firstLabel = "b"
 )
 
 // machine is a machine of the system with its one process.
@@ -54,13 +51,11 @@
 	fronts    []*machine
 	sides     []*machine
 	executors []*executor
-	// away is set while the store turns the first side machine away.
-	away atomic.Bool
 }
 
 // newRig starts a deployment and waits until every front serves.
 func newRig(log *record, fronts, sides int) (*rig, error) {
-	dir, err := os.MkdirTemp("", "rig4-")
+	dir, err := os.MkdirTemp("", "rig3-")
 	if err != nil {
 		return nil, err
 	}
@@ -142,15 +137,10 @@
 	r.sides = append(r.sides, m)
 	e := &executor{
 		id: fmt.Sprintf("i-%08x", rand.Uint32()), app: app, control: m.control, service: service, zone: zoneOf(i), log: r.log,
-		labels: []string{"a", fmt.Sprintf("r%d", i/3+1)}, cpu: executorCPU, beaten: make(chan struct{}, 1),
+		labels: []string{"a", fmt.Sprintf("r%d", i/3+1)},
 	}
 	fields := map[string]any{"zone": zoneOf(i), "app": app}
-	if i == 0 {
-		e.labels[0] = firstLabel
-		if fields["platform.address"], err = r.serveFirst(); err != nil {
-			return err
-		}
-	}
+
 	r.executors = append(r.executors, e)
 	if err := e.start(); err != nil {
 		return err
@@ -158,35 +148,6 @@
 	return r.run(m, "deploy/sidecar.ini", fields)
 }
 
-// serveFirst serves the store to the first side machine, which it may turn away.
-func (r *rig) serveFirst() (string, error) {
-	l, err := net.Listen("tcp", r.ip(0, 2)+":0")
-	if err != nil {
-		return "", err
-	}
-	handler := r.store.Handler()
-	go func() {
-		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-			if r.away.Load() {
-				w.WriteHeader(http.StatusServiceUnavailable)
-				return
-			}
-			handler.ServeHTTP(w, q)
-		}))
-	}()
-	return l.Addr().String(), nil
-}
-
-// restart kills the process of a machine and starts it again after a time.
-func (r *rig) restart(m *machine, after time.Duration) error {
-	r.log.add("SIGKILL to %s", m.name)
-	_ = m.command.Process.Signal(syscall.SIGKILL)
-	<-m.exited
-	time.Sleep(after)
-	m.exited = make(chan struct{})
-	return r.launch(m)
-}
-
 // run writes the settings of a machine as the platform does, and starts its process.
 func (r *rig) run(m *machine, template string, fields map[string]any) error {
 	text, err := os.ReadFile(template)
@@ -254,11 +215,7 @@
 
 // stop ends all processes and removes their files.
 func (r *rig) stop() {
-	if os.Getenv("KEEP") != "" {
-		r.log.add("logs in %s", r.dir)
-	} else {
-		defer os.RemoveAll(r.dir)
-	}
+	defer os.RemoveAll(r.dir)
 	for _, m := range append(r.fronts, r.sides...) {
 		if m.command != nil && m.command.Process != nil {
 			_ = m.command.Process.Signal(syscall.SIGKILL)
